--- a/shared/classifier/code_fleet.go
+++ b/shared/classifier/code_fleet.go
@@ -16,6 +16,8 @@
 	WaveRefused Code = 706
 	// StaleEpoch means: the duty's holder has been replaced.
 	StaleEpoch Code = 707
+	// WaveMismatch means: the VM is not part of the wave.
+	WaveMismatch Code = 708
 )
 
 var fleetCodes = []Description{
@@ -61,4 +63,10 @@
 		Summary: "The duty's holder has been replaced.",
 		Remedy:  "None; the new holder goes on.",
 	},
+	{
+		Code:    WaveMismatch,
+		Name:    "waveMismatch",
+		Summary: "The VM is not part of the wave.",
+		Remedy:  "Check the wave's list of VMs.",
+	},
 }
--- /dev/null
+++ b/shared/jobs/allocator/job.go
@@ -0,0 +1,430 @@
+package allocator
+
+import (
+	"slices"
+	"time"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+// job is a live job.
+type job struct {
+	info modeller.Job
+	// occurrences are those that are due or have begun.
+	occurrences []*occurrence
+	// isOld is true for a job from before the duty was won.
+	isOld bool
+	// acceptedAt is when the job was accepted, by the scheduler's clock.
+	acceptedAt  time.Time
+	isCancelled bool
+	// outcome is set once the job has ended, and isFinalStored once that is stored.
+	outcome    modeller.JobState
+	hasStarted bool
+	// work is the job's core-time, and chain its longest chain.
+	work, chain time.Duration
+	// version counts changes, so that a stored batch cleans just what it held.
+	version int
+	// loaded is the progress under earlier holders, by task.
+	loaded map[modeller.TaskName]modeller.TaskProgress
+}
+
+// occurrence is one run of a job's steps.
+type occurrence struct {
+	number int
+	steps  []*step
+	isDone bool
+}
+
+// step is one step of an occurrence.
+type step struct {
+	spec    modeller.Step
+	job     *job
+	tasks   []*task
+	done    int
+	waiting int
+	// tickets let workers run the step, where the queue needs them.
+	tickets map[modeller.WorkerID]ticket
+	// perWorker counts the step's runs.
+	perWorker map[modeller.WorkerID]int
+}
+
+// ticket lets a worker run a step.
+type ticket struct {
+	text       string
+	validUntil time.Time
+}
+
+// task is one task of a step.
+type task struct {
+	name   modeller.TaskName
+	step   *step
+	run    *run
+	isDone bool
+	// attempt is the highest that was started as far as is known.
+	attempt    int
+	failed     []int
+	checkpoint string
+	// notBefore is until when it isn't placed.
+	notBefore time.Time
+	avoided   map[modeller.WorkerID]time.Time
+	// awaySince is since when a long-running task is not at work.
+	awaySince time.Time
+}
+
+func (al *Allocator) configure(cf modeller.Configuration) {
+	if cf.Version >= al.configuration.Version {
+		al.configuration = cf
+	}
+}
+
+// poolOf returns the pool that runs a job's tasks, or an empty name while no
+// configuration names it.
+func (al *Allocator) poolOf(jb *job) string {
+	return al.configuration.Queues[jb.info.Queue].Pool
+}
+
+func (al *Allocator) loadProgress(pg modeller.Progress) {
+	jb := al.jobs[pg.ID]
+	if jb == nil {
+		jb = &job{
+			info: modeller.Job{
+				ID:    pg.ID,
+				Queue: pg.Queue,
+			},
+		}
+		al.jobs[pg.ID] = jb
+	}
+	jb.loaded = make(map[modeller.TaskName]modeller.TaskProgress, len(pg.Tasks))
+	for _, tp := range pg.Tasks {
+		name := modeller.TaskName{
+			Job:        pg.ID,
+			Occurrence: tp.Occurrence,
+			Step:       tp.Step,
+			Index:      tp.Index,
+		}
+		jb.loaded[name] = tp
+	}
+	jb.hasStarted = len(pg.Tasks) > 0
+}
+
+func (al *Allocator) recordJob(now time.Time, jr modeller.JobRecord) {
+	id := jr.Job.ID
+	if jr.FinalState != "" {
+		if _, ok := al.ended[id]; !ok {
+			al.ended[id] = endedJob{
+				queue:   jr.Job.Queue,
+				state:   jr.FinalState,
+				endedAt: now,
+			}
+		}
+		delete(al.jobs, id)
+		return
+	}
+	if _, ok := al.ended[id]; ok {
+		return
+	}
+	jb := al.jobs[id]
+	if jb == nil {
+		jb = &job{}
+		al.jobs[id] = jb
+	}
+	if len(jb.info.Steps) > 0 {
+		return
+	}
+	jb.info = jr.Job
+	jb.isOld = !al.isLoaded
+	jb.acceptedAt = now
+	jb.work, jb.chain = measure(jr.Job)
+	if jr.Job.Occurrences == 0 {
+		al.begin(now, jb, 0)
+	}
+}
+
+// measure returns a job's core-time and its longest chain, as estimated.
+func measure(jb modeller.Job) (work, chain time.Duration) {
+	ends := make([]time.Duration, len(jb.Steps))
+	for idx, st := range jb.Steps {
+		cores := float64(st.Demand.MilliCores)/1000 + acceleratorCores*float64(st.Demand.Accelerators)
+		work += time.Duration(float64(st.Count) * cores * float64(st.Estimate))
+		ends[idx] = st.Estimate
+		for _, earlier := range st.After {
+			ends[idx] = max(ends[idx], ends[earlier]+st.Estimate)
+		}
+		chain = max(chain, ends[idx])
+	}
+	return work, chain
+}
+
+// acceleratorCores is how many cores an accelerator counts for, as the users'
+// accounting has it.
+const acceleratorCores = 8
+
+// begin makes the tasks of an occurrence.
+func (al *Allocator) begin(now time.Time, jb *job, number int) {
+	oc := &occurrence{
+		number: number,
+	}
+	for stepNumber, spec := range jb.info.Steps {
+		st := &step{
+			spec:      spec,
+			job:       jb,
+			perWorker: map[modeller.WorkerID]int{},
+		}
+		for index := range spec.Count {
+			tk := &task{
+				name: modeller.TaskName{
+					Job:        jb.info.ID,
+					Occurrence: number,
+					Step:       stepNumber,
+					Index:      index,
+				},
+				step:      st,
+				awaySince: now,
+			}
+			al.restore(tk, jb)
+			st.tasks = append(st.tasks, tk)
+			if tk.isDone {
+				st.done++
+			} else {
+				st.waiting++
+			}
+		}
+		oc.steps = append(oc.steps, st)
+	}
+	jb.occurrences = append(jb.occurrences, oc)
+	al.settleOccurrence(jb, oc)
+	al.settleJob(now, jb)
+}
+
+// restore sets a task to what is known of it from earlier holders.
+func (al *Allocator) restore(tk *task, jb *job) {
+	tp, ok := jb.loaded[tk.name]
+	if !ok {
+		return
+	}
+	tk.isDone = tp.IsDone
+	tk.attempt = tp.Attempt
+	tk.failed = slices.Clone(tp.FailedAttempts)
+	tk.checkpoint = tp.Checkpoint
+}
+
+// beginDue begins the occurrences that are due by the time of day.
+func (al *Allocator) beginDue(now time.Time, timeOfDay time.Time) {
+	for _, jb := range al.jobs {
+		for jb.outcome == "" && !jb.isCancelled && len(jb.occurrences) < jb.info.Occurrences {
+			due := jb.info.FirstAt.Add(time.Duration(len(jb.occurrences)) * jb.info.Interval)
+			if timeOfDay.Before(due) {
+				break
+			}
+			al.begin(now, jb, len(jb.occurrences))
+		}
+	}
+}
+
+// findTask returns a task, or nil.
+func (al *Allocator) findTask(name modeller.TaskName) *task {
+	jb := al.jobs[name.Job]
+	if jb == nil || name.Occurrence >= len(jb.occurrences) {
+		return nil
+	}
+	oc := jb.occurrences[name.Occurrence]
+	if name.Step >= len(oc.steps) || name.Index >= len(oc.steps[name.Step].tasks) {
+		return nil
+	}
+	return oc.steps[name.Step].tasks[name.Index]
+}
+
+// cancel has all runs of a job stopped.
+func (al *Allocator) cancel(now time.Time, id modeller.JobID) {
+	jb := al.jobs[id]
+	if jb == nil || jb.isCancelled || jb.outcome != "" {
+		return
+	}
+	jb.isCancelled = true
+	al.note(Finding{Message: "job cancelled", Job: id, Reason: "caller"})
+	al.stopJob(now, jb)
+	al.settleJob(now, jb)
+}
+
+func (al *Allocator) stopJob(now time.Time, jb *job) {
+	for _, oc := range jb.occurrences {
+		for _, st := range oc.steps {
+			for _, tk := range st.tasks {
+				if tk.run != nil {
+					al.stop(now, tk.run)
+				}
+			}
+		}
+	}
+}
+
+// touch marks a job's progress as not stored.
+func (al *Allocator) touch(jb *job) {
+	jb.version++
+	al.dirty[jb.info.ID] = jb
+}
+
+// settleOccurrence notes whether an occurrence is done.
+func (al *Allocator) settleOccurrence(_ *job, oc *occurrence) {
+	for _, st := range oc.steps {
+		if st.done < len(st.tasks) {
+			return
+		}
+	}
+	oc.isDone = true
+}
+
+// settleJob ends a job that has nothing left to do.
+func (al *Allocator) settleJob(now time.Time, jb *job) {
+	if jb.outcome != "" || len(jb.info.Steps) == 0 {
+		return
+	}
+	switch {
+	case jb.isCancelled:
+		if jb.hasRuns() {
+			return
+		}
+		jb.outcome = modeller.JobCancelled
+	case jb.isExhausted(al.maxAttempts(jb)):
+		jb.outcome = modeller.JobFailed
+		al.stopJob(now, jb)
+	case jb.isDone():
+		jb.outcome = modeller.JobCompleted
+	default:
+		return
+	}
+	al.note(Finding{Message: "job ended", Job: jb.info.ID, Reason: string(jb.outcome)})
+	al.touch(jb)
+}
+
+func (al *Allocator) maxAttempts(jb *job) int {
+	qu, ok := al.configuration.Queues[jb.info.Queue]
+	if !ok {
+		return 0
+	}
+	return qu.MaxAttempts
+}
+
+func (jb *job) isDone() bool {
+	for _, oc := range jb.occurrences {
+		if !oc.isDone {
+			return false
+		}
+	}
+	return len(jb.occurrences) >= max(jb.info.Occurrences, 1)
+}
+
+// isExhausted reports whether a task has failed as often as it may. Zero
+// attempts stand for a queue that no configuration names any more.
+func (jb *job) isExhausted(maxAttempts int) bool {
+	if maxAttempts == 0 {
+		return false
+	}
+	for _, oc := range jb.occurrences {
+		for _, st := range oc.steps {
+			if st.spec.IsLongRunning {
+				continue
+			}
+			for _, tk := range st.tasks {
+				if !tk.isDone && len(tk.failed) >= maxAttempts {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func (jb *job) hasRuns() bool {
+	for _, oc := range jb.occurrences {
+		for _, st := range oc.steps {
+			for _, tk := range st.tasks {
+				if tk.run != nil {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// isReady reports whether all steps that come before a step are done.
+func (oc *occurrence) isReady(st *step) bool {
+	for _, earlier := range st.spec.After {
+		if oc.steps[earlier].done < len(oc.steps[earlier].tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// release makes a task wait for its next start.
+func (al *Allocator) release(now time.Time, tk *task, reason string) {
+	rn := tk.run
+	if rn == nil {
+		return
+	}
+	tk.run = nil
+	tk.step.perWorker[rn.worker.info.ID]--
+	if tk.isDone {
+		al.settleJob(now, tk.step.job)
+		return
+	}
+	tk.step.waiting++
+	tk.awaySince = now
+	al.note(Finding{Message: "task waits again", Task: tk.name.String(), Worker: rn.worker.info.ID, Attempt: rn.attempt, Reason: reason})
+	al.settleJob(now, tk.step.job)
+}
+
+// attach gives a task its run.
+func (al *Allocator) attach(tk *task, rn *run) {
+	tk.run = rn
+	tk.attempt = max(tk.attempt, rn.attempt)
+	tk.step.waiting--
+	tk.step.perWorker[rn.worker.info.ID]++
+	tk.step.job.hasStarted = true
+}
+
+// complete notes that a task is done.
+func (al *Allocator) complete(now time.Time, tk *task) {
+	if tk.isDone {
+		return
+	}
+	tk.isDone = true
+	st := tk.step
+	st.done++
+	if tk.run == nil {
+		st.waiting--
+	}
+	jb := st.job
+	al.settleOccurrence(jb, jb.occurrences[tk.name.Occurrence])
+	al.settleJob(now, jb)
+}
+
+// State returns the state of a job, and false if it isn't known.
+func (al *Allocator) State(id modeller.JobID) (modeller.JobState, bool) {
+	if ended, ok := al.ended[id]; ok {
+		return ended.state, true
+	}
+	jb, ok := al.jobs[id]
+	switch {
+	case !ok || len(jb.info.Steps) == 0:
+		return "", false
+	case jb.isCancelled:
+		return modeller.JobCancelled, true
+	case jb.hasStarted:
+		return modeller.JobRunning, true
+	}
+	return modeller.JobQueued, true
+}
+
+// Pending returns the number of a queue's jobs of which no task has started.
+func (al *Allocator) Pending(queue string) int {
+	pending := 0
+	for _, jb := range al.jobs {
+		if jb.info.Queue == queue && !jb.hasStarted && jb.outcome == "" && !jb.isCancelled && len(jb.info.Steps) > 0 {
+			pending++
+		}
+	}
+	return pending
+}
--- /dev/null
+++ b/shared/jobs/allocator/report.go
@@ -0,0 +1,323 @@
+package allocator
+
+import (
+	"slices"
+	"time"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+// report takes in a worker's answer to a look.
+func (al *Allocator) report(now time.Time, ev Reported) {
+	wk := al.workers[ev.Worker]
+	if wk == nil {
+		return
+	}
+	wk.isLooking = false
+	wk.lookAt = now.Add(lookPause)
+	if wk.isSynced && ev.Report.BornMS != wk.bornMS {
+		if ev.Report.BornMS < wk.bornMS {
+			return
+		}
+		al.endLife(now, wk, "reports a later start")
+	}
+	if wk.clockAt.IsZero() || !wk.isSynced || ev.Report.Clock > wk.clock {
+		wk.clock = ev.Report.Clock
+		wk.clockAt = ev.ReceivedAt
+	}
+	if !wk.isSynced {
+		wk.lookAt = now
+	}
+	wk.isSynced = true
+	wk.mayHoldOldRuns = false
+	wk.bornMS = ev.Report.BornMS
+	wk.reportedAt = ev.ReceivedAt
+	wk.suspectUntil = time.Time{}
+	for _, end := range ev.Report.Ended {
+		al.end(now, wk, end)
+	}
+	seen := make(map[modeller.TaskName]int, len(ev.Report.Running))
+	for _, reported := range ev.Report.Running {
+		seen[reported.Task] = reported.Attempt
+		al.running(now, wk, reported)
+	}
+	isWhole := len(ev.Report.Ended) < modeller.EndsPerReport
+	for _, rn := range wk.runs {
+		if attempt, ok := seen[rn.name]; (!ok || attempt != rn.attempt) && isWhole {
+			al.missing(now, rn, ev.SentAt)
+		}
+	}
+}
+
+// running takes in a run that a worker lists.
+func (al *Allocator) running(now time.Time, wk *worker, reported modeller.Run) {
+	rn := wk.runs[reported.Task]
+	if rn != nil && rn.attempt > reported.Attempt {
+		return
+	}
+	if rn == nil || rn.attempt < reported.Attempt {
+		rn = al.adopt(now, wk, reported)
+	}
+	if rn.state != runRunning {
+		rn.state = runRunning
+		rn.confirmedAt = now
+		rn.progressAt = now
+	}
+	if reported.Progress != rn.progress {
+		rn.progress = reported.Progress
+		rn.progressAt = now
+	}
+	rn.load = reported.Load
+	tk := rn.task
+	if tk == nil {
+		al.stop(now, rn)
+		return
+	}
+	if reported.Checkpoint != "" {
+		tk.checkpoint = reported.Checkpoint
+	}
+	if isAtWork(rn) {
+		tk.awaySince = time.Time{}
+	}
+}
+
+// isAtWork reports whether a long-running task serves.
+func isAtWork(rn *run) bool {
+	return rn != nil && rn.state == runRunning && !rn.isStopping && rn.progress >= 100
+}
+
+// adopt takes over a run that an earlier holder has started. A run whose task
+// is done, runs elsewhere or belongs to no live job has no task.
+func (al *Allocator) adopt(now time.Time, wk *worker, reported modeller.Run) *run {
+	rn := &run{
+		name:        reported.Task,
+		attempt:     reported.Attempt,
+		worker:      wk,
+		state:       runRunning,
+		sentAt:      now,
+		confirmedAt: now,
+		progressAt:  now,
+		progress:    -1,
+	}
+	tk := al.findTask(reported.Task)
+	if tk != nil {
+		rn.occupies = tk.step.spec.Occupies()
+		tk.attempt = max(tk.attempt, reported.Attempt)
+	}
+	isWanted := tk != nil && !tk.isDone && tk.run == nil && tk.step.job.outcome == "" && !tk.step.job.isCancelled
+	if isWanted {
+		rn.task = tk
+		al.attach(tk, rn)
+		al.note(Finding{Message: "run adopted", Task: rn.name.String(), Worker: wk.info.ID, Attempt: rn.attempt, Reason: "listed by its worker"})
+	} else {
+		al.note(Finding{Message: "run not wanted", Task: rn.name.String(), Worker: wk.info.ID, Attempt: rn.attempt, Reason: "listed by its worker"})
+	}
+	wk.addRun(rn)
+	return rn
+}
+
+// missing settles a run that a worker doesn't list, in the answer to a look
+// that was sent at a time.
+func (al *Allocator) missing(now time.Time, rn *run, lookSentAt time.Time) {
+	switch {
+	case !rn.stoppedAt.IsZero() && lookSentAt.After(rn.stoppedAt):
+		al.loseRun(now, rn, "stopped before it was carried out")
+	case rn.state == runRunning && lookSentAt.After(rn.confirmedAt):
+		// A run that was there and is neither listed nor ended can't be
+		// explained by an order; the stop makes sure that it is gone.
+		al.stop(now, rn)
+	case rn.state == runDoubtful && lookSentAt.After(rn.sentAt):
+		al.stop(now, rn)
+	}
+}
+
+// end takes in an end that a worker lists.
+func (al *Allocator) end(now time.Time, wk *worker, end modeller.End) {
+	if end.Number <= wk.processedEnd {
+		return
+	}
+	wk.processedEnd = end.Number
+	if rn := wk.runs[end.Task]; rn != nil && rn.attempt == end.Attempt {
+		wk.removeRun(rn)
+	}
+	tk := al.findTask(end.Task)
+	if tk == nil {
+		return
+	}
+	tk.attempt = max(tk.attempt, end.Attempt)
+	jb := tk.step.job
+	switch end.Kind {
+	case modeller.EndDone:
+		al.noteSuccess(wk)
+		al.finish(now, tk, wk, end)
+	case modeller.EndFailed:
+		if !slices.Contains(tk.failed, end.Attempt) {
+			tk.failed = append(tk.failed, end.Attempt)
+			al.noteFailure(now, wk, tk)
+		}
+	default:
+	}
+	if end.Checkpoint != "" && end.Kind != modeller.EndDone {
+		tk.checkpoint = end.Checkpoint
+	}
+	if rn := tk.run; rn != nil && rn.worker == wk && rn.attempt == end.Attempt {
+		al.release(now, tk, "ended "+string(end.Kind))
+	}
+	al.touch(jb)
+	al.settleJob(now, jb)
+}
+
+// finish completes a task, and all members of a gang by the end of one.
+func (al *Allocator) finish(now time.Time, tk *task, wk *worker, end modeller.End) {
+	al.note(Finding{Message: "task done", Task: tk.name.String(), Worker: wk.info.ID, Attempt: end.Attempt, Reason: "listed by its worker"})
+	members := []*task{tk}
+	if tk.step.spec.IsGang {
+		members = tk.step.tasks
+	}
+	for _, member := range members {
+		al.complete(now, member)
+		if rn := member.run; rn != nil && (rn.worker != wk || rn.attempt != end.Attempt) && !tk.step.spec.IsGang {
+			al.stop(now, rn)
+		}
+	}
+}
+
+func (al *Allocator) noteSuccess(wk *worker) {
+	clear(wk.failedJobs)
+}
+
+// noteFailure keeps the task away from the worker, and the worker from work
+// once jobs fail there one after the other. A job that has failed elsewhere
+// says nothing about the worker.
+func (al *Allocator) noteFailure(now time.Time, wk *worker, tk *task) {
+	if tk.avoided == nil {
+		tk.avoided = map[modeller.WorkerID]time.Time{}
+	}
+	tk.avoided[wk.info.ID] = now.Add(avoidTime)
+	al.note(Finding{Message: "task failed", Task: tk.name.String(), Worker: wk.info.ID, Attempt: tk.attempt, Reason: "listed by its worker"})
+	if len(tk.failed) > 1 || tk.step.spec.IsLongRunning {
+		return
+	}
+	wk.failedJobs[tk.name.Job] = struct{}{}
+	if len(wk.failedJobs) >= quarantineFailures {
+		wk.quarantinedUntil = now.Add(quarantineTime)
+		al.note(Finding{Message: "worker under quarantine", Worker: wk.info.ID, Reason: "jobs failed one after the other"})
+	}
+}
+
+func (al *Allocator) lookFailed(now time.Time, ev LookFailed) {
+	wk := al.workers[ev.Worker]
+	if wk == nil {
+		return
+	}
+	wk.isLooking = false
+	wk.lookAt = now.Add(lookRetry)
+	wk.suspectUntil = now.Add(reportFreshness)
+	if ev.Outcome == Replaced {
+		for _, rn := range wk.runs {
+			al.loseRun(now, rn, "another worker is at the address")
+		}
+		al.endLife(now, wk, "another worker is at the address")
+	}
+}
+
+// startEnded takes in what became of a start.
+func (al *Allocator) startEnded(now time.Time, ev StartEnded) {
+	wk := al.workers[ev.Worker]
+	if wk == nil {
+		return
+	}
+	rn := wk.runs[ev.Task]
+	if rn == nil || rn.attempt != ev.Attempt || rn.state != runStarting {
+		return
+	}
+	switch ev.Outcome {
+	case Accepted:
+		rn.state = runRunning
+		rn.confirmedAt = now
+		rn.progressAt = now
+	case Unanswered:
+		rn.state = runDoubtful
+		rn.sentAt = now
+		wk.suspectUntil = now.Add(lookRetry)
+		al.note(Finding{Message: "start in doubt", Task: rn.name.String(), Worker: wk.info.ID, Attempt: rn.attempt, Reason: "no answer"})
+	default:
+		al.startRefused(now, rn, ev.Outcome)
+	}
+}
+
+// startRefused makes a task wait again whose start has surely had no effect.
+func (al *Allocator) startRefused(now time.Time, rn *run, outcome Outcome) {
+	wk, tk := rn.worker, rn.task
+	switch outcome {
+	case Outdated:
+		if tk != nil {
+			tk.attempt += outdatedStep
+		}
+	case NotSent, Unhealthy, Replaced:
+		wk.suspectUntil = now.Add(orderRepeat)
+	case BadTicket:
+		if tk != nil {
+			delete(tk.step.tickets, wk.info.ID)
+		}
+	case Late, Full:
+		wk.suspectUntil = now.Add(retryPause)
+	default:
+		if tk != nil {
+			tk.notBefore = now.Add(orderRepeat)
+		}
+	}
+	al.loseRun(now, rn, "start refused: "+outcome.String())
+}
+
+// outdatedStep is by how much the attempt rises when a worker has seen a
+// higher one that isn't known here.
+const outdatedStep = 4
+
+func (al *Allocator) stopEnded(now time.Time, ev StopEnded) {
+	wk := al.workers[ev.Worker]
+	if wk == nil {
+		return
+	}
+	rn := wk.runs[ev.Task]
+	if rn == nil || rn.attempt != ev.Attempt {
+		return
+	}
+	if ev.Outcome == Accepted || ev.Outcome == Outdated {
+		rn.stoppedAt = now
+	}
+}
+
+// stop decides that a run is to end. The order is repeated until it has.
+func (al *Allocator) stop(now time.Time, rn *run) {
+	if rn.isStopping && now.Sub(rn.stopSentAt) < orderRepeat {
+		return
+	}
+	rn.isStopping = true
+	rn.stopSentAt = now
+	al.orders = append(al.orders, StopOrder{
+		Worker:  rn.worker.info,
+		Task:    rn.name,
+		Attempt: rn.attempt,
+	})
+}
+
+// repeatStops sends stops again that have had no effect.
+func (al *Allocator) repeatStops(now time.Time) {
+	for _, wk := range al.workers {
+		for _, rn := range wk.runs {
+			if rn.isStopping && now.Sub(rn.stopSentAt) >= orderRepeat {
+				al.stop(now, rn)
+			}
+		}
+	}
+}
+
+// String returns the outcome's name.
+func (oc Outcome) String() string {
+	names := [...]string{"accepted", "unanswered", "not sent", "fenced", "outdated", "late", "full", "bad ticket", "replaced", "unhealthy", "malformed", "busy"}
+	if int(oc) < len(names) {
+		return names[oc]
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/shared/jobs/allocator/wave.go
@@ -0,0 +1,406 @@
+package allocator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+// Times and limits of the fleet.
+const (
+	// vmListInterval is how often the VMs are listed while a wave runs.
+	vmListInterval = time.Second
+	// cordonAhead is how many times a wave's bound its VMs are emptied at once,
+	// so that the next is empty when one returns.
+	cordonAhead = 2
+	// vmOrderRepeat is after what time a refused or unanswered order is sent again.
+	vmOrderRepeat = 400 * time.Millisecond
+	// urgentShare is the share of a wave's time from which on it stops tasks
+	// that would still run for a while.
+	urgentShare = 0.6
+)
+
+// fleet is the state of VMs and waves.
+type fleet struct {
+	vms      map[string]modeller.VM
+	waves    map[int64]*wave
+	listedAt time.Time
+	askedAt  time.Time
+	isAsking bool
+}
+
+// wave is a maintenance wave.
+type wave struct {
+	info       modeller.Wave
+	maintained map[string]struct{}
+	// down are the VMs that an upkeep was ordered for and that aren't back.
+	down map[string]*downVM
+	// emptying are the VMs that get no work until their upkeep.
+	emptying  map[string]time.Time
+	begunAt   time.Time
+	isDirty   bool
+	isStored  bool
+	isAllDone bool
+}
+
+// downVM is a VM that an upkeep was ordered for.
+type downVM struct {
+	worker modeller.WorkerID
+	// isAccepted is true once the order was accepted, at acceptedAt.
+	isAccepted bool
+	acceptedAt time.Time
+	// isSending is true while an order is under way, the last one from sentAt.
+	isSending bool
+	sentAt    time.Time
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		vms:   map[string]modeller.VM{},
+		waves: map[int64]*wave{},
+	}
+}
+
+func (fl *fleet) wave(number int64) *wave {
+	wv := fl.waves[number]
+	if wv == nil {
+		wv = &wave{
+			maintained: map[string]struct{}{},
+			down:       map[string]*downVM{},
+			emptying:   map[string]time.Time{},
+		}
+		fl.waves[number] = wv
+	}
+	return wv
+}
+
+// changed returns the progress that has to be stored.
+func (fl *fleet) changed() []WaveProgress {
+	var changed []WaveProgress
+	for number, wv := range fl.waves {
+		if wv.info.Number != number || !wv.isDirty {
+			continue
+		}
+		wp := WaveProgress{
+			Number:      number,
+			IsCompleted: wv.isAllDone,
+		}
+		for vm := range wv.maintained {
+			wp.Maintained = append(wp.Maintained, vm)
+		}
+		slices.Sort(wp.Maintained)
+		wv.isDirty = false
+		changed = append(changed, wp)
+	}
+	return changed
+}
+
+func (fl *fleet) stored(waves []WaveProgress) {
+	for _, wp := range waves {
+		if wp.IsCompleted {
+			fl.waves[wp.Number].isStored = true
+		}
+	}
+}
+
+func (fl *fleet) failed(waves []WaveProgress) {
+	for _, wp := range waves {
+		fl.waves[wp.Number].isDirty = true
+	}
+}
+
+func (al *Allocator) recordWave(now time.Time, info modeller.Wave) {
+	wv := al.fleet.wave(info.Number)
+	if wv.info.Number == info.Number && !wv.begunAt.IsZero() {
+		return
+	}
+	wv.info = info
+	wv.begunAt = now
+	wv.isDirty = true
+	al.note(Finding{Message: "wave recorded", Reason: "operators"})
+}
+
+func (al *Allocator) loadWave(ev WaveProgressLoaded) {
+	wv := al.fleet.wave(ev.Number)
+	for _, vm := range ev.Maintained {
+		wv.maintained[vm] = struct{}{}
+	}
+}
+
+func (al *Allocator) listVMs(_ time.Time, ev VMsListed) {
+	fl := al.fleet
+	fl.isAsking = false
+	if ev.VMs == nil {
+		return
+	}
+	fl.listedAt = ev.AskedAt
+	clear(fl.vms)
+	for _, vm := range ev.VMs {
+		fl.vms[vm.Name] = vm
+	}
+}
+
+// planFleet empties VMs that are due for maintenance and orders their upkeep.
+func (al *Allocator) planFleet(now time.Time) {
+	fl := al.fleet
+	isActive := false
+	for _, number := range fl.numbers() {
+		wv := fl.waves[number]
+		if wv.isAllDone {
+			continue
+		}
+		isActive = true
+		if !fl.listedAt.IsZero() && al.isLoaded {
+			al.planWave(now, wv)
+		}
+	}
+	if isActive && !fl.isAsking && now.Sub(fl.askedAt) >= vmListInterval {
+		fl.isAsking = true
+		fl.askedAt = now
+		al.orders = append(al.orders, ListVMsOrder{})
+	}
+}
+
+func (fl *fleet) numbers() []int64 {
+	var numbers []int64
+	for number, wv := range fl.waves {
+		if !wv.begunAt.IsZero() {
+			numbers = append(numbers, number)
+		}
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
+func (al *Allocator) planWave(now time.Time, wv *wave) {
+	al.noteReturned(now, wv)
+	pending := 0
+	for _, vm := range wv.info.VMs {
+		if _, ok := wv.maintained[vm]; ok {
+			continue
+		}
+		if _, ok := al.fleet.vms[vm]; !ok && wv.down[vm] == nil {
+			// A VM that is no longer listed has left for good.
+			wv.maintained[vm] = struct{}{}
+			wv.isDirty = true
+			continue
+		}
+		pending++
+	}
+	if pending == 0 && len(wv.down) == 0 {
+		wv.isAllDone = true
+		wv.isDirty = true
+		al.note(Finding{Message: "wave completed", Reason: "all VMs have been maintained"})
+		return
+	}
+	al.cordon(now, wv)
+	al.orderUpkeeps(now, wv)
+}
+
+// noteReturned takes the VMs that are back from those that are down.
+func (al *Allocator) noteReturned(now time.Time, wv *wave) {
+	fl := al.fleet
+	for name, dv := range wv.down {
+		vm, ok := fl.vms[name]
+		isListedSince := dv.isAccepted && fl.listedAt.After(dv.acceptedAt)
+		isBack := ok && vm.State == modeller.VMUp
+		if isListedSince && (isBack || !ok) {
+			delete(wv.down, name)
+			al.uncordon(dv.worker)
+		}
+		if !dv.isAccepted && !dv.isSending && now.Sub(dv.sentAt) >= vmOrderRepeat {
+			al.orderUpkeep(now, wv, name, dv)
+		}
+	}
+}
+
+func (al *Allocator) uncordon(id modeller.WorkerID) {
+	if wk := al.workers[id]; wk != nil {
+		wk.isCordoned = false
+	}
+}
+
+// cordon chooses the VMs that are emptied next: those with the least to lose.
+func (al *Allocator) cordon(now time.Time, wv *wave) {
+	type candidate struct {
+		name string
+		cost float64
+	}
+	var candidates []candidate
+	for _, name := range wv.info.VMs {
+		vm, ok := al.fleet.vms[name]
+		if _, isDone := wv.maintained[name]; isDone || !ok || vm.State != modeller.VMUp {
+			continue
+		}
+		if _, isEmptying := wv.emptying[name]; isEmptying {
+			continue
+		}
+		candidates = append(candidates, candidate{
+			name: name,
+			cost: al.emptyingCost(vm),
+		})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name))
+	})
+	for _, ca := range candidates {
+		if len(wv.emptying) >= cordonAhead*wv.info.MaxDown {
+			return
+		}
+		wv.emptying[ca.name] = now
+		if wk := al.workers[al.fleet.vms[ca.name].Worker]; wk != nil {
+			wk.isCordoned = true
+			al.note(Finding{Message: "worker cordoned", Worker: wk.info.ID, Reason: "upkeep is due"})
+		}
+	}
+}
+
+// longRunningCost is the cost of moving a long-running task, in other tasks.
+const longRunningCost = 10
+
+// emptyingCost returns how much work is in the way of a VM's upkeep.
+func (al *Allocator) emptyingCost(vm modeller.VM) float64 {
+	wk := al.workers[vm.Worker]
+	if wk == nil {
+		return 0
+	}
+	cost := 0.0
+	for _, rn := range wk.runs {
+		if rn.task != nil && rn.task.step.spec.IsLongRunning {
+			cost += longRunningCost
+			continue
+		}
+		cost++
+	}
+	return cost
+}
+
+// orderUpkeeps orders the upkeep of VMs that are empty, within the wave's bound.
+func (al *Allocator) orderUpkeeps(now time.Time, wv *wave) {
+	names := make([]string, 0, len(wv.emptying))
+	for name := range wv.emptying {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(wv.emptying[a].Compare(wv.emptying[b]), cmp.Compare(a, b))
+	})
+	isUrgent := now.Sub(wv.begunAt) > time.Duration(urgentShare*float64(wv.info.Duration))
+	for _, name := range names {
+		vm, ok := al.fleet.vms[name]
+		wk := al.workers[vm.Worker]
+		if !ok || vm.State != modeller.VMUp || wv.down[name] != nil {
+			continue
+		}
+		if wk != nil && !wk.isCordoned {
+			wk.isCordoned = true
+		}
+		if wk != nil && !al.empty(now, wk, isUrgent) {
+			continue
+		}
+		if len(wv.down) >= wv.info.MaxDown {
+			continue
+		}
+		dv := &downVM{
+			worker: vm.Worker,
+		}
+		wv.down[name] = dv
+		al.orderUpkeep(now, wv, name, dv)
+	}
+}
+
+func (al *Allocator) orderUpkeep(now time.Time, wv *wave, name string, dv *downVM) {
+	dv.isSending = true
+	dv.sentAt = now
+	al.orders = append(al.orders, VMOrder{
+		VM:   name,
+		Wave: wv.info.Number,
+	})
+}
+
+// empty has a worker's long-running tasks stopped as far as their steps can do
+// without them, and with isUrgent all that saves its progress. It reports
+// whether the worker runs nothing any more.
+func (al *Allocator) empty(now time.Time, wk *worker, isUrgent bool) bool {
+	if len(wk.runs) == 0 {
+		return true
+	}
+	if !wk.isSynced {
+		return false
+	}
+	for _, rn := range wk.runs {
+		switch {
+		case rn.isStopping || rn.task == nil:
+		case rn.task.step.spec.IsLongRunning:
+			if rn.task.step.canMiss(rn) {
+				al.stop(now, rn)
+			}
+		case isUrgent && rn.task.step.spec.IsCheckpointing:
+			al.stop(now, rn)
+		}
+	}
+	return false
+}
+
+// canMiss reports whether a long-running step can do without one more task. All
+// that aren't at work count as away, for whatever cause.
+func (st *step) canMiss(rn *run) bool {
+	away := 0
+	for _, tk := range st.tasks {
+		if tk != rn.task && !isAtWork(tk.run) {
+			away++
+		}
+	}
+	if !isAtWork(rn) {
+		return rn.state == runRunning && away < max(st.spec.MaxAway, 1)
+	}
+	return away < max(st.spec.MaxAway, 1)
+}
+
+// leaveDraining moves long-running tasks off workers that are about to leave.
+func (al *Allocator) leaveDraining(now time.Time) {
+	for _, wk := range al.workers {
+		if !wk.info.IsDraining {
+			continue
+		}
+		for _, rn := range wk.runs {
+			if rn.task != nil && rn.task.step.spec.IsLongRunning && !rn.isStopping && rn.state == runRunning {
+				al.stop(now, rn)
+			}
+		}
+	}
+}
+
+// vmOrderEnded takes in what became of an upkeep.
+func (al *Allocator) vmOrderEnded(now time.Time, ev VMOrderEnded) {
+	wv := al.fleet.waves[ev.Order.Wave]
+	if wv == nil || wv.down[ev.Order.VM] == nil {
+		return
+	}
+	dv := wv.down[ev.Order.VM]
+	dv.isSending = false
+	al.note(Finding{Message: "upkeep ordered", Worker: dv.worker, Reason: ev.Outcome.String()})
+	switch ev.Outcome {
+	case Accepted:
+		dv.isAccepted = true
+		dv.acceptedAt = now
+		wv.maintained[ev.Order.VM] = struct{}{}
+		delete(wv.emptying, ev.Order.VM)
+		wv.isDirty = true
+		if wk := al.workers[dv.worker]; wk != nil {
+			for _, rn := range wk.runs {
+				al.loseRun(now, rn, "VM goes down for upkeep")
+			}
+			al.endLife(now, wk, "VM goes down for upkeep")
+			wk.isListed = false
+		}
+	case Malformed:
+		// The VM or its wave is unknown to the platform; there is nothing to wait for.
+		wv.maintained[ev.Order.VM] = struct{}{}
+		delete(wv.emptying, ev.Order.VM)
+		delete(wv.down, ev.Order.VM)
+		al.uncordon(dv.worker)
+	default:
+	}
+}
--- /dev/null
+++ b/shared/jobs/allocator/worker.go
@@ -0,0 +1,254 @@
+package allocator
+
+import (
+	"time"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+// worker is a worker as the scheduler knows it.
+type worker struct {
+	info modeller.Worker
+	// isListed is true while it is in the directory.
+	isListed bool
+	// isSynced is true once its present life has reported under the fence.
+	isSynced bool
+	// bornMS is the Unix millisecond of the life that has reported.
+	bornMS int64
+	// mayHoldOldRuns is true until it has reported, for a worker from before.
+	mayHoldOldRuns bool
+	// reportedAt is when the last report came.
+	reportedAt time.Time
+	// clock is its clock as of clockAt, and leaseEnd the end of its lease by
+	// that clock.
+	clock    time.Duration
+	clockAt  time.Time
+	leaseEnd time.Duration
+	// isLooking is true while a look is under way; the next is due at lookAt.
+	isLooking bool
+	lookAt    time.Time
+	// runs are all runs that hold capacity, and used what they hold.
+	runs map[modeller.TaskName]*run
+	used modeller.Resources
+	// processedEnd and storedEnd are numbers of ends.
+	processedEnd, storedEnd int64
+	// failedJobs are the jobs that failed here since the last success.
+	failedJobs       map[modeller.JobID]struct{}
+	quarantinedUntil time.Time
+	// suspectUntil is until when it gets no work after an unanswered call.
+	suspectUntil time.Time
+	// isCordoned is true while the worker is emptied for a move or an upkeep.
+	isCordoned bool
+}
+
+// runState says how far a run has come.
+type runState int
+
+// The states of a run.
+const (
+	// runStarting means: the start is on its way.
+	runStarting runState = iota
+	// runDoubtful means: the start got no answer.
+	runDoubtful
+	// runRunning means: the worker has acknowledged or listed the run.
+	runRunning
+)
+
+// run is one attempt of a task at a worker.
+type run struct {
+	name    modeller.TaskName
+	attempt int
+	worker  *worker
+	// task is nil for a run that nobody wants.
+	task     *task
+	occupies modeller.Resources
+	state    runState
+	// sentAt is when the start was decided, confirmedAt when it was known to run.
+	sentAt, confirmedAt time.Time
+	// isStopping is true once a stop was decided, which was last sent at stopSentAt
+	// and acknowledged at stoppedAt.
+	isStopping            bool
+	stopSentAt, stoppedAt time.Time
+	progress              int
+	progressAt            time.Time
+	load                  int
+	pacing                pacing
+}
+
+func (al *Allocator) listWorker(now time.Time, info modeller.Worker) {
+	wk, ok := al.workers[info.ID]
+	if !ok {
+		wk = &worker{
+			runs:       map[modeller.TaskName]*run{},
+			failedJobs: map[modeller.JobID]struct{}{},
+		}
+		wk.mayHoldOldRuns = !al.isLoaded
+		al.workers[info.ID] = wk
+		al.isRosterDirty = true
+	}
+	if info.VM == "" {
+		info.VM = wk.info.VM
+	}
+	if !wk.info.IsDraining && info.IsDraining {
+		al.note(Finding{Message: "worker drains", Worker: info.ID, Reason: "directory"})
+	}
+	if wk.isSynced && info.BornMS != 0 && wk.bornMS != 0 && info.BornMS > wk.bornMS {
+		al.endLife(now, wk, "directory lists a later start")
+	}
+	wk.info = info
+	wk.isListed = true
+}
+
+func (al *Allocator) unlistWorker(id modeller.WorkerID) {
+	wk, ok := al.workers[id]
+	if !ok || !wk.isListed {
+		return
+	}
+	wk.isListed = false
+	al.note(Finding{Message: "worker unlisted", Worker: id, Reason: "directory"})
+}
+
+func (al *Allocator) loadRoster(now time.Time, workers []modeller.Worker) {
+	for _, info := range workers {
+		if _, ok := al.workers[info.ID]; !ok {
+			al.listWorker(now, info)
+			al.workers[info.ID].isListed = false
+			al.workers[info.ID].mayHoldOldRuns = true
+		}
+	}
+}
+
+// leaseBound returns until when runs may go on at a worker that is silent.
+func (al *Allocator) leaseBound(wk *worker) time.Time {
+	if wk.clockAt.IsZero() || wk.leaseEnd == 0 {
+		return al.uncertainUntil()
+	}
+	bound := wk.clockAt.Add(stretched(max(wk.leaseEnd-wk.clock, 0)) + leaseMargin)
+	if wk.mayHoldOldRuns && al.uncertainUntil().After(bound) {
+		return al.uncertainUntil()
+	}
+	return bound
+}
+
+// takesWork reports whether a worker may get a start now.
+func (al *Allocator) takesWork(now time.Time, wk *worker) bool {
+	return wk.isListed && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned &&
+		now.Sub(wk.reportedAt) < reportFreshness && !now.Before(wk.quarantinedUntil) && !now.Before(wk.suspectUntil) &&
+		wk.leaseEnd > 0 && al.clockOf(now, wk) < wk.leaseEnd
+}
+
+// clockOf estimates a worker's clock.
+func (al *Allocator) clockOf(now time.Time, wk *worker) time.Duration {
+	return wk.clock + now.Sub(wk.clockAt)
+}
+
+// addRun counts a run against its worker.
+func (wk *worker) addRun(rn *run) {
+	if old, ok := wk.runs[rn.name]; ok {
+		wk.used = wk.used.Minus(old.occupies)
+	}
+	wk.runs[rn.name] = rn
+	wk.used = wk.used.Plus(rn.occupies)
+}
+
+// removeRun gives a run's capacity back.
+func (wk *worker) removeRun(rn *run) {
+	if wk.runs[rn.name] == rn {
+		delete(wk.runs, rn.name)
+		wk.used = wk.used.Minus(rn.occupies)
+	}
+}
+
+// endLife ends all runs of a worker's life that is over.
+func (al *Allocator) endLife(now time.Time, wk *worker, reason string) {
+	for _, rn := range wk.runs {
+		if rn.state == runRunning {
+			al.loseRun(now, rn, reason)
+		}
+	}
+	wk.isSynced = false
+	wk.mayHoldOldRuns = false
+	wk.processedEnd = 0
+	wk.storedEnd = 0
+	wk.leaseEnd = 0
+	wk.bornMS = 0
+	wk.failedJobs = map[modeller.JobID]struct{}{}
+	wk.quarantinedUntil = time.Time{}
+	al.note(Finding{Message: "worker's life ended", Worker: wk.info.ID, Reason: reason})
+}
+
+// loseRun gives up a run that has ended without a listed end.
+func (al *Allocator) loseRun(now time.Time, rn *run, reason string) {
+	rn.worker.removeRun(rn)
+	if rn.task != nil && rn.task.run == rn {
+		al.release(now, rn.task, reason)
+	}
+}
+
+// dropSilent gives up the workers whose leases have surely passed.
+func (al *Allocator) dropSilent(now time.Time) {
+	for id, wk := range al.workers {
+		if now.Sub(wk.reportedAt) < reportFreshness || !now.After(al.leaseBound(wk)) {
+			continue
+		}
+		if len(wk.runs) > 0 || wk.isSynced {
+			for _, rn := range wk.runs {
+				al.loseRun(now, rn, "lease passed")
+			}
+			al.endLife(now, wk, "silent until its lease passed")
+		}
+		wk.mayHoldOldRuns = false
+		if !wk.isListed && !wk.isLooking {
+			delete(al.workers, id)
+			al.isRosterDirty = true
+		}
+	}
+}
+
+// look orders the looks that are due.
+func (al *Allocator) look(now time.Time) {
+	for _, wk := range al.workers {
+		if wk.isLooking || now.Before(wk.lookAt) {
+			continue
+		}
+		lo := LookOrder{
+			Worker:           wk.info,
+			AcknowledgedEnds: wk.storedEnd,
+		}
+		if wk.isSynced {
+			wk.leaseEnd = max(wk.leaseEnd, al.clockOf(now, wk)+al.bounds.RunLease)
+			lo.LeaseEnd = wk.leaseEnd
+			if wk.reportedAt.After(wk.clockAt.Add(-reportFreshness)) && wk.leaseEnd > 0 {
+				lo.Wait = al.bounds.LookWait
+			}
+		}
+		wk.isLooking = true
+		al.orders = append(al.orders, lo)
+	}
+}
+
+// isUncertain reports whether runs of earlier holders may go on unseen at a
+// worker of a pool.
+func (al *Allocator) isUncertain(now time.Time, pool string) bool {
+	if !al.isLoaded {
+		return true
+	}
+	if now.After(al.uncertainUntil()) {
+		return false
+	}
+	for _, wk := range al.workers {
+		if wk.mayHoldOldRuns && wk.info.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// Roster returns the workers that may hold runs.
+func (al *Allocator) Roster() []modeller.Worker {
+	roster := make([]modeller.Worker, 0, len(al.workers))
+	for _, wk := range al.workers {
+		roster = append(roster, wk.info)
+	}
+	return roster
+}
--- /dev/null
+++ b/shared/jobs/modeller/codec.go
@@ -0,0 +1,219 @@
+package modeller
+
+import (
+	"encoding/json"
+	"time"
+
+	"coltsfootwick.example/shared/classifier"
+)
+
+// jobRecord is JobRecord as it is stored.
+type jobRecord struct {
+	ID           string       `json:"id"`
+	Queue        string       `json:"queue"`
+	Payload      string       `json:"payload,omitempty"`
+	Steps        []stepRecord `json:"steps,omitempty"`
+	Occurrences  int          `json:"occurrences,omitempty"`
+	FirstAtMS    int64        `json:"firstAtMs,omitempty"`
+	IntervalMS   int64        `json:"intervalMs,omitempty"`
+	AcceptedAtMS int64        `json:"acceptedAtMs,omitempty"`
+	FinalState   string       `json:"finalState,omitempty"`
+	EndedAtMS    int64        `json:"endedAtMs,omitempty"`
+}
+
+// stepRecord is Step as it is stored.
+type stepRecord struct {
+	Count           int    `json:"count"`
+	MilliCores      int    `json:"milliCores,omitempty"`
+	MemoryMB        int    `json:"memoryMb,omitempty"`
+	Accelerators    int    `json:"accelerators,omitempty"`
+	EstimateMS      int64  `json:"estimateMs,omitempty"`
+	After           []int  `json:"after,omitempty"`
+	IsCheckpointing bool   `json:"isCheckpointing,omitempty"`
+	IsGang          bool   `json:"isGang,omitempty"`
+	IsSameRack      bool   `json:"isSameRack,omitempty"`
+	IsSpeculative   bool   `json:"isSpeculative,omitempty"`
+	IsLongRunning   bool   `json:"isLongRunning,omitempty"`
+	IsFilling       bool   `json:"isFilling,omitempty"`
+	RequiredLabel   string `json:"requiredLabel,omitempty"`
+	PreferredRack   string `json:"preferredRack,omitempty"`
+	MaxPerWorker    int    `json:"maxPerWorker,omitempty"`
+	Image           string `json:"image,omitempty"`
+	LatencyTargetMS int64  `json:"latencyTargetMs,omitempty"`
+	MaxAway         int    `json:"maxAway,omitempty"`
+}
+
+// progressRecord is Progress as it is stored.
+type progressRecord struct {
+	ID    string       `json:"id"`
+	Queue string       `json:"queue"`
+	Tasks []taskRecord `json:"tasks,omitempty"`
+}
+
+// taskRecord is TaskProgress as it is stored.
+type taskRecord struct {
+	Occurrence     int    `json:"k,omitempty"`
+	Step           int    `json:"s,omitempty"`
+	Index          int    `json:"i,omitempty"`
+	IsDone         bool   `json:"done,omitempty"`
+	Attempt        int    `json:"attempt,omitempty"`
+	FailedAttempts []int  `json:"failed,omitempty"`
+	Checkpoint     string `json:"checkpoint,omitempty"`
+}
+
+// EncodeJob returns the stored form of a record.
+func EncodeJob(jr JobRecord) ([]byte, error) {
+	rec := jobRecord{
+		ID:          string(jr.Job.ID),
+		Queue:       jr.Job.Queue,
+		Payload:     jr.Job.Payload,
+		Occurrences: jr.Job.Occurrences,
+		IntervalMS:  jr.Job.Interval.Milliseconds(),
+		FinalState:  string(jr.FinalState),
+		EndedAtMS:   jr.EndedAtMS,
+	}
+	if !jr.Job.FirstAt.IsZero() {
+		rec.FirstAtMS = jr.Job.FirstAt.UnixMilli()
+	}
+	if !jr.Job.AcceptedAt.IsZero() {
+		rec.AcceptedAtMS = jr.Job.AcceptedAt.UnixMilli()
+	}
+	for _, st := range jr.Job.Steps {
+		rec.Steps = append(rec.Steps, encodeStep(st))
+	}
+	data, err := json.Marshal(rec)
+	if err != nil {
+		return nil, classifier.Wrap(err, classifier.Internal, "job %s", jr.Job.ID)
+	}
+	return data, nil
+}
+
+func encodeStep(st Step) stepRecord {
+	return stepRecord{
+		Count:           st.Count,
+		MilliCores:      st.Demand.MilliCores,
+		MemoryMB:        st.Demand.MemoryMB,
+		Accelerators:    st.Demand.Accelerators,
+		EstimateMS:      st.Estimate.Milliseconds(),
+		After:           st.After,
+		IsCheckpointing: st.IsCheckpointing,
+		IsGang:          st.IsGang,
+		IsSameRack:      st.IsSameRack,
+		IsSpeculative:   st.IsSpeculative,
+		IsLongRunning:   st.IsLongRunning,
+		IsFilling:       st.IsFilling,
+		RequiredLabel:   st.RequiredLabel,
+		PreferredRack:   st.PreferredRack,
+		MaxPerWorker:    st.MaxPerWorker,
+		Image:           st.Image,
+		LatencyTargetMS: st.LatencyTarget.Milliseconds(),
+		MaxAway:         st.MaxAway,
+	}
+}
+
+// DecodeJob returns the record of a stored form.
+func DecodeJob(data []byte) (JobRecord, error) {
+	var rec jobRecord
+	if err := json.Unmarshal(data, &rec); err != nil {
+		return JobRecord{}, classifier.Wrap(err, classifier.RecordInvalid, "job record")
+	}
+	if rec.ID == "" || rec.Queue == "" {
+		return JobRecord{}, classifier.New(classifier.RecordInvalid, "job record without id or queue")
+	}
+	jr := JobRecord{
+		Job: Job{
+			ID:          JobID(rec.ID),
+			Queue:       rec.Queue,
+			Payload:     rec.Payload,
+			Occurrences: rec.Occurrences,
+			Interval:    time.Duration(rec.IntervalMS) * time.Millisecond,
+		},
+		FinalState: JobState(rec.FinalState),
+		EndedAtMS:  rec.EndedAtMS,
+	}
+	if rec.FirstAtMS != 0 {
+		jr.Job.FirstAt = time.UnixMilli(rec.FirstAtMS)
+	}
+	if rec.AcceptedAtMS != 0 {
+		jr.Job.AcceptedAt = time.UnixMilli(rec.AcceptedAtMS)
+	}
+	for _, sr := range rec.Steps {
+		jr.Job.Steps = append(jr.Job.Steps, decodeStep(sr))
+	}
+	return jr, nil
+}
+
+func decodeStep(sr stepRecord) Step {
+	return Step{
+		Count: sr.Count,
+		Demand: Resources{
+			MilliCores:   sr.MilliCores,
+			MemoryMB:     sr.MemoryMB,
+			Accelerators: sr.Accelerators,
+		},
+		Estimate:        time.Duration(sr.EstimateMS) * time.Millisecond,
+		After:           sr.After,
+		IsCheckpointing: sr.IsCheckpointing,
+		IsGang:          sr.IsGang,
+		IsSameRack:      sr.IsSameRack,
+		IsSpeculative:   sr.IsSpeculative,
+		IsLongRunning:   sr.IsLongRunning,
+		IsFilling:       sr.IsFilling,
+		RequiredLabel:   sr.RequiredLabel,
+		PreferredRack:   sr.PreferredRack,
+		MaxPerWorker:    sr.MaxPerWorker,
+		Image:           sr.Image,
+		LatencyTarget:   time.Duration(sr.LatencyTargetMS) * time.Millisecond,
+		MaxAway:         sr.MaxAway,
+	}
+}
+
+// EncodeProgress returns the stored form of a job's progress.
+func EncodeProgress(pg Progress) ([]byte, error) {
+	rec := progressRecord{
+		ID:    string(pg.ID),
+		Queue: pg.Queue,
+		Tasks: make([]taskRecord, 0, len(pg.Tasks)),
+	}
+	for _, tp := range pg.Tasks {
+		rec.Tasks = append(rec.Tasks, taskRecord{
+			Occurrence:     tp.Occurrence,
+			Step:           tp.Step,
+			Index:          tp.Index,
+			IsDone:         tp.IsDone,
+			Attempt:        tp.Attempt,
+			FailedAttempts: tp.FailedAttempts,
+			Checkpoint:     tp.Checkpoint,
+		})
+	}
+	data, err := json.Marshal(rec)
+	if err != nil {
+		return nil, classifier.Wrap(err, classifier.Internal, "progress of job %s", pg.ID)
+	}
+	return data, nil
+}
+
+// DecodeProgress returns the progress of a stored form.
+func DecodeProgress(data []byte) (Progress, error) {
+	var rec progressRecord
+	if err := json.Unmarshal(data, &rec); err != nil {
+		return Progress{}, classifier.Wrap(err, classifier.RecordInvalid, "progress record")
+	}
+	pg := Progress{
+		ID:    JobID(rec.ID),
+		Queue: rec.Queue,
+		Tasks: make([]TaskProgress, 0, len(rec.Tasks)),
+	}
+	for _, tr := range rec.Tasks {
+		pg.Tasks = append(pg.Tasks, TaskProgress{
+			Occurrence:     tr.Occurrence,
+			Step:           tr.Step,
+			Index:          tr.Index,
+			IsDone:         tr.IsDone,
+			Attempt:        tr.Attempt,
+			FailedAttempts: tr.FailedAttempts,
+			Checkpoint:     tr.Checkpoint,
+		})
+	}
+	return pg, nil
+}
--- a/shared/leaser/acquire.go
+++ b/shared/leaser/acquire.go
@@ -72,7 +72,7 @@
 // PlatformNotFound error when changes were missed.
 func (lr *Leaser) awaitDeletion(ctx context.Context, after storer.Revision) error {
 	for {
-		events, revision, err := lr.store.Watch(ctx, lr.key, after, defaultWait)
+		events, revision, err := lr.store.Watch(ctx, lr.key, after, lr.wait)
 		if err != nil {
 			return err
 		}
@@ -86,8 +86,9 @@
 	}
 }
 
-// deadline returns until when a lease surely lasts that was granted or renewed
-// by a call sent at a time. A margin allows for clocks that run apart.
+// deadline returns until when a holder acts whose lease was granted or renewed
+// by a call sent at a time: while the lease surely lasts, and for the overrun. A
+// margin allows for clocks that run apart.
 func (lr *Leaser) deadline(sent time.Time) time.Time {
-	return sent.Add(lr.ttl - lr.ttl/marginDenominator)
+	return sent.Add(lr.ttl - lr.ttl/marginDenominator + lr.overrun)
 }
--- a/shared/leaser/holding.go
+++ b/shared/leaser/holding.go
@@ -15,6 +15,8 @@
 type Holding interface {
 	// Epoch returns the holder's epoch. Later holders have higher ones.
 	Epoch() uint64
+	// Check returns a LeaseLost error if the holder must not act any more.
+	Check() error
 	// Write changes a record under the fence until the context is done, which
 	// has to be the one that serve got or made from it. It returns the entry as
 	// written,
@@ -49,6 +51,9 @@
 // Epoch implements Holding.
 func (hd *holding) Epoch() uint64 { return hd.epoch }
 
+// Check implements Holding.
+func (hd *holding) Check() error { return hd.check() }
+
 // Write implements Holding.
 func (hd *holding) Write(ctx context.Context, key string, change Change) (storer.Entry, error) {
 	et, err := storer.Update(ctx, hd.store, key, storer.Change{
--- a/shared/leaser/leaser.go
+++ b/shared/leaser/leaser.go
@@ -52,14 +52,30 @@
 	return func(lr *Leaser) { lr.now = now }
 }
 
+// WithWait sets how long one watch of a duty that another holds waits. It bounds
+// how late a connection that has fallen silent is noticed.
+func WithWait(wait time.Duration) Option {
+	return func(lr *Leaser) { lr.wait = wait }
+}
+
+// WithOverrun lets the holder go on for a while after its lease may have ended,
+// as long as the service doesn't say that it has. It is only for duties whose
+// every order is fenced by whoever carries it out.
+func WithOverrun(overrun time.Duration) Option {
+	return func(lr *Leaser) { lr.overrun = overrun }
+}
+
 // Leaser contends for one duty.
 type Leaser struct {
 	store  storer.Store
 	key    string
 	holder string
 	ttl    time.Duration
-	notify func(nt Notice)
-	now    func() time.Time
+	wait   time.Duration
+	// overrun is how long the holder goes on after the lease may have ended.
+	overrun time.Duration
+	notify  func(nt Notice)
+	now     func() time.Time
 }
 
 // New returns a Leaser for a duty of an availability zone. The holder's name
@@ -70,6 +86,7 @@
 		key:    storer.DutyPrefix + zone + "/" + duty,
 		holder: holder,
 		ttl:    defaultTTL,
+		wait:   defaultWait,
 		notify: func(Notice) {},
 		now:    time.Now,
 	}
@@ -79,6 +96,9 @@
 	return lr
 }
 
+// Key returns the duty's key.
+func (lr *Leaser) Key() string { return lr.key }
+
 // Run contends for the duty until the context is done and returns the
 // context's error. Each time the duty is acquired it calls serve, whose
 // context is cancelled once the duty is lost. When serve returns, the duty is
--- a/shared/server/server.go
+++ b/shared/server/server.go
@@ -28,6 +28,21 @@
 	return func(sr *Server) { sr.grace = grace }
 }
 
+// WithTimeouts sets how long a connection may take for a request's headers and
+// how long it may be unused.
+func WithTimeouts(header, idle time.Duration) Option {
+	return func(sr *Server) {
+		sr.http.ReadHeaderTimeout = header
+		sr.http.IdleTimeout = idle
+	}
+}
+
+// WithDrainFirst leaves the contexts of requests in progress alone until the
+// grace has passed.
+func WithDrainFirst() Option {
+	return func(sr *Server) { sr.isDrainFirst = true }
+}
+
 // Server serves HTTP on one address. Its methods Execute and Interrupt make an
 // actor of an oklog/run group.
 type Server struct {
@@ -36,6 +51,8 @@
 	grace    time.Duration
 	cancel   context.CancelFunc
 	ended    chan struct{}
+	// isDrainFirst is set by WithDrainFirst.
+	isDrainFirst bool
 }
 
 // New listens on an address and returns a Server that is not yet serving. It
@@ -89,11 +106,14 @@
 // closed.
 func (sr *Server) Interrupt(error) {
 	defer close(sr.ended)
-	sr.cancel()
+	if !sr.isDrainFirst {
+		sr.cancel()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), sr.grace)
 	defer cancel()
 	if sr.http.Shutdown(ctx) != nil {
 		_ = sr.http.Close()
 	}
+	sr.cancel()
 	_ = sr.listener.Close()
 }
--- a/shared/storer/conflict.go
+++ b/shared/storer/conflict.go
@@ -11,6 +11,9 @@
 type ConflictError struct {
 	// Actual is the key's revision, zero if the key is absent.
 	Actual Revision
+	// Entries are the keys of a transaction's conditions as they are, by key,
+	// without those that are absent.
+	Entries map[string]Entry
 }
 
 // NewConflict returns the PlatformConflict error of a key with its cause.
@@ -25,3 +28,11 @@
 func (ce *ConflictError) Error() string {
 	return fmt.Sprintf("actual revision is %d", ce.Actual)
 }
+
+// NewTransactionConflict returns the PlatformConflict error of a transaction.
+func NewTransactionConflict(entries map[string]Entry) error {
+	cause := &ConflictError{
+		Entries: entries,
+	}
+	return classifier.Wrap(cause, classifier.PlatformConflict, "transaction")
+}
--- a/shared/storer/store.go
+++ b/shared/storer/store.go
@@ -93,8 +93,13 @@
 	MemberPrefix = "members/"
 	// WavePrefix holds the maintenance waves.
 	WavePrefix = "waves/"
-	// JobPrefix holds the jobs.
+	// JobPrefix holds the jobs by queue and ID, each with a key below it while
+	// it is to be cancelled.
 	JobPrefix = "jobs/"
+	// ProgressPrefix holds the progress of live jobs by queue and ID.
+	ProgressPrefix = "progress/"
+	// SchedulerPrefix holds what schedulers leave to their successors.
+	SchedulerPrefix = "scheduler/"
 	// AuditPrefix holds the audit trail of fleet changes.
 	AuditPrefix = "audit/"
 )
