--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -205,8 +205,12 @@
 	}
 }
 
-// look orders the looks that are due.
+// look orders the looks that are due. Before all records from before are known
+// a report would show runs of jobs that nobody seems to want.
 func (al *Allocator) look(now time.Time) {
+	if !al.isLoaded {
+		return
+	}
 	for _, wk := range al.workers {
 		if wk.isLooking || now.Before(wk.lookAt) {
 			continue
