--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -47,6 +48,8 @@
 	logger     *zap.Logger
 	questions  chan question
 	timeOfDay  func() time.Time
+	// jobsSyncedAt is when the watch of the jobs last answered, in nanoseconds.
+	jobsSyncedAt atomic.Int64
 }
 
 // question asks the allocator for something.
@@ -239,6 +242,10 @@
 	return classifier.New(classifier.JobUnavailable, "the scheduler's duty is not held here")
 }
 
+// maxJobsAge is how old the list of jobs may be for an answer about a queue;
+// callers may be told figures that are two seconds old.
+const maxJobsAge = 2 * time.Second
+
 // askTimeout is how long a question waits for the allocator's goroutine.
 const askTimeout = 150 * time.Millisecond
 
@@ -263,8 +270,13 @@
 		pending = al.Pending(queue)
 		isLoaded = al.IsLoaded()
 	})
-	if err == nil && !isLoaded {
+	switch {
+	case err != nil:
+		return 0, err
+	case !isLoaded:
 		return 0, classifier.New(classifier.JobUnavailable, "the scheduler is taking over")
+	case timekeeper.Now().UnixNano()-cd.jobsSyncedAt.Load() > int64(maxJobsAge):
+		return 0, classifier.New(classifier.JobUnavailable, "the scheduler has not heard of new jobs for over %s", maxJobsAge)
 	}
-	return pending, err
+	return pending, nil
 }
--- a/coltsfootwick-manager/internal/conductor/load.go
+++ b/coltsfootwick-manager/internal/conductor/load.go
@@ -14,6 +14,7 @@
 	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/timekeeper"
 )
 
 // The bounds of following the store.
@@ -142,6 +143,9 @@
 		case storer.Changed:
 			handle(ctx, nt.Event)
 		case storer.Synced:
+			if prefix == storer.JobPrefix {
+				tm.jobsSyncedAt.Store(timekeeper.Now().UnixNano())
+			}
 			synced()
 		case storer.OutOfTouch:
 			tm.logger.Warn("watch lost", zap.String("prefix", prefix), zap.Error(nt.Err))
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -32,6 +32,7 @@
 	wk.mayHoldOldRuns = false
 	wk.bornMS = ev.Report.BornMS
 	wk.reportedAt = ev.ReceivedAt
+	wk.isSilent = false
 	wk.suspectUntil = time.Time{}
 	for _, end := range ev.Report.Ended {
 		al.end(now, wk, end)
@@ -211,6 +212,7 @@
 		return
 	}
 	wk.isLooking = false
+	wk.isSilent = true
 	wk.lookAt = now.Add(lookRetry)
 	wk.suspectUntil = now.Add(reportFreshness)
 	if ev.Outcome == Replaced {
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -15,6 +15,8 @@
 	// cordonAhead is how many times a wave's bound its VMs are emptied at once,
 	// so that the next is empty when one returns.
 	cordonAhead = 2
+	// maxListAge is how old the list of VMs may be for an upkeep to be ordered.
+	maxListAge = 2 * time.Second
 	// vmOrderRepeat is after what time a refused or unanswered order is sent again.
 	vmOrderRepeat = 400 * time.Millisecond
 	// urgentShare is the share of a wave's time from which on it stops tasks
@@ -299,7 +301,7 @@
 		if wk != nil && !al.empty(now, wk, isUrgent) {
 			continue
 		}
-		if len(wv.down) >= wv.info.MaxDown {
+		if al.fleet.down(wv) >= wv.info.MaxDown || now.Sub(al.fleet.listedAt) > maxListAge {
 			continue
 		}
 		dv := &downVM{
@@ -310,6 +312,18 @@
 	}
 }
 
+// down returns how many VMs of a wave are down or about to be, also by an
+// earlier holder's orders.
+func (fl *fleet) down(wv *wave) int {
+	count := len(wv.down)
+	for _, name := range wv.info.VMs {
+		if fl.vms[name].State == modeller.VMUpkeep && wv.down[name] == nil {
+			count++
+		}
+	}
+	return count
+}
+
 func (al *Allocator) orderUpkeep(now time.Time, wv *wave, name string, dv *downVM) {
 	dv.isSending = true
 	dv.sentAt = now
@@ -323,12 +337,12 @@
 // without them, and with isUrgent all that saves its progress. It reports
 // whether the worker runs nothing any more.
 func (al *Allocator) empty(now time.Time, wk *worker, isUrgent bool) bool {
+	if !wk.isSynced {
+		return now.After(al.leaseBound(wk))
+	}
 	if len(wk.runs) == 0 {
 		return true
 	}
-	if !wk.isSynced {
-		return false
-	}
 	for _, rn := range wk.runs {
 		switch {
 		case rn.isStopping || rn.task == nil:
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -24,6 +24,8 @@
 	clock    time.Duration
 	clockAt  time.Time
 	leaseEnd time.Duration
+	// isSilent is true if the last look got no report.
+	isSilent bool
 	// isLooking is true while a look is under way; the next is due at lookAt.
 	isLooking bool
 	lookAt    time.Time
@@ -220,11 +222,13 @@
 			AcknowledgedEnds: wk.storedEnd,
 		}
 		if wk.isSynced {
-			wk.leaseEnd = max(wk.leaseEnd, al.clockOf(now, wk)+al.bounds.RunLease)
-			lo.LeaseEnd = wk.leaseEnd
-			if wk.reportedAt.After(wk.clockAt.Add(-reportFreshness)) && wk.leaseEnd > 0 {
+			// A look without an answer may still extend the lease, so a silent
+			// worker's lease is left to end.
+			if !wk.isSilent {
+				wk.leaseEnd = max(wk.leaseEnd, al.clockOf(now, wk)+al.bounds.RunLease)
 				lo.Wait = al.bounds.LookWait
 			}
+			lo.LeaseEnd = wk.leaseEnd
 		}
 		wk.isLooking = true
 		al.orders = append(al.orders, lo)
