--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -100,6 +100,8 @@
 		progressAt:  now,
 		progress:    -1,
 	}
+	// What a run of an unknown job holds is unknown as well.
+	rn.occupies = wk.info.Capacity
 	tk := al.findTask(reported.Task)
 	if tk != nil {
 		rn.occupies = tk.step.spec.Occupies()
