--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -158,6 +158,7 @@
 			return err
 		}
 		now := timekeeper.Now()
+		tm.allocator.ConfirmDuty(tm.holding.ConfirmedAt())
 		orders := tm.allocator.Plan(now, tm.timeOfDay())
 		tm.log()
 		tm.dispatcher.Dispatch(ctx, now, orders)
--- a/coltsfootwick-manager/internal/conductor/load.go
+++ b/coltsfootwick-manager/internal/conductor/load.go
@@ -30,7 +30,7 @@
 // it reads is changed by one.
 func (tm *term) load(ctx context.Context) {
 	for _, read := range []func(ctx context.Context) error{tm.committer.Begin, tm.loadProgress, tm.loadRoster, tm.loadWaves} {
-		if err := tm.insist(ctx, read); err != nil {
+		if err := tm.insist(ctx, "reading the records of earlier holders", read); err != nil {
 			return
 		}
 	}
@@ -51,12 +51,16 @@
 	tm.tell(ctx, allocator.Loaded{})
 }
 
-// insist repeats a read until it succeeds, the duty is lost or the context done.
-func (tm *term) insist(ctx context.Context, read func(ctx context.Context) error) error {
+// insist repeats a call to the store until it succeeds, the duty is lost or the context done.
+func (tm *term) insist(ctx context.Context, what string, call func(ctx context.Context) error) error {
+	isFailing := false
 	for {
-		err := read(ctx)
+		err := call(ctx)
 		switch {
 		case err == nil:
+			if isFailing {
+				tm.logger.Info(what + " again")
+			}
 			return nil
 		case classifier.CodeOf(err) == classifier.StaleEpoch:
 			tm.fail(err)
@@ -64,7 +68,10 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		}
-		tm.logger.Warn("records of earlier holders can't be read", zap.Error(err))
+		if !isFailing {
+			isFailing = true
+			tm.logger.Warn(what+" failed and is repeated", zap.Error(err))
+		}
 		timer := time.NewTimer(loadRetry)
 		select {
 		case <-timer.C:
--- a/coltsfootwick-manager/internal/conductor/store.go
+++ b/coltsfootwick-manager/internal/conductor/store.go
@@ -15,7 +15,7 @@
 	for {
 		select {
 		case bt := <-tm.batches:
-			if err := tm.insist(ctx, func(ctx context.Context) error { return tm.keepBatch(ctx, bt) }); err != nil {
+			if err := tm.insist(ctx, "storing records", func(ctx context.Context) error { return tm.keepBatch(ctx, bt) }); err != nil {
 				return
 			}
 			tm.tell(ctx, allocator.BatchStored{
--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -126,6 +126,7 @@
 				RunLease:        min(runLease, settings.Bounds.MaxRunLease),
 				MaxOverrun:      dutyOverrun,
 				LookWait:        lookWait,
+				DutyLease:       dutyTTL,
 				StatusRetention: settings.Bounds.StatusRetention,
 				UpkeepTime:      settings.Bounds.UpkeepTime,
 				AwayNotice:      settings.Bounds.AwayNotice,
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -30,6 +30,8 @@
 	LookWait time.Duration
 	// StatusRetention is how long an ended job is remembered.
 	StatusRetention time.Duration
+	// DutyLease is how long the duty stays taken after it was confirmed.
+	DutyLease time.Duration
 	// UpkeepTime is how long maintenance takes a VM away.
 	UpkeepTime time.Duration
 	// AwayNotice is from when a task that isn't at work counts as away.
@@ -72,20 +74,29 @@
 	bounds        Bounds
 	configuration modeller.Configuration
 	workers       map[modeller.WorkerID]*worker
-	jobs          map[modeller.JobID]*job
-	ended         map[modeller.JobID]endedJob
-	fleet         *fleet
+	// ordered are the workers by ID, or nil after a change: decisions must not
+	// depend on the order of a map.
+	ordered []*worker
+	jobs    map[modeller.JobID]*job
+	ended   map[modeller.JobID]endedJob
+	// timed counts the jobs with occurrences that were ever told of.
+	timed int
+	fleet *fleet
 	// startedAt is when the duty was won, and isLoaded is true once all records
 	// from before have been told of.
 	startedAt time.Time
 	isLoaded  bool
+	// confirmedAt is when the duty was last known to be held.
+	confirmedAt time.Time
 	// dirty are the jobs whose progress has to be stored.
 	dirty          map[modeller.JobID]*job
 	isRosterDirty  bool
 	isStoring      bool
 	adviceInFlight bool
-	orders         []Order
-	findings       []Finding
+	// choresAt is when what depends on time alone was last looked at.
+	choresAt time.Time
+	orders   []Order
+	findings []Finding
 }
 
 // endedJob is a job that has ended and is still asked for.
@@ -98,13 +109,21 @@
 // New returns an Allocator for a holder that has won its duty at a time.
 func New(now time.Time, bounds Bounds) *Allocator {
 	return &Allocator{
-		bounds:    bounds,
-		workers:   map[modeller.WorkerID]*worker{},
-		jobs:      map[modeller.JobID]*job{},
-		ended:     map[modeller.JobID]endedJob{},
-		fleet:     newFleet(),
-		startedAt: now,
-		dirty:     map[modeller.JobID]*job{},
+		bounds:      bounds,
+		workers:     map[modeller.WorkerID]*worker{},
+		jobs:        map[modeller.JobID]*job{},
+		ended:       map[modeller.JobID]endedJob{},
+		fleet:       newFleet(),
+		startedAt:   now,
+		confirmedAt: now,
+		dirty:       map[modeller.JobID]*job{},
+	}
+}
+
+// ConfirmDuty tells that the duty was still held at a time.
+func (al *Allocator) ConfirmDuty(at time.Time) {
+	if at.After(al.confirmedAt) {
+		al.confirmedAt = at
 	}
 }
 
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -1,6 +1,9 @@
 package allocator
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"coltsfootwick.example/shared/jobs/modeller"
@@ -71,7 +74,8 @@
 		Expired:  al.expired(now),
 	}
 	isWhole := true
-	for id, jb := range al.dirty {
+	for _, id := range slices.Sorted(maps.Keys(al.dirty)) {
+		jb := al.dirty[id]
 		if len(bt.versions) >= maxBatchJobs {
 			isWhole = false
 			break
@@ -143,7 +147,7 @@
 func (al *Allocator) expired(now time.Time) []EndedJob {
 	var expired []EndedJob
 	for id, ended := range al.ended {
-		if now.Sub(ended.endedAt) > al.bounds.StatusRetention+expiryMargin && len(expired) < maxBatchJobs {
+		if now.Sub(ended.endedAt) > al.bounds.StatusRetention+expiryMargin {
 			expired = append(expired, EndedJob{
 				ID:    id,
 				Queue: ended.queue,
@@ -151,7 +155,8 @@
 			})
 		}
 	}
-	return expired
+	slices.SortFunc(expired, func(a, b EndedJob) int { return cmp.Compare(a.ID, b.ID) })
+	return expired[:min(len(expired), maxBatchJobs)]
 }
 
 func (al *Allocator) batchStored(now time.Time, bt *Batch) {
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -137,7 +138,9 @@
 	jb.work, jb.chain = measure(jr.Job)
 	if jr.Job.Occurrences == 0 {
 		al.begin(now, jb, 0)
+		return
 	}
+	al.timed++
 }
 
 // measure returns a job's core-time and its longest chain, as estimated.
@@ -210,7 +213,11 @@
 
 // beginDue begins the occurrences that are due by the time of day.
 func (al *Allocator) beginDue(now time.Time, timeOfDay time.Time) {
-	for _, jb := range al.jobs {
+	if al.timed == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(al.jobs)) {
+		jb := al.jobs[id]
 		for jb.outcome == "" && !jb.isCancelled && len(jb.occurrences) < jb.info.Occurrences {
 			due := jb.info.FirstAt.Add(time.Duration(len(jb.occurrences)) * jb.info.Interval)
 			if timeOfDay.Before(due) {
--- a/shared/jobs/allocator/pace.go
+++ b/shared/jobs/allocator/pace.go
@@ -28,12 +28,12 @@
 // pace slows filling runs where serving runs come near their latency target,
 // and quickens them again where all are far from it.
 func (al *Allocator) pace(now time.Time) {
-	for _, wk := range al.workers {
+	for _, wk := range al.inOrder() {
 		if !wk.isSynced || now.Sub(wk.reportedAt) >= reportFreshness {
 			continue
 		}
 		pressure := wk.latencyPressure()
-		for _, rn := range wk.runs {
+		for _, rn := range wk.runsInOrder() {
 			if rn.task == nil || !rn.task.step.spec.IsFilling || rn.state != runRunning || rn.isStopping {
 				continue
 			}
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -54,10 +54,13 @@
 		if len(open[pool]) == 0 {
 			continue
 		}
+		if !al.mayStart(now, jb) {
+			continue
+		}
 		if jb.isOld {
 			isUncertain, ok := uncertain[pool]
 			if !ok {
-				isUncertain = al.isUncertain(now, pool)
+				isUncertain = al.isUncertain(pool)
 				uncertain[pool] = isUncertain
 			}
 			if isUncertain {
@@ -74,17 +77,21 @@
 	}
 }
 
+// mayStart reports whether a job's tasks may be started. While the duty is not
+// confirmed there may be a later holder; it treats the jobs from before its time
+// with care, and those that came after it are its own.
+func (al *Allocator) mayStart(now time.Time, jb *job) bool {
+	return now.Sub(al.confirmedAt) < al.bounds.DutyLease || !jb.acceptedAt.After(al.confirmedAt)
+}
+
 // openWorkers returns the workers that take work, by pool.
 func (al *Allocator) openWorkers(now time.Time) map[string][]*worker {
 	open := map[string][]*worker{}
-	for _, wk := range al.workers {
+	for _, wk := range al.inOrder() {
 		if al.takesWork(now, wk) {
 			open[wk.info.Pool] = append(open[wk.info.Pool], wk)
 		}
 	}
-	for _, list := range open {
-		slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	}
 	return open
 }
 
@@ -412,8 +419,8 @@
 
 // moveStalled stops runs that make no progress, so that they start elsewhere.
 func (al *Allocator) moveStalled(now time.Time) {
-	for _, wk := range al.workers {
-		for _, rn := range wk.runs {
+	for _, wk := range al.inOrder() {
+		for _, rn := range wk.runsInOrder() {
 			isStuck := rn.state == runRunning && !rn.isStopping && rn.task != nil && now.Sub(wk.reportedAt) < reportFreshness &&
 				now.Sub(rn.progressAt) > stallTimeout
 			if !isStuck || rn.progress >= 100 || rn.task.step.spec.IsFilling {
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -43,7 +43,7 @@
 		al.running(now, wk, reported)
 	}
 	isWhole := len(ev.Report.Ended) < modeller.EndsPerReport
-	for _, rn := range wk.runs {
+	for _, rn := range wk.runsInOrder() {
 		if attempt, ok := seen[rn.name]; (!ok || attempt != rn.attempt) && isWhole {
 			al.missing(now, rn, ev.SentAt)
 		}
@@ -218,7 +218,7 @@
 	wk.lookAt = now.Add(lookRetry)
 	wk.suspectUntil = now.Add(reportFreshness)
 	if ev.Outcome == Replaced {
-		for _, rn := range wk.runs {
+		for _, rn := range wk.runsInOrder() {
 			al.loseRun(now, rn, "another worker is at the address")
 		}
 		al.endLife(now, wk, "another worker is at the address")
@@ -287,7 +287,8 @@
 	if rn == nil || rn.attempt != ev.Attempt {
 		return
 	}
-	if ev.Outcome == Accepted || ev.Outcome == Outdated {
+	isRefusedLater := ev.Outcome == Accepted || ev.Outcome == Outdated
+	if isRefusedLater && rn.stoppedAt.IsZero() {
 		rn.stoppedAt = now
 	}
 }
@@ -308,8 +309,8 @@
 
 // repeatStops sends stops again that have had no effect.
 func (al *Allocator) repeatStops(now time.Time) {
-	for _, wk := range al.workers {
-		for _, rn := range wk.runs {
+	for _, wk := range al.inOrder() {
+		for _, rn := range wk.runsInOrder() {
 			if rn.isStopping && now.Sub(rn.stopSentAt) >= orderRepeat {
 				al.stop(now, rn)
 			}
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -81,7 +82,8 @@
 // changed returns the progress that has to be stored.
 func (fl *fleet) changed() []WaveProgress {
 	var changed []WaveProgress
-	for number, wv := range fl.waves {
+	for _, number := range slices.Sorted(maps.Keys(fl.waves)) {
+		wv := fl.waves[number]
 		if wv.info.Number != number || !wv.isDirty {
 			continue
 		}
@@ -204,7 +206,8 @@
 // noteReturned takes the VMs that are back from those that are down.
 func (al *Allocator) noteReturned(now time.Time, wv *wave) {
 	fl := al.fleet
-	for name, dv := range wv.down {
+	for _, name := range slices.Sorted(maps.Keys(wv.down)) {
+		dv := wv.down[name]
 		vm, ok := fl.vms[name]
 		isListedSince := dv.isAccepted && fl.listedAt.After(dv.acceptedAt)
 		isBack := ok && vm.State == modeller.VMUp
@@ -338,12 +341,12 @@
 // whether the worker runs nothing any more.
 func (al *Allocator) empty(now time.Time, wk *worker, isUrgent bool) bool {
 	if !wk.isSynced {
-		return now.After(al.leaseBound(wk))
+		return al.confirmedAt.After(al.leaseBound(wk))
 	}
 	if len(wk.runs) == 0 {
 		return true
 	}
-	for _, rn := range wk.runs {
+	for _, rn := range wk.runsInOrder() {
 		switch {
 		case rn.isStopping || rn.task == nil:
 		case rn.task.step.spec.IsLongRunning:
@@ -374,11 +377,11 @@
 
 // leaveDraining moves long-running tasks off workers that are about to leave.
 func (al *Allocator) leaveDraining(now time.Time) {
-	for _, wk := range al.workers {
+	for _, wk := range al.inOrder() {
 		if !wk.info.IsDraining {
 			continue
 		}
-		for _, rn := range wk.runs {
+		for _, rn := range wk.runsInOrder() {
 			if rn.task != nil && rn.task.step.spec.IsLongRunning && !rn.isStopping && rn.state == runRunning {
 				al.stop(now, rn)
 			}
@@ -403,7 +406,7 @@
 		delete(wv.emptying, ev.Order.VM)
 		wv.isDirty = true
 		if wk := al.workers[dv.worker]; wk != nil {
-			for _, rn := range wk.runs {
+			for _, rn := range wk.runsInOrder() {
 				al.loseRun(now, rn, "VM goes down for upkeep")
 			}
 			al.endLife(now, wk, "VM goes down for upkeep")
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -1,6 +1,9 @@
 package allocator
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"coltsfootwick.example/shared/jobs/modeller"
@@ -68,7 +71,7 @@
 	// sentAt is when the start was decided, confirmedAt when it was known to run.
 	sentAt, confirmedAt time.Time
 	// isStopping is true once a stop was decided, which was last sent at stopSentAt
-	// and acknowledged at stoppedAt.
+	// and first acknowledged at stoppedAt.
 	isStopping            bool
 	stopSentAt, stoppedAt time.Time
 	progress              int
@@ -86,6 +89,7 @@
 		}
 		wk.mayHoldOldRuns = !al.isLoaded
 		al.workers[info.ID] = wk
+		al.ordered = nil
 		al.isRosterDirty = true
 	}
 	if info.VM == "" {
@@ -144,6 +148,19 @@
 	return wk.clock + now.Sub(wk.clockAt)
 }
 
+// inOrder returns the workers by ID.
+func (al *Allocator) inOrder() []*worker {
+	if al.ordered == nil {
+		al.ordered = slices.SortedFunc(maps.Values(al.workers), func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	}
+	return al.ordered
+}
+
+// runsInOrder returns the worker's runs by name.
+func (wk *worker) runsInOrder() []*run {
+	return slices.SortedFunc(maps.Values(wk.runs), func(a, b *run) int { return a.name.Compare(b.name) })
+}
+
 // addRun counts a run against its worker.
 func (wk *worker) addRun(rn *run) {
 	if old, ok := wk.runs[rn.name]; ok {
@@ -163,7 +180,7 @@
 
 // endLife ends all runs of a worker's life that is over.
 func (al *Allocator) endLife(now time.Time, wk *worker, reason string) {
-	for _, rn := range wk.runs {
+	for _, rn := range wk.runsInOrder() {
 		if rn.state == runRunning {
 			al.loseRun(now, rn, reason)
 		}
@@ -187,14 +204,17 @@
 	}
 }
 
-// dropSilent gives up the workers whose leases have surely passed.
+// dropSilent gives up the workers whose leases have surely passed. The duty
+// must have been confirmed since: a later holder may reach a worker that this
+// one doesn't, and extend its lease.
 func (al *Allocator) dropSilent(now time.Time) {
-	for id, wk := range al.workers {
-		if now.Sub(wk.reportedAt) < reportFreshness || !now.After(al.leaseBound(wk)) {
+	for _, wk := range al.inOrder() {
+		id := wk.info.ID
+		if now.Sub(wk.reportedAt) < reportFreshness || !al.confirmedAt.After(al.leaseBound(wk)) {
 			continue
 		}
 		if len(wk.runs) > 0 || wk.isSynced {
-			for _, rn := range wk.runs {
+			for _, rn := range wk.runsInOrder() {
 				al.loseRun(now, rn, "lease passed")
 			}
 			al.endLife(now, wk, "silent until its lease passed")
@@ -202,6 +222,7 @@
 		wk.mayHoldOldRuns = false
 		if !wk.isListed && !wk.isLooking {
 			delete(al.workers, id)
+			al.ordered = nil
 			al.isRosterDirty = true
 		}
 	}
@@ -213,7 +234,7 @@
 	if !al.isLoaded {
 		return
 	}
-	for _, wk := range al.workers {
+	for _, wk := range al.inOrder() {
 		if wk.isLooking || now.Before(wk.lookAt) {
 			continue
 		}
@@ -237,11 +258,11 @@
 
 // isUncertain reports whether runs of earlier holders may go on unseen at a
 // worker of a pool.
-func (al *Allocator) isUncertain(now time.Time, pool string) bool {
+func (al *Allocator) isUncertain(pool string) bool {
 	if !al.isLoaded {
 		return true
 	}
-	if now.After(al.uncertainUntil()) {
+	if al.confirmedAt.After(al.uncertainUntil()) {
 		return false
 	}
 	for _, wk := range al.workers {
@@ -255,7 +276,7 @@
 // Roster returns the workers that may hold runs.
 func (al *Allocator) Roster() []modeller.Worker {
 	roster := make([]modeller.Worker, 0, len(al.workers))
-	for _, wk := range al.workers {
+	for _, wk := range al.inOrder() {
 		roster = append(roster, wk.info)
 	}
 	return roster
--- a/shared/jobs/modeller/job.go
+++ b/shared/jobs/modeller/job.go
@@ -1,6 +1,7 @@
 package modeller
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"time"
@@ -124,6 +125,11 @@
 	return string(tn.Job) + "." + strconv.Itoa(tn.Occurrence) + "." + strconv.Itoa(tn.Step) + "." + strconv.Itoa(tn.Index)
 }
 
+// Compare orders names by job, occurrence, step and index.
+func (tn TaskName) Compare(other TaskName) int {
+	return cmp.Or(cmp.Compare(tn.Job, other.Job), cmp.Compare(tn.Occurrence, other.Occurrence), cmp.Compare(tn.Step, other.Step), cmp.Compare(tn.Index, other.Index))
+}
+
 // StepName returns the name of the task's step.
 func (tn TaskName) StepName() string {
 	return string(tn.Job) + "." + strconv.Itoa(tn.Occurrence) + "." + strconv.Itoa(tn.Step)
--- a/shared/leaser/acquire.go
+++ b/shared/leaser/acquire.go
@@ -30,6 +30,7 @@
 		epoch: uint64(revision),
 		now:   lr.now,
 	}
+	hd.confirmedAt.Store(&sent)
 	hd.extend(lr.deadline(sent))
 	return hd, nil
 }
--- a/shared/leaser/holding.go
+++ b/shared/leaser/holding.go
@@ -15,6 +15,9 @@
 type Holding interface {
 	// Epoch returns the holder's epoch. Later holders have higher ones.
 	Epoch() uint64
+	// ConfirmedAt returns when the last call was sent that has shown the lease
+	// to be held, by the clock of WithClock.
+	ConfirmedAt() time.Time
 	// Check returns a LeaseLost error if the holder must not act any more.
 	Check() error
 	// Write changes a record under the fence until the context is done, which
@@ -45,12 +48,17 @@
 	now   func() time.Time
 	// deadline is until when the lease surely lasts.
 	deadline atomic.Pointer[time.Time]
+	// confirmedAt is when the last call was sent that showed the lease.
+	confirmedAt atomic.Pointer[time.Time]
 	lose     context.CancelCauseFunc
 }
 
 // Epoch implements Holding.
 func (hd *holding) Epoch() uint64 { return hd.epoch }
 
+// ConfirmedAt implements Holding.
+func (hd *holding) ConfirmedAt() time.Time { return *hd.confirmedAt.Load() }
+
 // Check implements Holding.
 func (hd *holding) Check() error { return hd.check() }
 
--- a/shared/leaser/renew.go
+++ b/shared/leaser/renew.go
@@ -40,6 +40,7 @@
 	if err := lr.store.Renew(ctx, hd.lease); err != nil {
 		return err
 	}
+	hd.confirmedAt.Store(&sent)
 	hd.extend(lr.deadline(sent))
 	return nil
 }
