Tell of all keys of a transaction; have VMs follow the queues' turns

TestFollowTellsOfAllKeysOfATransaction fails without the mend.

Cause 2: each queue in its turn asks for more than its pool holds, and VMs stayed where they were.

--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -284,7 +284,7 @@
 
 // choose returns the best worker for a task, or nil if none has room. Tasks go
 // near their data, filling tasks away from serving ones, and all others to the
-// worker with the most room, which bounds what is lost with one.
+// fullest worker that has room.
 func (al *Allocator) choose(now time.Time, tk *task, open []*worker, rack string) *worker {
 	st := tk.step
 	demand := st.spec.Occupies()
@@ -316,13 +316,16 @@
 
 // Weights of a worker's suitability beside its free share, which is at most 1.
 const (
-	nearDataWeight     = 4
-	besideServerWeight = 2
+	nearDataWeight      = 4
+	besideServerWeight  = 2
+	besideLastingWeight = 0.2
 )
 
-// suitability returns how well a worker suits a task.
+// suitability returns how well a worker suits a task. Fuller workers come first,
+// so that others stay free for a move or an upkeep, and long-running tasks share
+// workers, since they keep a worker where it is.
 func suitability(tk *task, wk *worker) float64 {
-	score := 1 - float64(wk.used.MilliCores)/float64(max(wk.info.Capacity.MilliCores, 1))
+	score := float64(wk.used.MilliCores) / float64(max(wk.info.Capacity.MilliCores, 1))
 	if rack := tk.step.spec.PreferredRack; rack != "" && wk.info.HasLabel(rack) {
 		score += nearDataWeight
 	}
@@ -332,6 +335,9 @@
 			continue
 		}
 		other := rn.task.step.spec
+		if other.IsLongRunning && !other.IsFilling {
+			score += besideLastingWeight
+		}
 		if tk.step.spec.IsFilling && (other.LatencyTarget > 0 || other.IsFilling) || isServing && other.IsFilling {
 			score -= besideServerWeight
 		}
--- a/shared/jobs/allocator/plan.go
+++ b/shared/jobs/allocator/plan.go
@@ -19,6 +19,7 @@
 			al.moveStalled(now)
 			al.leaveDraining(now)
 			al.planFleet(now)
+			al.planMoves(now)
 		}
 	}
 	al.place(now)
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -32,6 +32,11 @@
 	listedAt time.Time
 	askedAt  time.Time
 	isAsking bool
+	// moves are the VMs on their way to another pool.
+	moves          map[string]*move
+	movesPlannedAt time.Time
+	// history is by pool.
+	history map[string]needHistory
 }
 
 // wave is a maintenance wave.
@@ -61,8 +66,10 @@
 
 func newFleet() *fleet {
 	return &fleet{
-		vms:   map[string]modeller.VM{},
-		waves: map[int64]*wave{},
+		vms:     map[string]modeller.VM{},
+		waves:   map[int64]*wave{},
+		moves:   map[string]*move{},
+		history: map[string]needHistory{},
 	}
 }
 
@@ -149,7 +156,7 @@
 // planFleet empties VMs that are due for maintenance and orders their upkeep.
 func (al *Allocator) planFleet(now time.Time) {
 	fl := al.fleet
-	isActive := false
+	isActive := al.standbyPool() != ""
 	for _, number := range fl.numbers() {
 		wv := fl.waves[number]
 		if wv.isAllDone {
@@ -242,6 +249,9 @@
 		if _, isEmptying := wv.emptying[name]; isEmptying {
 			continue
 		}
+		if al.fleet.moves[name] != nil {
+			continue
+		}
 		candidates = append(candidates, candidate{
 			name: name,
 			cost: al.emptyingCost(vm),
@@ -389,8 +399,12 @@
 	}
 }
 
-// vmOrderEnded takes in what became of an upkeep.
+// vmOrderEnded takes in what became of a move or an upkeep.
 func (al *Allocator) vmOrderEnded(now time.Time, ev VMOrderEnded) {
+	if ev.Order.Pool != "" {
+		al.moveEnded(now, ev)
+		return
+	}
 	wv := al.fleet.waves[ev.Order.Wave]
 	if wv == nil || wv.down[ev.Order.VM] == nil {
 		return
@@ -406,11 +420,7 @@
 		delete(wv.emptying, ev.Order.VM)
 		wv.isDirty = true
 		if wk := al.workers[dv.worker]; wk != nil {
-			for _, rn := range wk.runsInOrder() {
-				al.loseRun(now, rn, "VM goes down for upkeep")
-			}
-			al.endLife(now, wk, "VM goes down for upkeep")
-			wk.isListed = false
+			al.takeDown(now, wk, "VM goes down for upkeep")
 		}
 	case Malformed:
 		// The VM or its wave is unknown to the platform; there is nothing to wait for.
--- a/shared/keeper/kind.go
+++ b/shared/keeper/kind.go
@@ -9,6 +9,7 @@
 	KindList   Kind = "list"
 	KindPut    Kind = "put"
 	KindDelete Kind = "delete"
+	KindCommit Kind = "commit"
 	KindGrant  Kind = "grant"
 	KindRenew  Kind = "renew"
 	KindRevoke Kind = "revoke"
--- a/shared/keeper/table.go
+++ b/shared/keeper/table.go
@@ -74,23 +74,32 @@
 	if _, ok := tb.leases[id]; id != 0 && !ok {
 		return 0, classifier.New(classifier.LeaseLost, "lease %d", id)
 	}
-	tb.detach(key)
 	tb.revision++
+	tb.set(storer.Write{
+		Key:   key,
+		Value: value,
+		Lease: id,
+	})
+	return tb.revision, nil
+}
+
+// set writes a key at the present revision and adds the event.
+func (tb *Table) set(wr storer.Write) {
+	tb.detach(wr.Key)
 	et := storer.Entry{
-		Key:      key,
-		Value:    bytes.Clone(value),
+		Key:      wr.Key,
+		Value:    bytes.Clone(wr.Value),
 		Revision: tb.revision,
-		Lease:    id,
+		Lease:    wr.Lease,
 	}
-	tb.entries[key] = et
-	if id != 0 {
-		tb.leases[id].keys[key] = struct{}{}
+	tb.entries[wr.Key] = et
+	if wr.Lease != 0 {
+		tb.leases[wr.Lease].keys[wr.Key] = struct{}{}
 	}
 	tb.history.add(storer.Event{
 		Entry:   et,
 		Deleted: false,
 	})
-	return tb.revision, nil
 }
 
 // Delete removes a key whose revision is expected.
@@ -106,6 +115,52 @@
 	return nil
 }
 
+// Commit carries out a transaction: all of its changes get one revision.
+func (tb *Table) Commit(now time.Time, tx storer.Transaction) (storer.Revision, error) {
+	tb.Advance(now)
+	if size := tx.Size(); size > storer.MaxTransactionEntries {
+		return 0, classifier.New(classifier.PlatformTooLarge, "transaction of %d entries", size)
+	}
+	if err := tb.expectAll(tx.Expected); err != nil {
+		return 0, err
+	}
+	for _, wr := range tx.Writes {
+		if len(wr.Value) > storer.MaxValueBytes {
+			return 0, classifier.New(classifier.PlatformTooLarge, "key %s: %d bytes", wr.Key, len(wr.Value))
+		}
+		if _, ok := tb.leases[wr.Lease]; wr.Lease != 0 && !ok {
+			return 0, classifier.New(classifier.LeaseLost, "lease %d", wr.Lease)
+		}
+	}
+	tb.revision++
+	for _, wr := range tx.Writes {
+		tb.set(wr)
+	}
+	for _, key := range tx.Removed {
+		if _, ok := tb.entries[key]; ok {
+			tb.unset(key)
+		}
+	}
+	return tb.revision, nil
+}
+
+// expectAll returns a PlatformConflict error unless all conditions hold.
+func (tb *Table) expectAll(expected []storer.Expectation) error {
+	current := map[string]storer.Entry{}
+	isMet := true
+	for _, ex := range expected {
+		et, ok := tb.entries[ex.Key]
+		if ok {
+			current[ex.Key] = copyEntry(et)
+		}
+		isMet = isMet && et.Revision == ex.Revision
+	}
+	if !isMet {
+		return storer.NewTransactionConflict(current)
+	}
+	return nil
+}
+
 // Events returns the changes after a revision of the keys that start with
 // prefix, and the revision to go on from. When the changes are no longer held,
 // or the revision is not yet reached, it returns a PlatformNotFound error.
@@ -126,11 +181,16 @@
 	return storer.NewConflict(key, actual)
 }
 
-// remove deletes an entry and adds the event.
+// remove deletes an entry at a new revision.
 func (tb *Table) remove(key string) {
+	tb.revision++
+	tb.unset(key)
+}
+
+// unset deletes an entry at the present revision and adds the event.
+func (tb *Table) unset(key string) {
 	tb.detach(key)
 	delete(tb.entries, key)
-	tb.revision++
 	tb.history.add(storer.Event{
 		Entry: storer.Entry{
 			Key:      key,
--- a/shared/keeper/zone.go
+++ b/shared/keeper/zone.go
@@ -18,8 +18,8 @@
 }
 
 var (
-	_ storer.Store = (*Zone)(nil)
-	_ storer.Fleet = (*Zone)(nil)
+	_ storer.TransactionStore = (*Zone)(nil)
+	_ storer.Fleet            = (*Zone)(nil)
 )
 
 // ZoneOption is an option of Keeper.Zone.
@@ -88,6 +88,13 @@
 	})
 }
 
+// Commit implements storer.TransactionStore.
+func (zn *Zone) Commit(ctx context.Context, tx storer.Transaction) (storer.Revision, error) {
+	return call(ctx, zn, KindCommit, func(now time.Time) (storer.Revision, error) {
+		return zn.keeper.table.Commit(now, tx)
+	})
+}
+
 // Grant implements storer.Store.
 func (zn *Zone) Grant(ctx context.Context, ttl time.Duration) (storer.LeaseID, error) {
 	return call(ctx, zn, KindGrant, func(now time.Time) (storer.LeaseID, error) {
--- a/shared/storer/follow.go
+++ b/shared/storer/follow.go
@@ -152,12 +152,14 @@
 	if err != nil {
 		return err
 	}
+	before := fr.position
 	for _, ev := range events {
-		if ev.Entry.Revision <= fr.position {
+		// The keys of one transaction share its revision.
+		if ev.Entry.Revision <= before {
 			continue
 		}
 		fr.deliver(ev)
-		fr.position = ev.Entry.Revision
+		fr.position = max(fr.position, ev.Entry.Revision)
 	}
 	fr.position = max(fr.position, revision)
 	return nil
