--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -127,6 +127,7 @@
 				MaxOverrun:      dutyOverrun,
 				LookWait:        lookWait,
 				DutyLease:       dutyTTL,
+				StopGrace:       settings.Bounds.StopGrace,
 				StatusRetention: settings.Bounds.StatusRetention,
 				UpkeepTime:      settings.Bounds.UpkeepTime,
 				AwayNotice:      settings.Bounds.AwayNotice,
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -28,6 +28,8 @@
 	MaxOverrun time.Duration
 	// LookWait is how long a worker waits for an end before it reports.
 	LookWait time.Duration
+	// StopGrace is the longest time that a stop takes.
+	StopGrace time.Duration
 	// StatusRetention is how long an ended job is remembered.
 	StatusRetention time.Duration
 	// DutyLease is how long the duty stays taken after it was confirmed.
@@ -52,8 +54,14 @@
 	// lookPause is the least time between two looks at a worker, so that one
 	// look carries several ends.
 	lookPause = 30 * time.Millisecond
-	// lookRetry is the pause after a look that got no answer.
-	lookRetry = 150 * time.Millisecond
+	// lookRetry is the pause after a look that got no answer. It doubles with
+	// each further one, up to maxLookRetry.
+	lookRetry        = 150 * time.Millisecond
+	maxLookRetry     = 600 * time.Millisecond
+	maxLookDoublings = 4
+	// stopMargin is added to the time that a stop takes, for the time that an
+	// earlier holder's last orders may be on their way.
+	stopMargin = 500 * time.Millisecond
 	// retryPause is the pause before a task that was refused is placed again.
 	retryPause = 100 * time.Millisecond
 	// stallTimeout is after what time without progress a task is started elsewhere.
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -33,6 +33,7 @@
 	wk.bornMS = ev.Report.BornMS
 	wk.reportedAt = ev.ReceivedAt
 	wk.isSilent = false
+	wk.failedLooks = 0
 	wk.suspectUntil = time.Time{}
 	for _, end := range ev.Report.Ended {
 		al.end(now, wk, end)
@@ -215,7 +216,8 @@
 	}
 	wk.isLooking = false
 	wk.isSilent = true
-	wk.lookAt = now.Add(lookRetry)
+	wk.lookAt = now.Add(min(lookRetry<<wk.failedLooks, maxLookRetry))
+	wk.failedLooks = min(wk.failedLooks+1, maxLookDoublings)
 	wk.suspectUntil = now.Add(reportFreshness)
 	if ev.Outcome == Replaced {
 		for _, rn := range wk.runsInOrder() {
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -360,7 +360,7 @@
 		switch {
 		case rn.isStopping || rn.task == nil:
 		case rn.task.step.spec.IsLongRunning:
-			if rn.task.step.canMiss(rn) {
+			if al.seesStops(now) && rn.task.step.canMiss(rn) {
 				al.stop(now, rn)
 			}
 		case isUrgent && rn.task.step.spec.IsCheckpointing:
@@ -370,6 +370,12 @@
 	return false
 }
 
+// seesStops reports whether the stops that an earlier holder ordered have taken
+// effect: until then, workers list their runs as if they went on.
+func (al *Allocator) seesStops(now time.Time) bool {
+	return now.Sub(al.startedAt) > al.bounds.StopGrace+stopMargin
+}
+
 // canMiss reports whether a long-running step can do without one more task. All
 // that aren't at work count as away, for whatever cause.
 func (st *step) canMiss(rn *run) bool {
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -27,8 +27,10 @@
 	clock    time.Duration
 	clockAt  time.Time
 	leaseEnd time.Duration
-	// isSilent is true if the last look got no report.
-	isSilent bool
+	// isSilent is true if the last look got no report, and failedLooks counts
+	// the looks since the last that did.
+	isSilent    bool
+	failedLooks int
 	// isLooking is true while a look is under way; the next is due at lookAt.
 	isLooking bool
 	lookAt    time.Time
@@ -235,7 +237,8 @@
 		return
 	}
 	for _, wk := range al.inOrder() {
-		if wk.isLooking || now.Before(wk.lookAt) {
+		isGone := !wk.isListed && !wk.isSynced && !wk.mayHoldOldRuns && len(wk.runs) == 0
+		if wk.isLooking || now.Before(wk.lookAt) || isGone {
 			continue
 		}
 		lo := LookOrder{
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -44,6 +44,7 @@
 	MaxOverrun:      6 * time.Second,
 	LookWait:        time.Second,
 	DutyLease:       1500 * time.Millisecond,
+	StopGrace:       900 * time.Millisecond,
 	StatusRetention: 120 * time.Second,
 	UpkeepTime:      2 * time.Second,
 	AwayNotice:      4500 * time.Millisecond,
@@ -236,7 +237,7 @@
 	life := nd.life
 	nd.ex = executor.New(dy.now, executor.Settings{
 		Worker:   nd.info,
-		StopTime: 150 * time.Millisecond,
+		StopTime: time.Duration(150+dy.random.IntN(750)) * time.Millisecond,
 		MaxLease: 10 * time.Second,
 		Drift:    0.02 * dy.random.Float64(),
 		Profile:  dy.profile,
--- /dev/null
+++ b/standin/internal/provider/vm.go
@@ -0,0 +1,143 @@
+package provider
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+// VMHandler serves the VM interface.
+func (pv *Provider) VMHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /machines", pv.listVMs)
+	mux.HandleFunc("POST /machine-move", pv.moveVM)
+	mux.HandleFunc("POST /machine-upkeep", pv.maintainVM)
+	return mux
+}
+
+func (pv *Provider) listVMs(rw http.ResponseWriter, _ *http.Request) {
+	pv.mu.Lock()
+	defer pv.mu.Unlock()
+	rows := []map[string]any{}
+	for _, name := range slices.Sorted(maps.Keys(pv.vms)) {
+		machine := pv.vms[name]
+		row := map[string]any{
+			"machine":  machine.name,
+			"pool":     machine.pool,
+			"state":    string(machine.state),
+			"zone":     machine.zone,
+			"capacity": map[string]int{"cpu": machine.capacity.MilliCores, "mem_mb": machine.capacity.MemoryMB, "gpu": 0},
+		}
+		if machine.worker != nil {
+			row["id"] = string(machine.worker.Worker().ID)
+		}
+		rows = append(rows, row)
+	}
+	writeJSON(rw, http.StatusOK, map[string]any{"machines": rows, "next_token": nil})
+}
+
+// vmOrder is an order of a VM.
+type vmOrder struct {
+	Machine string `json:"machine"`
+	Pool    string `json:"pool"`
+	Wave    int64  `json:"wave"`
+}
+
+// accept decodes an order and checks its fence. It returns the VM, or nil when
+// the order has been refused.
+func (pv *Provider) accept(rw http.ResponseWriter, rq *http.Request) (*vm, vmOrder) {
+	var vo vmOrder
+	fence, err := strconv.ParseUint(rq.Header.Get("Fencing-Token"), 10, 64)
+	if err == nil {
+		err = json.NewDecoder(rq.Body).Decode(&vo)
+	}
+	machine := pv.vms[vo.Machine]
+	switch {
+	case err != nil || machine == nil:
+		rw.WriteHeader(http.StatusBadRequest)
+		return nil, vo
+	case fence < machine.fence:
+		writeJSON(rw, http.StatusConflict, map[string]string{"reason": "fence"})
+		return nil, vo
+	}
+	machine.fence = fence
+	return machine, vo
+}
+
+func (pv *Provider) moveVM(rw http.ResponseWriter, rq *http.Request) {
+	pv.mu.Lock()
+	defer pv.mu.Unlock()
+	machine, vo := pv.accept(rw, rq)
+	switch {
+	case machine == nil:
+	case machine.pool == vo.Pool:
+		writeJSON(rw, http.StatusOK, map[string]string{})
+	case machine.state != modeller.VMUp:
+		writeJSON(rw, http.StatusConflict, map[string]string{"reason": "busy"})
+	default:
+		pv.moves++
+		pv.takeAway(machine, modeller.VMMoving, vo.Pool)
+		writeJSON(rw, http.StatusOK, map[string]string{})
+	}
+}
+
+func (pv *Provider) maintainVM(rw http.ResponseWriter, rq *http.Request) {
+	pv.mu.Lock()
+	defer pv.mu.Unlock()
+	machine, vo := pv.accept(rw, rq)
+	switch {
+	case machine == nil:
+	case machine.maintained[vo.Wave]:
+		writeJSON(rw, http.StatusOK, map[string]string{})
+	case machine.state != modeller.VMUp:
+		writeJSON(rw, http.StatusConflict, map[string]string{"reason": "busy"})
+	default:
+		machine.maintained[vo.Wave] = true
+		pv.takeAway(machine, modeller.VMUpkeep, machine.pool)
+		writeJSON(rw, http.StatusOK, map[string]string{})
+	}
+}
+
+// takeAway ends a VM's worker and starts the next in a pool after a time. VMs
+// of the standby pool stay off.
+func (pv *Provider) takeAway(machine *vm, state modeller.VMState, pool string) {
+	pv.end(machine)
+	machine.state = state
+	machine.pool = pool
+	time.AfterFunc(awayTime, func() {
+		if pool == StandbyPool {
+			pv.mu.Lock()
+			machine.state = modeller.VMUp
+			pv.mu.Unlock()
+			return
+		}
+		pv.restart(machine.name, pool)
+	})
+}
+
+// StandbyPool is the pool whose VMs are off.
+const StandbyPool = "standby"
+
+// AdviceHandler serves the advice service, which lets all workers run all steps.
+func (pv *Provider) AdviceHandler() http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+		var body struct {
+			Step    string   `json:"step"`
+			Workers []string `json:"workers"`
+		}
+		if err := json.NewDecoder(rq.Body).Decode(&body); err != nil {
+			rw.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		good := [][]string{}
+		for _, id := range body.Workers {
+			good = append(good, []string{id, "ticket-" + id})
+		}
+		writeJSON(rw, http.StatusOK, map[string]any{"good": good})
+	})
+}
--- /dev/null
+++ b/standin/internal/provider/worker.go
@@ -0,0 +1,196 @@
+package provider
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/standin/internal/executor"
+)
+
+// lookInterval is how often a look that waits is answered if there is an end.
+const lookInterval = 5 * time.Millisecond
+
+// payload is what the stand-in's callers put into a job's payload: what is true
+// of its tasks, which the scheduler doesn't read.
+type payload struct {
+	WorkMS  int64 `json:"workMs"`
+	CPU     int   `json:"cpu"`
+	MemMB   int   `json:"memMb"`
+	IsLong  bool  `json:"isLong"`
+	IsFatal bool  `json:"isFatal"`
+}
+
+// order is an order to a worker.
+type order struct {
+	Task         string `json:"task"`
+	Attempt      int    `json:"attempt"`
+	Spec         string `json:"spec"`
+	DeadlineMS   int64  `json:"deadline_ms"`
+	FencingToken uint64 `json:"fencing_token"`
+	Checkpoint   string `json:"checkpoint"`
+	Percent      int    `json:"percent"`
+	LastSeen     int64  `json:"last_seen"`
+	WaitMS       int64  `json:"wait_ms"`
+}
+
+// WorkerHandler serves the workers of a VM.
+func (pv *Provider) WorkerHandler(name string) http.Handler {
+	wh := &workerHandler{
+		provider: pv,
+		vm:       name,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run-start", wh.start)
+	mux.HandleFunc("POST /run-stop", wh.stop)
+	mux.HandleFunc("POST /pace", wh.pace)
+	mux.HandleFunc("POST /hold", wh.look)
+	return mux
+}
+
+type workerHandler struct {
+	provider *Provider
+	vm       string
+}
+
+// with runs a step on the present worker, with the provider locked. An absent
+// worker breaks the connection, and another one than the caller means refuses.
+func (wh *workerHandler) with(rw http.ResponseWriter, rq *http.Request, step func(machine *vm)) {
+	wh.provider.mu.Lock()
+	defer wh.provider.mu.Unlock()
+	machine := wh.provider.vms[wh.vm]
+	if machine.worker == nil {
+		panic(http.ErrAbortHandler)
+	}
+	if meant := rq.Header.Get("Expect-Instance"); meant != "" && meant != string(machine.worker.Worker().ID) {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	step(machine)
+}
+
+func decodeOrder(rw http.ResponseWriter, rq *http.Request) (order, modeller.TaskName, bool) {
+	var od order
+	if err := json.NewDecoder(rq.Body).Decode(&od); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return od, modeller.TaskName{}, false
+	}
+	if od.Task == "" {
+		return od, modeller.TaskName{}, true
+	}
+	name, err := modeller.ParseTaskName(od.Task)
+	if err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+	}
+	return od, name, err == nil
+}
+
+func (wh *workerHandler) start(rw http.ResponseWriter, rq *http.Request) {
+	od, name, ok := decodeOrder(rw, rq)
+	if !ok {
+		return
+	}
+	profile, err := decodePayload(od.Spec)
+	if err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wh.with(rw, rq, func(machine *vm) {
+		wh.provider.profiles[name] = profile
+		before := machine.worker.Runs()[name]
+		refusal, ok := machine.worker.Start(time.Now(), od.FencingToken, name, od.Attempt, od.Checkpoint, time.Duration(od.DeadlineMS)*time.Millisecond)
+		if ok && before != od.Attempt {
+			wh.provider.noteStart(machine, name)
+		}
+		answerOrder(rw, machine, refusal, ok)
+	})
+}
+
+func decodePayload(spec string) (executor.Profile, error) {
+	var pl payload
+	if err := json.NewDecoder(strings.NewReader(spec)).Decode(&pl); err != nil {
+		return executor.Profile{}, errors.Wrap(err, "payload")
+	}
+	return executor.Profile{
+		Demand: modeller.Resources{
+			MilliCores: pl.CPU,
+			MemoryMB:   pl.MemMB,
+		},
+		Duration:      time.Duration(pl.WorkMS) * time.Millisecond,
+		IsLongRunning: pl.IsLong,
+		IsFailing:     pl.IsFatal,
+	}, nil
+}
+
+func (wh *workerHandler) stop(rw http.ResponseWriter, rq *http.Request) {
+	od, name, ok := decodeOrder(rw, rq)
+	if !ok {
+		return
+	}
+	wh.with(rw, rq, func(machine *vm) {
+		refusal, ok := machine.worker.Stop(time.Now(), od.FencingToken, name, od.Attempt)
+		answerOrder(rw, machine, refusal, ok)
+	})
+}
+
+func (wh *workerHandler) pace(rw http.ResponseWriter, rq *http.Request) {
+	od, name, ok := decodeOrder(rw, rq)
+	if !ok {
+		return
+	}
+	wh.with(rw, rq, func(machine *vm) {
+		refusal, ok := machine.worker.Pace(time.Now(), od.FencingToken, name, od.Attempt, od.Percent)
+		answerOrder(rw, machine, refusal, ok)
+	})
+}
+
+func answerOrder(rw http.ResponseWriter, machine *vm, refusal executor.Refusal, ok bool) {
+	clock := machine.worker.Clock(time.Now()).Milliseconds()
+	if !ok {
+		writeJSON(rw, http.StatusConflict, map[string]any{"clock_ms": clock, "reason": string(refusal)})
+		return
+	}
+	writeJSON(rw, http.StatusOK, map[string]any{"clock_ms": clock})
+}
+
+// look answers as soon as there is an end, or after the wait.
+func (wh *workerHandler) look(rw http.ResponseWriter, rq *http.Request) {
+	od, _, ok := decodeOrder(rw, rq)
+	if !ok {
+		return
+	}
+	until := time.Now().Add(time.Duration(od.WaitMS) * time.Millisecond)
+	for isAnswered := false; !isAnswered; {
+		isAnswered = true
+		wh.with(rw, rq, func(machine *vm) {
+			report, refusal, ok := machine.worker.Look(time.Now(), od.FencingToken, time.Duration(od.DeadlineMS)*time.Millisecond, od.LastSeen)
+			switch {
+			case !ok:
+				answerOrder(rw, machine, refusal, false)
+			case len(report.Ended) == 0 && time.Now().Before(until):
+				isAnswered = false
+			default:
+				answerLook(rw, report)
+			}
+		})
+		if !isAnswered {
+			time.Sleep(lookInterval)
+		}
+	}
+}
+
+func answerLook(rw http.ResponseWriter, report modeller.Report) {
+	running := [][]any{}
+	for _, rn := range report.Running {
+		running = append(running, []any{rn.Task.String(), rn.Attempt, rn.Checkpoint, rn.Progress, rn.Load})
+	}
+	ended := [][]any{}
+	for _, end := range report.Ended {
+		ended = append(ended, []any{end.Number, end.Task.String(), end.Attempt, string(end.Kind), end.Checkpoint})
+	}
+	writeJSON(rw, http.StatusOK, map[string]any{"born": report.BornMS, "clock_ms": report.Clock.Milliseconds(), "running": running, "ended": ended})
+}
