--- a/standin/internal/provider/worker.go
+++ b/standin/internal/provider/worker.go
@@ -167,6 +167,7 @@
 	for isAnswered := false; !isAnswered; {
 		isAnswered = true
 		wh.with(rw, rq, func(machine *vm) {
+			wh.provider.noteAcknowledged(machine, od.LastSeen)
 			report, refusal, ok := machine.worker.Look(time.Now(), od.FencingToken, time.Duration(od.DeadlineMS)*time.Millisecond, od.LastSeen)
 			switch {
 			case !ok:
--- a/standin/main.go
+++ b/standin/main.go
@@ -18,6 +18,7 @@
 	"coltsfootwick.example/standin/internal/measurer"
 	"coltsfootwick.example/standin/internal/platform"
 	"coltsfootwick.example/standin/internal/prover"
+	"coltsfootwick.example/standin/internal/rehearser"
 	"coltsfootwick.example/standin/internal/sloper"
 	"coltsfootwick.example/standin/internal/target"
 )
@@ -29,6 +30,7 @@
 	Targets  target.GroupCommand  `cmd:"" help:"Run many targets in one process."`
 	Load     generator.Command    `cmd:"" help:"Send callers' load and judge the answers."`
 	Demo     demonstrator.Command `cmd:"" help:"Run the demo with the programs of ./bin."`
+	Jobs     rehearser.Command    `cmd:"" help:"Run the demo of jobs on the users' platform with the programs of ./bin."`
 	Prove    prover.Command       `cmd:"" help:"Run the proofs of what must always hold."`
 	Measure  measurer.Command     `cmd:"" help:"Measure the policies of the request path in virtual time."`
 	Bench    bencher.Command      `cmd:"" help:"Measure one entry beside direct connections to its targets."`
