--- /dev/null
+++ b/shared/jobs/allocator/allocator_test.go
@@ -0,0 +1,263 @@
+package allocator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+func TestWorkersAreLookedAtOnceTheRecordsAreLoaded(t *testing.T) {
+	fx := newFixture(t)
+	fx.worker("a")
+	must.Len(t, 0, ordersOf[LookOrder](fx))
+	fx.apply(Loaded{})
+	must.Len(t, 1, ordersOf[LookOrder](fx))
+}
+
+func TestTaskStartsAgainOnceASilentWorkersLeaseHasPassed(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a", "b")
+	start := fx.startOne("j")
+	other := map[modeller.WorkerID]string{"a": "b", "b": "a"}[start.Worker.ID]
+	for range 70 {
+		fx.apply(LookFailed{Worker: start.Worker.ID, Outcome: Unanswered})
+		fx.report(other, nil)
+		fx.pass(100 * time.Millisecond)
+	}
+	starts := ordersOf[StartOrder](fx)
+	must.Len(t, 1, starts)
+	must.Eq(t, modeller.WorkerID(other), starts[0].Worker.ID)
+	must.Eq(t, 2, starts[0].Attempt)
+}
+
+func TestNothingIsGivenUpWhileTheDutyIsNotConfirmed(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a", "b")
+	start := fx.startOne("j")
+	other := map[modeller.WorkerID]string{"a": "b", "b": "a"}[start.Worker.ID]
+	fx.isConfirmed = false
+	for range 70 {
+		fx.apply(LookFailed{Worker: start.Worker.ID, Outcome: Unanswered})
+		fx.report(other, nil)
+		fx.pass(100 * time.Millisecond)
+	}
+	must.Len(t, 0, ordersOf[StartOrder](fx))
+	fx.isConfirmed = true
+	fx.report(other, nil)
+	must.Len(t, 1, ordersOf[StartOrder](fx))
+}
+
+func TestUnconfirmedHolderStartsOldJobsOnly(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	fx.isConfirmed = false
+	fx.submit("late", oneTask())
+	must.Len(t, 1, ordersOf[StartOrder](fx), must.Sprint("the lease still holds"))
+	for range 20 {
+		fx.pass(100 * time.Millisecond)
+		fx.report("a", nil)
+	}
+	fx.submit("later", oneTask())
+	must.Len(t, 0, ordersOf[StartOrder](fx))
+}
+
+func TestRunOfAnUnknownJobHoldsItsWorker(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	fx.report("a", []modeller.Run{{Task: name("gone", 0), Attempt: 1}})
+	fx.submit("j", oneTask())
+	must.Len(t, 0, ordersOf[StartOrder](fx))
+	fx.report("a", nil, modeller.End{Number: 1, Task: name("gone", 0), Attempt: 1, Kind: modeller.EndStopped})
+	must.Len(t, 1, ordersOf[StartOrder](fx))
+}
+
+func TestStartInDoubtIsSettledByTheFirstAcknowledgedStop(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	fx.submit("j", oneTask())
+	start := ordersOf[StartOrder](fx)[0]
+	fx.apply(StartEnded{Worker: "a", Task: start.Task, Attempt: 1, Outcome: Unanswered})
+	fx.pass(100 * time.Millisecond)
+	fx.report("a", nil)
+	must.Len(t, 1, ordersOf[StopOrder](fx))
+	fx.apply(StopEnded{Worker: "a", Task: start.Task, Attempt: 1, Outcome: Accepted})
+	fx.pass(900 * time.Millisecond)
+	// A look that was sent between the first acknowledgement and the second.
+	sentAt := fx.now.Add(-500 * time.Millisecond)
+	fx.apply(StopEnded{Worker: "a", Task: start.Task, Attempt: 1, Outcome: Accepted})
+	fx.reportTo(sentAt, "a", nil)
+	starts := ordersOf[StartOrder](fx)
+	must.Len(t, 1, starts)
+	must.Eq(t, 2, starts[0].Attempt)
+}
+
+func TestEndsAreAcknowledgedOnceTheyAreStored(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	start := fx.startOne("j")
+	fx.report("a", nil, modeller.End{Number: 1, Task: start.Task, Attempt: 1, Kind: modeller.EndDone})
+	fx.pass(50 * time.Millisecond)
+	looks := ordersOf[LookOrder](fx)
+	must.Eq(t, 0, looks[len(looks)-1].AcknowledgedEnds)
+	state, _ := fx.al.State("j")
+	must.Eq(t, modeller.JobRunning, state, must.Sprint("not shown before it is stored"))
+	batch := fx.al.Batch(fx.now)
+	must.Len(t, 1, batch.Ended)
+	fx.apply(BatchStored{Batch: batch})
+	state, _ = fx.al.State("j")
+	must.Eq(t, modeller.JobCompleted, state)
+	fx.report("a", nil, modeller.End{Number: 1, Task: start.Task, Attempt: 1, Kind: modeller.EndDone})
+	fx.pass(50 * time.Millisecond)
+	looks = ordersOf[LookOrder](fx)
+	must.Eq(t, 1, looks[len(looks)-1].AcknowledgedEnds)
+}
+
+func TestFailedEndCountsOnceAcrossHolders(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(ProgressLoaded{Progress: modeller.Progress{ID: "j", Queue: "q", Tasks: []modeller.TaskProgress{{Attempt: 1, FailedAttempts: []int{1}}}}})
+	fx.submit("j", oneTask())
+	fx.worker("a")
+	fx.worker("b")
+	fx.apply(Loaded{})
+	fx.pass(50 * time.Millisecond)
+	fx.report("a", nil, modeller.End{Number: 1, Task: name("j", 0), Attempt: 1, Kind: modeller.EndFailed})
+	fx.report("b", nil)
+	fx.pass(50 * time.Millisecond)
+	fx.report("b", nil)
+	must.Len(t, 1, ordersOf[StartOrder](fx))
+}
+
+func TestWaveVMIsBackUnderItsOldID(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a", "b")
+	fx.wave(1, vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
+	first := ordersOf[VMOrder](fx)
+	must.Len(t, 1, first)
+	fx.apply(VMOrderEnded{Order: first[0], Outcome: Accepted})
+	fx.pass(2 * time.Second)
+	fx.worker("a")
+	fx.report("b", nil)
+	fx.list(vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
+	fx.pass(50 * time.Millisecond)
+	fx.report("b", nil)
+	must.Len(t, 1, ordersOf[VMOrder](fx))
+}
+
+func TestVMsThatAnEarlierHolderTookDownCount(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	fx.wave(1, vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUpkeep))
+	must.Len(t, 0, ordersOf[VMOrder](fx))
+	fx.list(vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
+	must.Len(t, 1, ordersOf[VMOrder](fx))
+}
+
+func TestWorkerThatHasNotReportedIsNotEmpty(t *testing.T) {
+	fx := newFixture(t)
+	fx.worker("a")
+	fx.apply(Loaded{})
+	fx.wave(1, vmOf("a", modeller.VMUp))
+	must.Len(t, 0, ordersOf[VMOrder](fx))
+	fx.report("a", nil)
+	must.Len(t, 1, ordersOf[VMOrder](fx))
+}
+
+// lastingJob has a long-running job at work on workers a and b.
+func lastingJob(fx *fixture) {
+	fx.submit("l", lasting(2))
+	fx.worker("a")
+	fx.worker("b")
+	fx.worker("c")
+	fx.apply(Loaded{})
+	fx.pass(50 * time.Millisecond)
+	reportLasting(fx)
+}
+
+func reportLasting(fx *fixture) {
+	fx.report("a", []modeller.Run{{Task: name("l", 0), Attempt: 1, Progress: 100}})
+	fx.report("b", []modeller.Run{{Task: name("l", 1), Attempt: 1, Progress: 100}})
+	fx.report("c", nil)
+}
+
+func TestEvictionsWaitForAnEarlierHoldersStops(t *testing.T) {
+	fx := newFixture(t)
+	lastingJob(fx)
+	fx.wave(3, vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
+	must.Len(t, 0, ordersOf[StopOrder](fx))
+	for range 16 {
+		fx.pass(100 * time.Millisecond)
+		reportLasting(fx)
+	}
+	must.Len(t, 1, ordersOf[StopOrder](fx), must.Sprint("one of two may be away"))
+}
+
+func TestLongRunningTaskIsNotEvictedBesideOneThatIsAway(t *testing.T) {
+	fx := newFixture(t)
+	lastingJob(fx)
+	fx.pass(2 * time.Second)
+	fx.report("a", []modeller.Run{{Task: name("l", 0), Attempt: 1, Progress: 100}})
+	fx.report("b", []modeller.Run{{Task: name("l", 1), Attempt: 1, Progress: 40}})
+	fx.report("c", nil)
+	fx.wave(3, vmOf("a", modeller.VMUp))
+	must.Len(t, 0, ordersOf[StopOrder](fx))
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	gang := oneTask()
+	gang.Count = 5
+	gang.IsGang = true
+	fx.submit("g", gang)
+	must.Len(t, 0, ordersOf[StartOrder](fx), must.Sprint("a worker of 4 cores has no room for 5"))
+	fx.worker("b")
+	for range 2 {
+		fx.pass(50 * time.Millisecond)
+		fx.report("a", nil)
+		fx.report("b", nil)
+	}
+	starts := ordersOf[StartOrder](fx)
+	must.Len(t, 5, starts)
+	for _, so := range starts {
+		must.Eq(t, 1, so.Attempt)
+	}
+}
+
+func TestDrainingWorkerGetsNoWork(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	fx.apply(WorkerListed{Worker: modeller.Worker{ID: "a", Pool: "p", Capacity: modeller.Resources{MilliCores: 4000, MemoryMB: 4000}, IsDraining: true, BornMS: 1}})
+	fx.submit("j", oneTask())
+	must.Len(t, 0, ordersOf[StartOrder](fx))
+}
+
+func TestWorkersThatFailOneJobAfterTheOtherGetNoWork(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	for number, id := range []string{"x", "y"} {
+		start := fx.startOne(id)
+		fx.report("a", nil, modeller.End{Number: int64(number + 1), Task: start.Task, Attempt: 1, Kind: modeller.EndFailed})
+	}
+	fx.submit("z", oneTask())
+	must.Len(t, 0, ordersOf[StartOrder](fx))
+}
+
+func TestTimedJobStartsAtItsTime(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	fx.apply(JobRecorded{Record: modeller.JobRecord{Job: modeller.Job{
+		ID: "t", Queue: "q", Steps: []modeller.Step{oneTask()}, Occurrences: 2, FirstAt: fx.now.Add(time.Second), Interval: 500 * time.Millisecond,
+	}}})
+	fx.pass(800 * time.Millisecond)
+	fx.report("a", nil)
+	must.Len(t, 0, ordersOf[StartOrder](fx))
+	fx.pass(250 * time.Millisecond)
+	must.Len(t, 1, ordersOf[StartOrder](fx))
+	fx.pass(500 * time.Millisecond)
+	starts := ordersOf[StartOrder](fx)
+	must.Len(t, 1, starts)
+	must.Eq(t, 1, starts[0].Task.Occurrence)
+}
