--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -205,6 +205,16 @@
 	must.Len(t, 0, ordersOf[StopOrder](fx))
 }
 
+func TestLongRunningTaskIsNotEvictedBesideASilentWorker(t *testing.T) {
+	fx := newFixture(t)
+	lastingJob(fx)
+	fx.pass(2 * time.Second)
+	reportLasting(fx)
+	fx.apply(LookFailed{Worker: "b", Outcome: Unanswered})
+	fx.wave(3, vmOf("a", modeller.VMUp))
+	must.Len(t, 0, ordersOf[StopOrder](fx))
+}
+
 func TestGangStartsWholeOrNotAtAll(t *testing.T) {
 	fx := newFixture(t)
 	fx.ready("a")
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -83,9 +83,10 @@
 	}
 }
 
-// isAtWork reports whether a long-running task serves.
+// isAtWork reports whether a long-running task serves, as far as is known: of a
+// silent worker nothing is.
 func isAtWork(rn *run) bool {
-	return rn != nil && rn.state == runRunning && !rn.isStopping && rn.progress >= 100
+	return rn != nil && rn.state == runRunning && !rn.isStopping && rn.progress >= 100 && !rn.worker.isSilent
 }
 
 // adopt takes over a run that an earlier holder has started. A run whose task
