--- a/cfw/internal/commander/change.go
+++ b/cfw/internal/commander/change.go
@@ -6,9 +6,9 @@
 
 	"coltsfootwick.example/cfw/internal/printer"
 	"coltsfootwick.example/cfw/internal/waiter"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // change makes a change of the settings, waits until it is in force and shows
--- a/cfw/internal/commander/command_audit.go
+++ b/cfw/internal/commander/command_audit.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // auditCommand shows the audit trail.
--- a/cfw/internal/commander/command_keys_authority.go
+++ b/cfw/internal/commander/command_keys_authority.go
@@ -1,6 +1,6 @@
 package commander
 
-import "coltsfootwick.example/shared/certifier"
+import "coltsfootwick.example/shared/peers/certifier"
 
 // keysAuthorityCommand makes an authority; it needs no platform.
 type keysAuthorityCommand struct {
--- a/cfw/internal/commander/command_keys_issue.go
+++ b/cfw/internal/commander/command_keys_issue.go
@@ -1,9 +1,9 @@
 package commander
 
 import (
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
 )
 
 // keysIssueCommand makes the certificate of a node; it needs no platform.
--- a/cfw/internal/commander/command_keys_show.go
+++ b/cfw/internal/commander/command_keys_show.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/certifier"
+	"coltsfootwick.example/shared/peers/certifier"
 )
 
 // keysShowCommand shows certificates; it needs no platform.
--- a/cfw/internal/commander/command_pool_list.go
+++ b/cfw/internal/commander/command_pool_list.go
@@ -7,8 +7,8 @@
 	"strings"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // poolListCommand lists the pools.
--- a/cfw/internal/commander/command_service_list.go
+++ b/cfw/internal/commander/command_service_list.go
@@ -6,7 +6,7 @@
 	"strconv"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // serviceListCommand lists the services in force.
--- a/cfw/internal/commander/command_settings_apply.go
+++ b/cfw/internal/commander/command_settings_apply.go
@@ -1,8 +1,8 @@
 package commander
 
 import (
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // settingsApplyCommand makes a file the next revision.
--- a/cfw/internal/commander/command_settings_check.go
+++ b/cfw/internal/commander/command_settings_check.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // settingsCheckCommand checks a file; it needs no platform.
--- a/cfw/internal/commander/command_settings_diff.go
+++ b/cfw/internal/commander/command_settings_diff.go
@@ -2,8 +2,8 @@
 
 import (
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // settingsDiffCommand compares a revision with a file or another revision.
--- a/cfw/internal/commander/command_settings_explain.go
+++ b/cfw/internal/commander/command_settings_explain.go
@@ -4,8 +4,8 @@
 	"strconv"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // settingsExplainCommand tells where effective values come from.
--- a/cfw/internal/commander/command_settings_get.go
+++ b/cfw/internal/commander/command_settings_get.go
@@ -2,7 +2,7 @@
 
 import (
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // settingsGetCommand prints the settings in force or an earlier revision.
--- a/cfw/internal/commander/command_settings_rollback.go
+++ b/cfw/internal/commander/command_settings_rollback.go
@@ -1,6 +1,6 @@
 package commander
 
-import "coltsfootwick.example/shared/configurer"
+import "coltsfootwick.example/shared/settings/configurer"
 
 // settingsRollbackCommand makes an earlier revision the next one.
 type settingsRollbackCommand struct {
--- a/cfw/internal/commander/command_status.go
+++ b/cfw/internal/commander/command_status.go
@@ -5,9 +5,9 @@
 	"strconv"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // statusCommand asks the nodes for their status.
--- a/cfw/internal/commander/command_vm_list.go
+++ b/cfw/internal/commander/command_vm_list.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // vmListCommand lists VMs.
--- a/cfw/internal/commander/command_vm_move.go
+++ b/cfw/internal/commander/command_vm_move.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/planner"
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/planner"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // vmMoveCommand gives a VM to another pool.
--- a/cfw/internal/commander/commander.go
+++ b/cfw/internal/commander/commander.go
@@ -10,7 +10,7 @@
 	"github.com/alecthomas/kong"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The exit codes of cfw.
--- a/cfw/internal/commander/commander_test.go
+++ b/cfw/internal/commander/commander_test.go
@@ -17,11 +17,11 @@
 	"github.com/shoenig/test/must"
 
 	"coltsfootwick.example/cfw/internal/commander"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // bench is a platform with nodes and VMs in memory.
--- a/cfw/internal/commander/failure.go
+++ b/cfw/internal/commander/failure.go
@@ -7,8 +7,8 @@
 	"github.com/go-faster/errors"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 // wireFailure is a failed command as JSON.
--- a/cfw/internal/commander/fleet.go
+++ b/cfw/internal/commander/fleet.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"slices"
 
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // unregistered is the state of a VM that the platform lists but no fleet
--- a/cfw/internal/commander/keys.go
+++ b/cfw/internal/commander/keys.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const (
--- a/cfw/internal/commander/session.go
+++ b/cfw/internal/commander/session.go
@@ -9,10 +9,10 @@
 	"slices"
 
 	"coltsfootwick.example/cfw/internal/printer"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/loader"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/settings/loader"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // session is one run of a command.
--- a/cfw/internal/commander/wire_settings.go
+++ b/cfw/internal/commander/wire_settings.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // wireRecord is a revision as JSON.
--- a/cfw/internal/waiter/tally.go
+++ b/cfw/internal/waiter/tally.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/process/reporter"
 )
 
 // Tally tells how far a revision has come.
--- a/cfw/internal/waiter/waiter.go
+++ b/cfw/internal/waiter/waiter.go
@@ -5,7 +5,7 @@
 	"context"
 	"time"
 
-	"coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/process/reporter"
 )
 
 // The defaults of a Waiter.
--- a/cfw/internal/waiter/waiter_test.go
+++ b/cfw/internal/waiter/waiter_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"coltsfootwick.example/cfw/internal/waiter"
-	"coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/process/reporter"
 )
 
 // surveyor is a fake in which each node takes revision 5 after a time; a node
--- a/coltsfootwick-entry/command_run.go
+++ b/coltsfootwick-entry/command_run.go
@@ -9,8 +9,8 @@
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/initialiser"
 	"coltsfootwick.example/coltsfootwick-entry/internal/runner"
-	"coltsfootwick.example/shared/logger"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/logger"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // runCommand runs the entry.
--- a/coltsfootwick-entry/internal/conductor/conductor.go
+++ b/coltsfootwick-entry/internal/conductor/conductor.go
@@ -17,11 +17,11 @@
 	"coltsfootwick.example/coltsfootwick-entry/internal/meter"
 	"coltsfootwick.example/coltsfootwick-entry/internal/router"
 	"coltsfootwick.example/coltsfootwick-entry/internal/sharer"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/scheduler"
-	"coltsfootwick.example/shared/surveyor"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/fleet/surveyor"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/requests/scheduler"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // Conductor applies the updates of one entry.
--- a/coltsfootwick-entry/internal/dispatcher/board.go
+++ b/coltsfootwick-entry/internal/dispatcher/board.go
@@ -3,7 +3,7 @@
 import (
 	"sync/atomic"
 
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // board shows the scheduler's counts to other goroutines. Each count is exact;
--- a/coltsfootwick-entry/internal/dispatcher/command.go
+++ b/coltsfootwick-entry/internal/dispatcher/command.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // command is what the goroutine that owns the scheduler is asked to do:
--- a/coltsfootwick-entry/internal/dispatcher/dispatcher.go
+++ b/coltsfootwick-entry/internal/dispatcher/dispatcher.go
@@ -9,8 +9,8 @@
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/budgeter"
 	"coltsfootwick.example/coltsfootwick-entry/internal/sender"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 const (
--- a/coltsfootwick-entry/internal/dispatcher/dispatcher_test.go
+++ b/coltsfootwick-entry/internal/dispatcher/dispatcher_test.go
@@ -11,9 +11,9 @@
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/budgeter"
 	"coltsfootwick.example/coltsfootwick-entry/internal/dispatcher"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/requests/scheduler"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 func newPolicy(config scheduler.Config) scheduler.Scheduler { return scheduler.New(config) }
--- a/coltsfootwick-entry/internal/dispatcher/event.go
+++ b/coltsfootwick-entry/internal/dispatcher/event.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/sender"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // Event tells the holder of a ticket what to do: Started, Refused, GivenUp or
--- a/coltsfootwick-entry/internal/dispatcher/load.go
+++ b/coltsfootwick-entry/internal/dispatcher/load.go
@@ -4,7 +4,7 @@
 	"sync"
 	"sync/atomic"
 
-	"coltsfootwick.example/shared/surveyor"
+	"coltsfootwick.example/shared/fleet/surveyor"
 )
 
 // load counts what the dispatcher has at each target, for the stewards. The
--- a/coltsfootwick-entry/internal/dispatcher/run.go
+++ b/coltsfootwick-entry/internal/dispatcher/run.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/sender"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // Run owns the scheduler until ctx ends, or until it is retired and has nothing
--- a/coltsfootwick-entry/internal/dispatcher/target.go
+++ b/coltsfootwick-entry/internal/dispatcher/target.go
@@ -3,7 +3,7 @@
 import (
 	"net/netip"
 
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // Target is a target with this entry's share of it.
--- a/coltsfootwick-entry/internal/dispatcher/ticket.go
+++ b/coltsfootwick-entry/internal/dispatcher/ticket.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // The bounds on the events that a ticket holds unread: an attempt follows the
--- a/coltsfootwick-entry/internal/exchanger/delivery.go
+++ b/coltsfootwick-entry/internal/exchanger/delivery.go
@@ -4,7 +4,7 @@
 	"io"
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/sender"
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // Delivery is an answer on its way to the caller.
--- a/coltsfootwick-entry/internal/exchanger/exchange.go
+++ b/coltsfootwick-entry/internal/exchanger/exchange.go
@@ -12,8 +12,8 @@
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/dispatcher"
 	"coltsfootwick.example/coltsfootwick-entry/internal/sender"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // ErrCallerGone is returned when the caller stopped waiting.
--- a/coltsfootwick-entry/internal/follower/calls_test.go
+++ b/coltsfootwick-entry/internal/follower/calls_test.go
@@ -13,10 +13,10 @@
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/follower"
-	"coltsfootwick.example/shared/announcer"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/peers/announcer"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 // The size and the bounds that letter 1 names, with seven entry VMs for 50
--- a/coltsfootwick-entry/internal/follower/follow.go
+++ b/coltsfootwick-entry/internal/follower/follow.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // follow calls apply with the entries whose keys start with prefix, by key, and
--- a/coltsfootwick-entry/internal/follower/follower.go
+++ b/coltsfootwick-entry/internal/follower/follower.go
@@ -7,11 +7,11 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // updateRing bounds the updates that wait for the reader.
--- a/coltsfootwick-entry/internal/follower/update.go
+++ b/coltsfootwick-entry/internal/follower/update.go
@@ -3,8 +3,8 @@
 package follower
 
 import (
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/registrar"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // Update is a change of what the entry acts on: SettingsUpdate,
--- a/coltsfootwick-entry/internal/initialiser/load.go
+++ b/coltsfootwick-entry/internal/initialiser/load.go
@@ -5,9 +5,9 @@
 	"net/url"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/connector"
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/peers/connector"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 const (
--- a/coltsfootwick-entry/internal/meter/class.go
+++ b/coltsfootwick-entry/internal/meter/class.go
@@ -5,7 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Class holds the metrics of one urgency class of one service, found once and
--- a/coltsfootwick-entry/internal/meter/collector.go
+++ b/coltsfootwick-entry/internal/meter/collector.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // ServiceStats are the present counts of one service.
--- a/coltsfootwick-entry/internal/parser/deadline.go
+++ b/coltsfootwick-entry/internal/parser/deadline.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Timeout returns the time that the caller leaves for the request, and false
--- a/coltsfootwick-entry/internal/parser/key.go
+++ b/coltsfootwick-entry/internal/parser/key.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"strings"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const maxKeyLength = 128
--- a/coltsfootwick-entry/internal/receiver/body.go
+++ b/coltsfootwick-entry/internal/receiver/body.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/budgeter"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const firstBodyBytes = 4 << 10
--- a/coltsfootwick-entry/internal/receiver/deliver.go
+++ b/coltsfootwick-entry/internal/receiver/deliver.go
@@ -10,7 +10,7 @@
 	"coltsfootwick.example/coltsfootwick-entry/internal/exchanger"
 	"coltsfootwick.example/coltsfootwick-entry/internal/parser"
 	"coltsfootwick.example/coltsfootwick-entry/internal/sender"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // deliver writes the target's answer to the caller.
--- a/coltsfootwick-entry/internal/receiver/keyed.go
+++ b/coltsfootwick-entry/internal/receiver/keyed.go
@@ -8,8 +8,8 @@
 	"coltsfootwick.example/coltsfootwick-entry/internal/dispatcher"
 	"coltsfootwick.example/coltsfootwick-entry/internal/exchanger"
 	"coltsfootwick.example/coltsfootwick-entry/internal/sender"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/journaler"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/requests/journaler"
 )
 
 const (
--- a/coltsfootwick-entry/internal/receiver/once_test.go
+++ b/coltsfootwick-entry/internal/receiver/once_test.go
@@ -14,7 +14,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"coltsfootwick.example/shared/keeper"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 const (
--- a/coltsfootwick-entry/internal/receiver/outage_test.go
+++ b/coltsfootwick-entry/internal/receiver/outage_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/registrar"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 // onStage runs a test in virtual time on a stage with targets.
--- a/coltsfootwick-entry/internal/receiver/receiver.go
+++ b/coltsfootwick-entry/internal/receiver/receiver.go
@@ -15,7 +15,7 @@
 	"coltsfootwick.example/coltsfootwick-entry/internal/meter"
 	"coltsfootwick.example/coltsfootwick-entry/internal/parser"
 	"coltsfootwick.example/coltsfootwick-entry/internal/refuser"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const refusedRetryAfter = time.Second
--- a/coltsfootwick-entry/internal/receiver/request.go
+++ b/coltsfootwick-entry/internal/receiver/request.go
@@ -13,9 +13,9 @@
 	"coltsfootwick.example/coltsfootwick-entry/internal/parser"
 	"coltsfootwick.example/coltsfootwick-entry/internal/refuser"
 	"coltsfootwick.example/coltsfootwick-entry/internal/sender"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/requests/scheduler"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 const (
--- a/coltsfootwick-entry/internal/receiver/stage_test.go
+++ b/coltsfootwick-entry/internal/receiver/stage_test.go
@@ -22,14 +22,14 @@
 	"coltsfootwick.example/coltsfootwick-entry/internal/follower"
 	"coltsfootwick.example/coltsfootwick-entry/internal/meter"
 	"coltsfootwick.example/coltsfootwick-entry/internal/receiver"
-	"coltsfootwick.example/shared/announcer"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/journaler"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/peers/announcer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/requests/journaler"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const stageSettings = `
--- a/coltsfootwick-entry/internal/refuser/problem.go
+++ b/coltsfootwick-entry/internal/refuser/problem.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const (
--- a/coltsfootwick-entry/internal/refuser/status.go
+++ b/coltsfootwick-entry/internal/refuser/status.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // statusOf returns the HTTP status that goes with a result code.
--- a/coltsfootwick-entry/internal/reporter/reporter.go
+++ b/coltsfootwick-entry/internal/reporter/reporter.go
@@ -9,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"coltsfootwick.example/shared/surveyor"
+	"coltsfootwick.example/shared/fleet/surveyor"
 )
 
 // Status tells operators what the process is and has.
--- a/coltsfootwick-entry/internal/runner/load_test.go
+++ b/coltsfootwick-entry/internal/runner/load_test.go
@@ -11,8 +11,8 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/surveyor"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/fleet/surveyor"
 )
 
 // TestLoadTellsWhatRunsAtALeavingTarget marks a target leaving while a request
--- a/coltsfootwick-entry/internal/runner/peers.go
+++ b/coltsfootwick-entry/internal/runner/peers.go
@@ -8,10 +8,10 @@
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/conductor"
 	"coltsfootwick.example/coltsfootwick-entry/internal/dispatcher"
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/connector"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/peers/connector"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // connect makes the connector to peers, if the settings have any, and returns
--- a/coltsfootwick-entry/internal/runner/peers_test.go
+++ b/coltsfootwick-entry/internal/runner/peers_test.go
@@ -15,12 +15,12 @@
 	"github.com/shoenig/test/wait"
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/conductor"
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/connector"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/scheduler"
-	"coltsfootwick.example/shared/surveyor"
+	"coltsfootwick.example/shared/fleet/surveyor"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/peers/connector"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/requests/scheduler"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 // peerSettings issues a certificate for an entry of the test's zone.
--- a/coltsfootwick-entry/internal/runner/runner.go
+++ b/coltsfootwick-entry/internal/runner/runner.go
@@ -22,13 +22,13 @@
 	"coltsfootwick.example/coltsfootwick-entry/internal/meter"
 	"coltsfootwick.example/coltsfootwick-entry/internal/receiver"
 	"coltsfootwick.example/coltsfootwick-entry/internal/reporter"
-	"coltsfootwick.example/shared/announcer"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/connector"
-	"coltsfootwick.example/shared/journaler"
-	sharedreporter "coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
-	"coltsfootwick.example/shared/surveyor"
+	"coltsfootwick.example/shared/fleet/surveyor"
+	"coltsfootwick.example/shared/peers/announcer"
+	"coltsfootwick.example/shared/peers/connector"
+	"coltsfootwick.example/shared/process/classifier"
+	sharedreporter "coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/requests/journaler"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/coltsfootwick-entry/internal/runner/runner_test.go
+++ b/coltsfootwick-entry/internal/runner/runner_test.go
@@ -19,11 +19,11 @@
 	"coltsfootwick.example/coltsfootwick-entry/internal/conductor"
 	"coltsfootwick.example/coltsfootwick-entry/internal/initialiser"
 	"coltsfootwick.example/coltsfootwick-entry/internal/runner"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/connector"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/peers/connector"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const testZone = "a"
--- a/coltsfootwick-entry/internal/sender/answer.go
+++ b/coltsfootwick-entry/internal/sender/answer.go
@@ -4,7 +4,7 @@
 	"io"
 	"net/http"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const firstBufferBytes = 4 << 10
--- a/coltsfootwick-entry/internal/sender/attempt.go
+++ b/coltsfootwick-entry/internal/sender/attempt.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/parser"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 var (
--- a/coltsfootwick-entry/internal/sender/attempt_test.go
+++ b/coltsfootwick-entry/internal/sender/attempt_test.go
@@ -13,7 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/sender"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 func TestWholeAnswers(t *testing.T) {
--- a/coltsfootwick-entry/internal/sender/failure.go
+++ b/coltsfootwick-entry/internal/sender/failure.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Failure tells how an attempt failed.
--- a/coltsfootwick-entry/internal/sender/unread_test.go
+++ b/coltsfootwick-entry/internal/sender/unread_test.go
@@ -15,7 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"coltsfootwick.example/coltsfootwick-entry/internal/sender"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // TestNothingIsSentTwice breaks a reused connection after the target has read
--- a/coltsfootwick-entry/internal/sharer/fixed.go
+++ b/coltsfootwick-entry/internal/sharer/fixed.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"coltsfootwick.example/shared/registrar"
+	"coltsfootwick.example/shared/fleet/registrar"
 )
 
 // fixed divides the slots evenly. The remainder goes to the entries with the
--- a/coltsfootwick-entry/internal/sharer/sharer.go
+++ b/coltsfootwick-entry/internal/sharer/sharer.go
@@ -3,7 +3,7 @@
 package sharer
 
 import (
-	"coltsfootwick.example/shared/registrar"
+	"coltsfootwick.example/shared/fleet/registrar"
 )
 
 // Limits are what one target takes at once from all entries together.
--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -11,13 +11,13 @@
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/coltsfootwick-manager/internal/dispatcher"
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/jobs/modeller"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/storer"
-	"coltsfootwick.example/shared/timekeeper"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/timekeeper"
+	"coltsfootwick.example/shared/store/leaser"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/coltsfootwick-manager/internal/conductor/load.go
+++ b/coltsfootwick-manager/internal/conductor/load.go
@@ -9,12 +9,12 @@
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/platform/adapter"
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/jobs/modeller"
-	"coltsfootwick.example/shared/storer"
-	"coltsfootwick.example/shared/timekeeper"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/timekeeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The bounds of following the store.
--- a/coltsfootwick-manager/internal/conductor/store.go
+++ b/coltsfootwick-manager/internal/conductor/store.go
@@ -5,9 +5,9 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/archiver"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // keep is the storing goroutine: it stores batch after batch.
--- a/coltsfootwick-manager/internal/dispatcher/dispatcher.go
+++ b/coltsfootwick-manager/internal/dispatcher/dispatcher.go
@@ -9,10 +9,10 @@
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/platform/adapter"
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/modeller"
-	"coltsfootwick.example/shared/timekeeper"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/timekeeper"
 )
 
 const (
--- a/coltsfootwick-manager/internal/peer/client.go
+++ b/coltsfootwick-manager/internal/peer/client.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"coltsfootwick.example/platform/adapter"
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const (
--- a/coltsfootwick-manager/internal/peer/handler.go
+++ b/coltsfootwick-manager/internal/peer/handler.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Scheduler answers questions about jobs, with errors as of Client.
--- a/coltsfootwick-manager/internal/peer/locator.go
+++ b/coltsfootwick-manager/internal/peer/locator.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The bounds of following the scheduler's duty.
--- a/coltsfootwick-manager/internal/router/router.go
+++ b/coltsfootwick-manager/internal/router/router.go
@@ -13,9 +13,9 @@
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/platform/adapter"
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/modeller"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The bounds of following the configuration.
--- a/coltsfootwick-manager/internal/runner/health.go
+++ b/coltsfootwick-manager/internal/runner/health.go
@@ -5,7 +5,7 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // outAfter is how many calls in a row fail before the store counts as out; one
--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -20,13 +20,13 @@
 	"coltsfootwick.example/coltsfootwick-manager/internal/router"
 	"coltsfootwick.example/coltsfootwick-manager/internal/submitter"
 	"coltsfootwick.example/platform/adapter"
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/allocator"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/logger"
-	"coltsfootwick.example/shared/server"
-	"coltsfootwick.example/shared/storer"
-	"coltsfootwick.example/shared/timekeeper"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/logger"
+	"coltsfootwick.example/shared/process/server"
+	"coltsfootwick.example/shared/process/timekeeper"
+	"coltsfootwick.example/shared/store/leaser"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Times of a manager.
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -10,10 +10,10 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/jobs/modeller"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/coltsfootwick-manager/internal/submitter/submitter_test.go
+++ b/coltsfootwick-manager/internal/submitter/submitter_test.go
@@ -10,10 +10,10 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/jobs/modeller"
-	"coltsfootwick.example/shared/keeper"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 // fakeScheduler knows no job, and is not known itself.
--- a/coltsfootwick-steward/internal/initialiser/settings.go
+++ b/coltsfootwick-steward/internal/initialiser/settings.go
@@ -7,7 +7,7 @@
 	"net/url"
 	"time"
 
-	"coltsfootwick.example/shared/connector"
+	"coltsfootwick.example/shared/peers/connector"
 )
 
 // Settings are the settings of one steward process.
--- a/coltsfootwick-steward/internal/lister/lister.go
+++ b/coltsfootwick-steward/internal/lister/lister.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Lister reads the list of VMs.
--- a/coltsfootwick-steward/internal/lister/shared.go
+++ b/coltsfootwick-steward/internal/lister/shared.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Shared is a storer.Fleet whose list is read at most once in an interval,
--- a/coltsfootwick-steward/internal/lister/shared_test.go
+++ b/coltsfootwick-steward/internal/lister/shared_test.go
@@ -9,9 +9,9 @@
 	"github.com/shoenig/test/must"
 
 	"coltsfootwick.example/coltsfootwick-steward/internal/lister"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // TestSharedReadsOnceInAnInterval has two duties ask for the list each second.
--- a/coltsfootwick-steward/internal/maintainer/cache.go
+++ b/coltsfootwick-steward/internal/maintainer/cache.go
@@ -9,9 +9,9 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/planner"
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/planner"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // cache holds the zone's record and the waves as the platform's service last
--- a/coltsfootwick-steward/internal/maintainer/facts.go
+++ b/coltsfootwick-steward/internal/maintainer/facts.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // facts is what is known of an availability zone's VMs outside the record.
--- a/coltsfootwick-steward/internal/maintainer/maintainer.go
+++ b/coltsfootwick-steward/internal/maintainer/maintainer.go
@@ -12,12 +12,12 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/planner"
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/sizer"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/planner"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/sizer"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/leaser"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Duty is the name of the duty that a Maintainer serves.
--- a/coltsfootwick-steward/internal/maintainer/maintainer_test.go
+++ b/coltsfootwick-steward/internal/maintainer/maintainer_test.go
@@ -14,12 +14,12 @@
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/coltsfootwick-steward/internal/maintainer"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/planner"
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/planner"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/leaser"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/coltsfootwick-steward/internal/maintainer/move.go
+++ b/coltsfootwick-steward/internal/maintainer/move.go
@@ -7,11 +7,11 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/sizer"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/sizer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/leaser"
 )
 
 // planInterval is how often a move is looked for that no lost VM calls for.
--- a/coltsfootwick-steward/internal/maintainer/wave.go
+++ b/coltsfootwick-steward/internal/maintainer/wave.go
@@ -5,10 +5,10 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/planner"
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/planner"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/leaser"
 )
 
 // maintain reports the zone's progress to the waves that aren't over, and
--- a/coltsfootwick-steward/internal/meter/meter.go
+++ b/coltsfootwick-steward/internal/meter/meter.go
@@ -5,8 +5,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/registrar"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const (
--- a/coltsfootwick-steward/internal/observer/observer.go
+++ b/coltsfootwick-steward/internal/observer/observer.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/surveyor"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/surveyor"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // EntrySource tells the operators' addresses of the live entries of the
--- a/coltsfootwick-steward/internal/observer/observer_test.go
+++ b/coltsfootwick-steward/internal/observer/observer_test.go
@@ -11,8 +11,8 @@
 	"github.com/shoenig/test/must"
 
 	"coltsfootwick.example/coltsfootwick-steward/internal/observer"
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/surveyor"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/surveyor"
 )
 
 // entries is an EntrySource over servers that answer with fixed loads.
--- a/coltsfootwick-steward/internal/publisher/compose.go
+++ b/coltsfootwick-steward/internal/publisher/compose.go
@@ -4,8 +4,8 @@
 	"slices"
 	"strings"
 
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/registrar"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/registrar"
 )
 
 // compose returns the targets of an availability zone. Its fleet record says
--- a/coltsfootwick-steward/internal/publisher/publisher.go
+++ b/coltsfootwick-steward/internal/publisher/publisher.go
@@ -11,10 +11,10 @@
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/coltsfootwick-steward/internal/lister"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/leaser"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // channelCapacity bounds the lists and notices that wait for the publisher.
--- a/coltsfootwick-steward/internal/publisher/publisher_test.go
+++ b/coltsfootwick-steward/internal/publisher/publisher_test.go
@@ -14,12 +14,12 @@
 
 	"coltsfootwick.example/coltsfootwick-steward/internal/lister"
 	"coltsfootwick.example/coltsfootwick-steward/internal/publisher"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/leaser"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/coltsfootwick-steward/internal/publisher/sighting.go
+++ b/coltsfootwick-steward/internal/publisher/sighting.go
@@ -1,7 +1,7 @@
 package publisher
 
 import (
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The numbers of successive lists without a VM after which it counts as
--- a/coltsfootwick-steward/internal/publisher/view.go
+++ b/coltsfootwick-steward/internal/publisher/view.go
@@ -3,9 +3,9 @@
 import (
 	"slices"
 
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // view is what the publisher knows of its availability zone.
--- a/coltsfootwick-steward/internal/runner/calls_test.go
+++ b/coltsfootwick-steward/internal/runner/calls_test.go
@@ -14,9 +14,9 @@
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/coltsfootwick-steward/internal/initialiser"
-	"coltsfootwick.example/shared/announcer"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/announcer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The size and the bounds that letter 1 names, with seven entry VMs for 50
--- a/coltsfootwick-steward/internal/runner/duty.go
+++ b/coltsfootwick-steward/internal/runner/duty.go
@@ -8,8 +8,8 @@
 
 	"coltsfootwick.example/coltsfootwick-steward/internal/meter"
 	"coltsfootwick.example/coltsfootwick-steward/internal/reporter"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/leaser"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // serveFunc serves a duty while it is held.
--- a/coltsfootwick-steward/internal/runner/peers.go
+++ b/coltsfootwick-steward/internal/runner/peers.go
@@ -3,9 +3,9 @@
 import (
 	"net/netip"
 
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/connector"
-	sharedreporter "coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/peers/connector"
+	sharedreporter "coltsfootwick.example/shared/process/reporter"
 )
 
 // connect makes the connector to peers, if the settings have any, and sets the
--- a/coltsfootwick-steward/internal/runner/peers_test.go
+++ b/coltsfootwick-steward/internal/runner/peers_test.go
@@ -12,13 +12,13 @@
 
 	"coltsfootwick.example/coltsfootwick-steward/internal/initialiser"
 	"coltsfootwick.example/coltsfootwick-steward/internal/runner"
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/connector"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/peers/connector"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // settingsWithPeers issues a certificate for a steward.
--- a/coltsfootwick-steward/internal/runner/runner.go
+++ b/coltsfootwick-steward/internal/runner/runner.go
@@ -18,14 +18,14 @@
 	"coltsfootwick.example/coltsfootwick-steward/internal/publisher"
 	"coltsfootwick.example/coltsfootwick-steward/internal/reporter"
 	"coltsfootwick.example/coltsfootwick-steward/internal/watcher"
-	"coltsfootwick.example/shared/announcer"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/connector"
-	"coltsfootwick.example/shared/planner"
-	"coltsfootwick.example/shared/recorder"
-	sharedreporter "coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/server"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/planner"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/peers/announcer"
+	"coltsfootwick.example/shared/peers/connector"
+	"coltsfootwick.example/shared/process/classifier"
+	sharedreporter "coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/process/server"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Runner is one steward process.
--- a/coltsfootwick-steward/internal/runner/runner_test.go
+++ b/coltsfootwick-steward/internal/runner/runner_test.go
@@ -15,9 +15,9 @@
 
 	"coltsfootwick.example/coltsfootwick-steward/internal/initialiser"
 	"coltsfootwick.example/coltsfootwick-steward/internal/runner"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 func ask(t *testing.T, rr *runner.Runner, path string) (int, string) {
--- a/coltsfootwick-steward/internal/watcher/entries.go
+++ b/coltsfootwick-steward/internal/watcher/entries.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Entries holds the live entries of one availability zone. It is safe for
--- a/coltsfootwick-steward/internal/watcher/settings.go
+++ b/coltsfootwick-steward/internal/watcher/settings.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Settings holds the settings in force. It is safe for concurrent use.
--- a/shared/charter/chart.go
+++ b/shared/fleet/charter/chart.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/looplab/fsm"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Chart is a checked state chart.
--- a/shared/charter/chart_test.go
+++ b/shared/fleet/charter/chart_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/charter"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/fleet/charter"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const doorChart = `
--- a/shared/charter/parser.go
+++ b/shared/fleet/charter/parser.go
@@ -7,7 +7,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/looplab/fsm"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 type wireChart struct {
--- a/shared/planner/advance.go
+++ b/shared/fleet/planner/advance.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/recorder"
 )
 
 // Measure returns what an availability zone's record shows of a wave.
--- a/shared/planner/borrow.go
+++ b/shared/fleet/planner/borrow.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/recorder"
 )
 
 // Loan is budget of a pool that one availability zone gives to another.
--- a/shared/planner/borrow_test.go
+++ b/shared/fleet/planner/borrow_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/planner"
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/planner"
+	"coltsfootwick.example/shared/fleet/recorder"
 )
 
 // TestBorrowLetsSmallZonesMaintain has four availability zones with three VMs
--- a/shared/planner/codec.go
+++ b/shared/fleet/planner/codec.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 type wireWave struct {
--- a/shared/planner/lend.go
+++ b/shared/fleet/planner/lend.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/recorder"
 )
 
 // Lend moves budget of a pool from other availability zones to one, enough to
--- a/shared/planner/repository.go
+++ b/shared/fleet/planner/repository.go
@@ -6,8 +6,8 @@
 
 	"github.com/google/uuid"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Repository reads and changes the waves in the platform's service. It is safe
--- a/shared/planner/wave.go
+++ b/shared/fleet/planner/wave.go
@@ -7,8 +7,8 @@
 	_ "embed" // The chart of a wave is embedded.
 	"time"
 
-	"coltsfootwick.example/shared/charter"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/fleet/charter"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 //go:embed wave.toml
--- a/shared/planner/wave_test.go
+++ b/shared/fleet/planner/wave_test.go
@@ -13,10 +13,10 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"coltsfootwick.example/shared/charter"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/planner"
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/charter"
+	"coltsfootwick.example/shared/fleet/planner"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -24,8 +24,8 @@
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 func TestChartIsDrawnInDocs(t *testing.T) {
-	path := filepath.Join("..", "..", "docs", "charts", "wave.md")
-	drawn := "# A maintenance wave\n\nDrawn from `shared/planner/wave.toml`.\n\n" + charter.Draw(planner.WaveChart)
+	path := filepath.Join("..", "..", "..", "docs", "charts", "wave.md")
+	drawn := "# A maintenance wave\n\nDrawn from `shared/fleet/planner/wave.toml`.\n\n" + charter.Draw(planner.WaveChart)
 	if *update {
 		must.NoError(t, os.WriteFile(path, []byte(drawn), 0o644))
 	}
--- a/shared/recorder/bench_test.go
+++ b/shared/fleet/recorder/bench_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/recorder"
 )
 
 // benchZone returns the record of a zone at the size to come.
--- a/shared/recorder/budget.go
+++ b/shared/fleet/recorder/budget.go
@@ -4,7 +4,7 @@
 	"maps"
 	"math"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Budget counts millionths of a VM that may be out of service.
--- a/shared/recorder/change.go
+++ b/shared/fleet/recorder/change.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Change is one change of a zone's record: Register, TakeFloors, Drain,
--- a/shared/recorder/change_test.go
+++ b/shared/fleet/recorder/change_test.go
@@ -9,8 +9,8 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
--- a/shared/recorder/chart_test.go
+++ b/shared/fleet/recorder/chart_test.go
@@ -8,15 +8,15 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/charter"
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/charter"
+	"coltsfootwick.example/shared/fleet/recorder"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
 
 func TestChartIsDrawnInDocs(t *testing.T) {
-	path := filepath.Join("..", "..", "docs", "charts", "vm.md")
-	drawn := "# A VM's life\n\nDrawn from `shared/recorder/vm.toml`.\n\n" + charter.Draw(recorder.VMChart)
+	path := filepath.Join("..", "..", "..", "docs", "charts", "vm.md")
+	drawn := "# A VM's life\n\nDrawn from `shared/fleet/recorder/vm.toml`.\n\n" + charter.Draw(recorder.VMChart)
 	if *update {
 		must.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
 		must.NoError(t, os.WriteFile(path, []byte(drawn), 0o644))
--- a/shared/recorder/codec.go
+++ b/shared/fleet/recorder/codec.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 type wireZone struct {
--- a/shared/recorder/repository.go
+++ b/shared/fleet/recorder/repository.go
@@ -7,9 +7,9 @@
 
 	"github.com/google/uuid"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/leaser"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Repository reads and changes the fleet records in the platform's service. It
--- a/shared/recorder/repository_test.go
+++ b/shared/fleet/recorder/repository_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 const seeds = 200
--- a/shared/recorder/vm.go
+++ b/shared/fleet/recorder/vm.go
@@ -9,7 +9,7 @@
 	"net/netip"
 	"time"
 
-	"coltsfootwick.example/shared/charter"
+	"coltsfootwick.example/shared/fleet/charter"
 )
 
 //go:embed vm.toml
--- a/shared/recorder/zone.go
+++ b/shared/fleet/recorder/zone.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // Zone is the fleet record of one availability zone.
--- a/shared/sizer/plan_test.go
+++ b/shared/fleet/sizer/plan_test.go
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"coltsfootwick.example/shared/sizer"
+	"coltsfootwick.example/shared/fleet/sizer"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
--- a/shared/sizer/pools.go
+++ b/shared/fleet/sizer/pools.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/recorder"
 )
 
 // PoolsOf returns the pools of an availability zone, ordered by name. The other
--- a/shared/surveyor/load.go
+++ b/shared/fleet/surveyor/load.go
@@ -5,7 +5,7 @@
 import (
 	"encoding/json"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Path is where an entry's operators' port answers with its Load.
--- a/shared/surveyor/load_test.go
+++ b/shared/fleet/surveyor/load_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/surveyor"
+	"coltsfootwick.example/shared/fleet/surveyor"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 func TestDecodeReturnsWhatEncodeWrote(t *testing.T) {
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -13,10 +13,10 @@
 	"strconv"
 	"strings"
 
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/modeller"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // cancelSuffix is what the key of a wish to cancel ends with.
--- a/shared/jobs/archiver/archiver_test.go
+++ b/shared/jobs/archiver/archiver_test.go
@@ -8,11 +8,11 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/modeller"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const dutyKey = storer.DutyPrefix + "r/scheduler"
--- a/shared/jobs/archiver/committer.go
+++ b/shared/jobs/archiver/committer.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-faster/errors"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Committer carries out a holder's transactions one after the other.
--- a/shared/jobs/modeller/codec.go
+++ b/shared/jobs/modeller/codec.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // jobRecord is JobRecord as it is stored.
@@ -176,15 +176,7 @@
 		Tasks: make([]taskRecord, 0, len(pg.Tasks)),
 	}
 	for _, tp := range pg.Tasks {
-		rec.Tasks = append(rec.Tasks, taskRecord{
-			Occurrence:     tp.Occurrence,
-			Step:           tp.Step,
-			Index:          tp.Index,
-			IsDone:         tp.IsDone,
-			Attempt:        tp.Attempt,
-			FailedAttempts: tp.FailedAttempts,
-			Checkpoint:     tp.Checkpoint,
-		})
+		rec.Tasks = append(rec.Tasks, taskRecord(tp))
 	}
 	data, err := json.Marshal(rec)
 	if err != nil {
@@ -205,15 +197,7 @@
 		Tasks: make([]TaskProgress, 0, len(rec.Tasks)),
 	}
 	for _, tr := range rec.Tasks {
-		pg.Tasks = append(pg.Tasks, TaskProgress{
-			Occurrence:     tr.Occurrence,
-			Step:           tr.Step,
-			Index:          tr.Index,
-			IsDone:         tr.IsDone,
-			Attempt:        tr.Attempt,
-			FailedAttempts: tr.FailedAttempts,
-			Checkpoint:     tr.Checkpoint,
-		})
+		pg.Tasks = append(pg.Tasks, TaskProgress(tr))
 	}
 	return pg, nil
 }
--- a/shared/jobs/modeller/job.go
+++ b/shared/jobs/modeller/job.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // JobID names a job; its caller chooses it.
--- a/shared/announcer/announcer.go
+++ b/shared/peers/announcer/announcer.go
@@ -8,9 +8,9 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The times of an Announcer without options.
--- a/shared/announcer/announcer_test.go
+++ b/shared/peers/announcer/announcer_test.go
@@ -9,10 +9,10 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/announcer"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/peers/announcer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 func TestMemberIsKeptThroughAnOutageAndWithdrawn(t *testing.T) {
--- a/shared/carrier/network.go
+++ b/shared/peers/carrier/network.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/messenger"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/peers/messenger"
 )
 
 const deliveriesRing = 1024
--- a/shared/certifier/authority.go
+++ b/shared/peers/certifier/authority.go
@@ -7,7 +7,7 @@
 	"net/url"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // clockSkew is how far the clocks of nodes may be behind the authority's.
--- a/shared/certifier/certifier_test.go
+++ b/shared/peers/certifier/certifier_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const year = 365 * 24 * time.Hour
--- a/shared/certifier/checker.go
+++ b/shared/peers/certifier/checker.go
@@ -7,7 +7,7 @@
 	"crypto/x509"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Checker proves a node's identity to its peers and checks theirs by mutual
--- a/shared/certifier/file.go
+++ b/shared/peers/certifier/file.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-faster/errors"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const (
--- a/shared/certifier/identity.go
+++ b/shared/peers/certifier/identity.go
@@ -10,8 +10,8 @@
 	"regexp"
 	"strings"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
 )
 
 const (
--- a/shared/certifier/pair.go
+++ b/shared/peers/certifier/pair.go
@@ -7,7 +7,7 @@
 	"crypto/x509"
 	"math/big"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // serialBits is the length of the random serial numbers.
--- a/shared/connector/connector.go
+++ b/shared/peers/connector/connector.go
@@ -8,13 +8,13 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/gossiper"
-	"coltsfootwick.example/shared/messenger"
-	"coltsfootwick.example/shared/relayer"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/peers/gossiper"
+	"coltsfootwick.example/shared/peers/messenger"
+	"coltsfootwick.example/shared/peers/relayer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/shared/connector/connector_test.go
+++ b/shared/peers/connector/connector_test.go
@@ -11,12 +11,12 @@
 	"github.com/shoenig/test/wait"
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/connector"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/peers/connector"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const lifetime = time.Hour
--- a/shared/connector/settings.go
+++ b/shared/peers/connector/settings.go
@@ -5,8 +5,8 @@
 import (
 	"net/netip"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 // Section is the name of the table in the settings file of a process.
--- a/shared/gossiper/gossiper.go
+++ b/shared/peers/gossiper/gossiper.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/messenger"
+	"coltsfootwick.example/shared/peers/messenger"
 )
 
 // farewellTime is how long a planned stop leaves for the farewells to go out.
--- a/shared/gossiper/machine.go
+++ b/shared/peers/gossiper/machine.go
@@ -14,7 +14,7 @@
 	"net/netip"
 	"time"
 
-	"coltsfootwick.example/shared/messenger"
+	"coltsfootwick.example/shared/peers/messenger"
 )
 
 // Envelope is a message to be sent.
--- a/shared/gossiper/merge.go
+++ b/shared/peers/gossiper/merge.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/messenger"
+	"coltsfootwick.example/shared/peers/messenger"
 )
 
 // merge takes in word about a member and passes it on if it is new.
--- a/shared/gossiper/receive.go
+++ b/shared/peers/gossiper/receive.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"time"
 
-	"coltsfootwick.example/shared/messenger"
+	"coltsfootwick.example/shared/peers/messenger"
 )
 
 // errand is a ping that is made in the place of another member.
--- a/shared/gossiper/rumours.go
+++ b/shared/peers/gossiper/rumours.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"coltsfootwick.example/shared/messenger"
+	"coltsfootwick.example/shared/peers/messenger"
 )
 
 // rumours are word about members that is still to be passed on.
--- a/shared/gossiper/tick.go
+++ b/shared/peers/gossiper/tick.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"coltsfootwick.example/shared/messenger"
+	"coltsfootwick.example/shared/peers/messenger"
 )
 
 // joinSeeds is how many seeds a node without members asks at once.
--- a/shared/measurer/bench_test.go
+++ b/shared/peers/measurer/bench_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"coltsfootwick.example/shared/gossiper"
-	"coltsfootwick.example/shared/measurer"
+	"coltsfootwick.example/shared/peers/gossiper"
+	"coltsfootwick.example/shared/peers/measurer"
 )
 
 // BenchmarkNodeSecond measures the processor time that a node at rest takes for
--- a/shared/measurer/fleet.go
+++ b/shared/peers/measurer/fleet.go
@@ -9,10 +9,10 @@
 	"net/netip"
 	"time"
 
-	"coltsfootwick.example/shared/carrier"
-	"coltsfootwick.example/shared/gossiper"
-	"coltsfootwick.example/shared/messenger"
-	"coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/peers/carrier"
+	"coltsfootwick.example/shared/peers/gossiper"
+	"coltsfootwick.example/shared/peers/messenger"
+	"coltsfootwick.example/shared/process/reporter"
 )
 
 const (
--- a/shared/measurer/membership.go
+++ b/shared/peers/measurer/membership.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/carrier"
-	"coltsfootwick.example/shared/gossiper"
-	"coltsfootwick.example/shared/messenger"
+	"coltsfootwick.example/shared/peers/carrier"
+	"coltsfootwick.example/shared/peers/gossiper"
+	"coltsfootwick.example/shared/peers/messenger"
 )
 
 const (
--- a/shared/measurer/membership_test.go
+++ b/shared/peers/measurer/membership_test.go
@@ -6,10 +6,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/carrier"
-	"coltsfootwick.example/shared/gossiper"
-	"coltsfootwick.example/shared/measurer"
-	"coltsfootwick.example/shared/messenger"
+	"coltsfootwick.example/shared/peers/carrier"
+	"coltsfootwick.example/shared/peers/gossiper"
+	"coltsfootwick.example/shared/peers/measurer"
+	"coltsfootwick.example/shared/peers/messenger"
 )
 
 var (
--- a/shared/messenger/codec_test.go
+++ b/shared/peers/messenger/codec_test.go
@@ -7,9 +7,9 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/messenger"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/messenger"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 var (
--- a/shared/messenger/decode.go
+++ b/shared/peers/messenger/decode.go
@@ -5,10 +5,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The bounds of messages.
--- a/shared/messenger/encode.go
+++ b/shared/peers/messenger/encode.go
@@ -5,7 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Encode returns the message in CBOR. The error is PeerMessageInvalid for one
--- a/shared/messenger/link.go
+++ b/shared/peers/messenger/link.go
@@ -10,8 +10,8 @@
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/shared/messenger/message.go
+++ b/shared/peers/messenger/message.go
@@ -6,7 +6,7 @@
 import (
 	"net/netip"
 
-	"coltsfootwick.example/shared/reporter"
+	"coltsfootwick.example/shared/process/reporter"
 )
 
 // Message is a message with its sender.
--- a/shared/messenger/quic.go
+++ b/shared/peers/messenger/quic.go
@@ -11,8 +11,8 @@
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const (
--- a/shared/messenger/quic_test.go
+++ b/shared/peers/messenger/quic_test.go
@@ -8,10 +8,10 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/messenger"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/peers/messenger"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // patience bounds waits for what must come; it decides nothing else.
--- a/shared/messenger/transport.go
+++ b/shared/peers/messenger/transport.go
@@ -3,7 +3,7 @@
 import (
 	"net/netip"
 
-	"coltsfootwick.example/shared/certifier"
+	"coltsfootwick.example/shared/peers/certifier"
 )
 
 // Transport sends and receives the messages of one node. Implementations are
--- a/shared/relayer/codec.go
+++ b/shared/peers/relayer/codec.go
@@ -6,8 +6,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // wireEntry is an entry of a topic in the data of news.
--- a/shared/relayer/lower_test.go
+++ b/shared/peers/relayer/lower_test.go
@@ -7,11 +7,11 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/certifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/messenger"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/certifier"
+	"coltsfootwick.example/shared/peers/messenger"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // settingsNews returns news of a settings revision at a revision of the
--- a/shared/relayer/region_test.go
+++ b/shared/peers/relayer/region_test.go
@@ -11,14 +11,14 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/carrier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/gossiper"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/messenger"
-	"coltsfootwick.example/shared/relayer"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/carrier"
+	"coltsfootwick.example/shared/peers/gossiper"
+	"coltsfootwick.example/shared/peers/messenger"
+	"coltsfootwick.example/shared/peers/relayer"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 var (
--- a/shared/relayer/relay.go
+++ b/shared/peers/relayer/relay.go
@@ -6,11 +6,11 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/messenger"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/peers/messenger"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // source is where something was heard from.
--- a/shared/relayer/relayer.go
+++ b/shared/peers/relayer/relayer.go
@@ -20,9 +20,9 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/gossiper"
-	"coltsfootwick.example/shared/messenger"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/gossiper"
+	"coltsfootwick.example/shared/peers/messenger"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/shared/relayer/relayer_test.go
+++ b/shared/peers/relayer/relayer_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/carrier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/peers/carrier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 func TestOneWatcherAZoneAndTheNextTakesOver(t *testing.T) {
--- a/shared/relayer/store.go
+++ b/shared/peers/relayer/store.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // firstWait is how long a read waits for the first word from the platform or
--- a/shared/relayer/topic.go
+++ b/shared/peers/relayer/topic.go
@@ -4,9 +4,9 @@
 	"slices"
 	"strings"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/messenger"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/messenger"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // topic holds the entries of the platform's service whose keys start with a
--- a/shared/relayer/watch.go
+++ b/shared/peers/relayer/watch.go
@@ -10,9 +10,9 @@
 	"github.com/dgryski/go-rendezvous"
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/gossiper"
-	"coltsfootwick.example/shared/messenger"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/peers/gossiper"
+	"coltsfootwick.example/shared/peers/messenger"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/shared/relayer/words.go
+++ b/shared/peers/relayer/words.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"coltsfootwick.example/shared/messenger"
-	"coltsfootwick.example/shared/registrar"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/peers/messenger"
 )
 
 const (
--- a/shared/classifier/code_test.go
+++ b/shared/process/classifier/code_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 func ExampleNew() {
--- a/shared/logger/logger.go
+++ b/shared/process/logger/logger.go
@@ -5,7 +5,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // New returns a logger that writes JSON lines to the standard error output
--- a/shared/logger/ring.go
+++ b/shared/process/logger/ring.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // ringLines is how many lines wait for a slow output before lines are dropped.
--- a/shared/reporter/member.go
+++ b/shared/process/reporter/member.go
@@ -7,8 +7,8 @@
 	"encoding/json"
 	"net/netip"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Role is the kind of process that a node is.
--- a/shared/reporter/reporter_test.go
+++ b/shared/process/reporter/reporter_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/reporter"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/reporter"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 func ExampleEncodeStatus() {
--- a/shared/reporter/status.go
+++ b/shared/process/reporter/status.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // StatusPath is the path of the status page on a node's operators' address.
--- a/shared/reporter/surveyor.go
+++ b/shared/process/reporter/surveyor.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The defaults of a Surveyor.
--- a/shared/server/server_test.go
+++ b/shared/process/server/server_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/server"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/server"
 )
 
 func TestServerEndsWaitingRequests(t *testing.T) {
--- a/shared/journaler/abandoned_test.go
+++ b/shared/requests/journaler/abandoned_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/journaler"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/requests/journaler"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // lossyStore loses the answer of the first write after its asker has given up,
--- a/shared/journaler/bench_test.go
+++ b/shared/requests/journaler/bench_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"coltsfootwick.example/shared/journaler"
-	"coltsfootwick.example/shared/keeper"
+	"coltsfootwick.example/shared/requests/journaler"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 // BenchmarkClaimFinish measures a key's way through the journal, with callers
--- a/shared/journaler/codec.go
+++ b/shared/requests/journaler/codec.go
@@ -8,7 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 type wirePage struct {
--- a/shared/journaler/commit.go
+++ b/shared/requests/journaler/commit.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // commit brings the shard to what the writer holds and was asked for, and
--- a/shared/journaler/journal_test.go
+++ b/shared/requests/journaler/journal_test.go
@@ -13,8 +13,8 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"coltsfootwick.example/shared/journaler"
-	"coltsfootwick.example/shared/keeper"
+	"coltsfootwick.example/shared/requests/journaler"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 const (
--- a/shared/journaler/writer.go
+++ b/shared/requests/journaler/writer.go
@@ -6,8 +6,8 @@
 
 	"golang.org/x/time/rate"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/shared/scheduler/admission.go
+++ b/shared/requests/scheduler/admission.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // admit checks whether a new request can be served in time; OK if so.
--- a/shared/scheduler/config.go
+++ b/shared/requests/scheduler/config.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // Config is what the scheduler needs of a service's settings.
--- a/shared/scheduler/fifo.go
+++ b/shared/requests/scheduler/fifo.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // fifo starts requests in the order of their arrival on the least loaded
--- a/shared/scheduler/policy.go
+++ b/shared/requests/scheduler/policy.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // minTickInterval is the least time between two ticks that NextTick asks for.
--- a/shared/scheduler/policy_test.go
+++ b/shared/requests/scheduler/policy_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // TestAgeing floods a slot with the most urgent work and checks that a less
--- a/shared/scheduler/scheduler.go
+++ b/shared/requests/scheduler/scheduler.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // RequestID names a request within its scheduler.
--- a/shared/configurer/application.go
+++ b/shared/settings/configurer/application.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // application is one run of Apply.
--- a/shared/configurer/bench_test.go
+++ b/shared/settings/configurer/bench_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // BenchmarkParse measures reading a settings tree with the pools to come.
--- a/shared/configurer/change.go
+++ b/shared/settings/configurer/change.go
@@ -3,8 +3,8 @@
 import (
 	"unicode/utf8"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The bounds of the texts of a change, in bytes.
--- a/shared/configurer/check.go
+++ b/shared/settings/configurer/check.go
@@ -5,8 +5,8 @@
 	"maps"
 	"slices"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 // shareTolerance allows for the rounding of sums of shares.
--- a/shared/configurer/codec.go
+++ b/shared/settings/configurer/codec.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // wireRecord is the stored form of a Record.
--- a/shared/configurer/conflict.go
+++ b/shared/settings/configurer/conflict.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // ConflictError is the cause of a SettingsConflict error: what others had
--- a/shared/configurer/difference.go
+++ b/shared/settings/configurer/difference.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strconv"
 
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 // KeyChange is the change of one key between two sources.
--- a/shared/configurer/example_test.go
+++ b/shared/settings/configurer/example_test.go
@@ -7,12 +7,12 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 func parseExample(t *testing.T, name string) configurer.Settings {
 	t.Helper()
-	source, err := os.ReadFile("../../examples/" + name)
+	source, err := os.ReadFile("../../../examples/" + name)
 	must.NoError(t, err)
 	settings, err := configurer.ParseFile(name, source)
 	must.NoError(t, err)
--- a/shared/configurer/explain.go
+++ b/shared/settings/configurer/explain.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 // Origin names the level of the tree that an effective value comes from.
--- a/shared/configurer/follower.go
+++ b/shared/settings/configurer/follower.go
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Follower passes on the settings of the highest revision that it is offered,
--- a/shared/configurer/key_service.go
+++ b/shared/settings/configurer/key_service.go
@@ -4,7 +4,7 @@
 	"regexp"
 	"time"
 
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 // builtInService holds the values of a service for which the organisation and
--- a/shared/configurer/parse.go
+++ b/shared/settings/configurer/parse.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 // The sections of the settings tree.
--- a/shared/configurer/parse_test.go
+++ b/shared/settings/configurer/parse_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 // checkGolden compares text with a golden file, or writes the file when the
--- a/shared/configurer/race_test.go
+++ b/shared/settings/configurer/race_test.go
@@ -12,10 +12,10 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/shared/configurer/repository.go
+++ b/shared/settings/configurer/repository.go
@@ -8,8 +8,8 @@
 
 	"github.com/google/uuid"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The pauses between attempts to reach the platform's service.
--- a/shared/configurer/repository_test.go
+++ b/shared/settings/configurer/repository_test.go
@@ -8,9 +8,9 @@
 	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/keeper"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 // treeWith returns a tree whose service a and b have the queue bounds given.
--- a/shared/configurer/rule.go
+++ b/shared/settings/configurer/rule.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 // rule is the type and the range of a key's value. Its kinds are sealed in
--- a/shared/documenter/error.go
+++ b/shared/settings/documenter/error.go
@@ -3,7 +3,7 @@
 import (
 	"strconv"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Errors renders the table of the numbered result codes.
--- a/shared/documenter/page.go
+++ b/shared/settings/documenter/page.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // The lines between which a page holds what is generated.
--- a/shared/documenter/page_test.go
+++ b/shared/settings/documenter/page_test.go
@@ -6,15 +6,15 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/documenter"
+	"coltsfootwick.example/shared/settings/documenter"
 )
 
 // TestPagesMatchCode compares the generated part of each page with the code.
 // With the environment variable UPDATE_GOLDEN set it writes the pages.
 func TestPagesMatchCode(t *testing.T) {
 	for path, generated := range map[string]string{
-		"../../docs/SETTINGS.md": documenter.Settings(),
-		"../../docs/ERRORS.md":   documenter.Errors(),
+		"../../../docs/SETTINGS.md": documenter.Settings(),
+		"../../../docs/ERRORS.md":   documenter.Errors(),
 	} {
 		page, err := os.ReadFile(path)
 		must.NoError(t, err)
@@ -24,6 +24,6 @@
 			must.NoError(t, os.WriteFile(path, []byte(filled), 0o644))
 			continue
 		}
-		must.EqOp(t, filled, string(page), must.Sprintf("%s is not up to date; run UPDATE_GOLDEN=1 go test ./shared/documenter", path))
+		must.EqOp(t, filled, string(page), must.Sprintf("%s is not up to date; run UPDATE_GOLDEN=1 go test ./shared/settings/documenter", path))
 	}
 }
--- a/shared/documenter/settings.go
+++ b/shared/settings/documenter/settings.go
@@ -1,6 +1,6 @@
 package documenter
 
-import "coltsfootwick.example/shared/configurer"
+import "coltsfootwick.example/shared/settings/configurer"
 
 // Settings renders a table for each section of the settings tree.
 func Settings() string {
--- a/shared/loader/decode.go
+++ b/shared/settings/loader/decode.go
@@ -5,7 +5,7 @@
 	"reflect"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // tagName is the struct tag that names a field's key.
--- a/shared/loader/decode_scalar.go
+++ b/shared/settings/loader/decode_scalar.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"reflect"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 func (dr *decoder) decodeScalar(key Key, value any, target reflect.Value) {
--- a/shared/loader/document.go
+++ b/shared/settings/loader/document.go
@@ -4,7 +4,7 @@
 	"github.com/go-faster/errors"
 	"github.com/pelletier/go-toml/v2"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Document is a TOML source that is syntactically sound, with the line of each
--- a/shared/loader/fault.go
+++ b/shared/settings/loader/fault.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strings"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Fault is one thing that is wrong in a settings file.
--- a/shared/loader/loader.go
+++ b/shared/settings/loader/loader.go
@@ -17,7 +17,7 @@
 	"io"
 	"os"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // MaxBytes is the largest settings file that is read.
--- a/shared/loader/loader_test.go
+++ b/shared/settings/loader/loader_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 type fileConfig struct {
--- a/shared/loader/nearest.go
+++ b/shared/settings/loader/nearest.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/agnivade/levenshtein"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // maxComparedLength bounds the names that are compared with the known keys; a
--- a/shared/loader/report.go
+++ b/shared/settings/loader/report.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Report collects the faults of one document.
--- a/shared/keeper/call.go
+++ b/shared/store/keeper/call.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // ErrNoAnswer is in the chain of errors of calls that got no answer at all.
--- a/shared/keeper/fault.go
+++ b/shared/store/keeper/fault.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Fault is something that goes wrong with calls to the service: Out, Slow,
--- a/shared/keeper/history.go
+++ b/shared/store/keeper/history.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // history holds the latest events, bounded in number and in bytes of values.
--- a/shared/keeper/keeper.go
+++ b/shared/store/keeper/keeper.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Keeper is an in-memory platform. It is safe for concurrent use.
--- a/shared/keeper/keeper_test.go
+++ b/shared/store/keeper/keeper_test.go
@@ -11,9 +11,9 @@
 	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 func ExampleNew() {
--- a/shared/keeper/lease.go
+++ b/shared/store/keeper/lease.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // lease is one lease with the keys that are deleted with it.
--- a/shared/keeper/option.go
+++ b/shared/store/keeper/option.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The defaults of a Keeper.
--- a/shared/keeper/roster.go
+++ b/shared/store/keeper/roster.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Roster is the state machine of the platform's VMs. It has no clock and no
--- a/shared/keeper/table.go
+++ b/shared/store/keeper/table.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Table is the state machine of the key-value service: entries, leases and the
--- a/shared/keeper/waiter.go
+++ b/shared/store/keeper/waiter.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // waiter is a watch that waits for events.
--- a/shared/keeper/watch.go
+++ b/shared/store/keeper/watch.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // maxRepeated is how many revisions a WatchRepeat fault goes back at most.
--- a/shared/keeper/zone.go
+++ b/shared/store/keeper/zone.go
@@ -5,8 +5,8 @@
 	"context"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Zone is the service as it is seen from one availability zone. It implements
--- a/shared/leaser/acquire.go
+++ b/shared/store/leaser/acquire.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // acquire waits until the duty is free and takes it.
--- a/shared/leaser/fence_test.go
+++ b/shared/store/leaser/fence_test.go
@@ -13,10 +13,10 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/leaser"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The schedules that are tried are the same in every run, unless the command
--- a/shared/leaser/holding.go
+++ b/shared/store/leaser/holding.go
@@ -7,8 +7,8 @@
 
 	"github.com/go-faster/errors"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Holding is a duty that is held.
@@ -50,7 +50,7 @@
 	deadline atomic.Pointer[time.Time]
 	// confirmedAt is when the last call was sent that showed the lease.
 	confirmedAt atomic.Pointer[time.Time]
-	lose     context.CancelCauseFunc
+	lose        context.CancelCauseFunc
 }
 
 // Epoch implements Holding.
--- a/shared/leaser/leaser.go
+++ b/shared/store/leaser/leaser.go
@@ -18,7 +18,7 @@
 	"context"
 	"time"
 
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The defaults of a Leaser.
--- a/shared/leaser/leaser_test.go
+++ b/shared/store/leaser/leaser_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/leaser"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/leaser"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // turn is one time that a duty was held.
--- a/shared/leaser/renew.go
+++ b/shared/store/leaser/renew.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // renew renews the lease until the context is done or the duty is lost.
--- a/shared/storer/call.go
+++ b/shared/store/storer/call.go
@@ -12,7 +12,7 @@
 
 	"github.com/go-faster/errors"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // The codes that the status 410 stands for.
--- a/shared/storer/codec.go
+++ b/shared/store/storer/codec.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"net/netip"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // The headers of the service's HTTP protocol.
--- a/shared/storer/conflict.go
+++ b/shared/store/storer/conflict.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // ConflictError is the cause of a PlatformConflict error where the key's
--- a/shared/storer/follow.go
+++ b/shared/store/storer/follow.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // The defaults of Follow.
--- a/shared/storer/follow_test.go
+++ b/shared/store/storer/follow_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // view is what a follower knows, and checks that revisions only rise.
--- a/shared/storer/update.go
+++ b/shared/store/storer/update.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // The pauses between the attempts of an update.
--- a/shared/storer/update_test.go
+++ b/shared/store/storer/update_test.go
@@ -13,9 +13,9 @@
 	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // appendWord returns a change that appends a word to a list of words.
--- a/standin/internal/allocator/allocator.go
+++ b/standin/internal/allocator/allocator.go
@@ -6,7 +6,7 @@
 	"net"
 	"net/netip"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Allocator hands out each address once and keeps the first error.
--- a/standin/internal/assembler/entry.go
+++ b/standin/internal/assembler/entry.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/supervisor"
 )
 
--- a/standin/internal/bencher/bench.go
+++ b/standin/internal/bencher/bench.go
@@ -7,10 +7,10 @@
 	"os"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/storer"
 	"coltsfootwick.example/standin/internal/launcher"
 	"coltsfootwick.example/standin/internal/platform"
 )
--- a/standin/internal/bencher/caller.go
+++ b/standin/internal/bencher/caller.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const path = "/claims/check"
--- a/standin/internal/demonstrator/command.go
+++ b/standin/internal/demonstrator/command.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/generator"
 	"coltsfootwick.example/standin/internal/supervisor"
 )
--- a/standin/internal/demonstrator/file.go
+++ b/standin/internal/demonstrator/file.go
@@ -7,7 +7,7 @@
 	"path/filepath"
 	"text/template"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 //go:embed templates/*.toml
--- a/standin/internal/demonstrator/stage.go
+++ b/standin/internal/demonstrator/stage.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/generator"
 	"coltsfootwick.example/standin/internal/supervisor"
 )
--- a/standin/internal/demonstrator/step_fault.go
+++ b/standin/internal/demonstrator/step_fault.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // The lengths of the demo's faults.
--- a/standin/internal/demonstrator/step_fleet.go
+++ b/standin/internal/demonstrator/step_fleet.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // The demo's wave, and how long it may take.
--- a/standin/internal/evaluator/deployment.go
+++ b/standin/internal/evaluator/deployment.go
@@ -8,7 +8,7 @@
 	"net/netip"
 	"time"
 
-	"coltsfootwick.example/shared/recorder"
+	"coltsfootwick.example/shared/fleet/recorder"
 )
 
 // Deployment is the size and the demand of one user's fleet.
--- a/standin/internal/evaluator/policy.go
+++ b/standin/internal/evaluator/policy.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/sizer"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/sizer"
 )
 
 // Policy is a way to decide moves: Sized, Fixed or Following.
--- a/standin/internal/evaluator/run.go
+++ b/standin/internal/evaluator/run.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"coltsfootwick.example/shared/planner"
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/sizer"
+	"coltsfootwick.example/shared/fleet/planner"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/sizer"
 )
 
 // Outcome is what one run of a policy showed.
--- a/standin/internal/generator/command.go
+++ b/standin/internal/generator/command.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/uuid"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/ledger"
 )
 
--- a/standin/internal/generator/config.go
+++ b/standin/internal/generator/config.go
@@ -6,7 +6,7 @@
 	"net/netip"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // The values that DefaultConfig starts from.
--- a/standin/internal/generator/config_codec.go
+++ b/standin/internal/generator/config_codec.go
@@ -4,8 +4,8 @@
 	"net/netip"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 // wireConfig is the TOML file of Command.
--- a/standin/internal/generator/generator_test.go
+++ b/standin/internal/generator/generator_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/generator"
 	"coltsfootwick.example/standin/internal/ledger"
 	"coltsfootwick.example/standin/internal/sealer"
--- a/standin/internal/generator/repeat.go
+++ b/standin/internal/generator/repeat.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/ledger"
 )
 
--- a/standin/internal/launcher/process.go
+++ b/standin/internal/launcher/process.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/supervisor"
 )
 
--- a/standin/internal/ledger/collector.go
+++ b/standin/internal/ledger/collector.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"net/netip"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/target"
 )
 
--- a/standin/internal/ledger/ledger.go
+++ b/standin/internal/ledger/ledger.go
@@ -9,7 +9,7 @@
 	"strings"
 	"sync"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/sealer"
 	"coltsfootwick.example/standin/internal/target"
 )
--- a/standin/internal/ledger/request.go
+++ b/standin/internal/ledger/request.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Request is one request of a caller with all its attempts.
--- a/standin/internal/ledger/verdict.go
+++ b/standin/internal/ledger/verdict.go
@@ -3,7 +3,7 @@
 import (
 	"net/netip"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Kind names one kind of violation.
--- a/standin/internal/measurer/bounds.go
+++ b/standin/internal/measurer/bounds.go
@@ -8,7 +8,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 //go:embed bounds.toml
--- a/standin/internal/measurer/chart.go
+++ b/standin/internal/measurer/chart.go
@@ -8,7 +8,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const (
--- a/standin/internal/measurer/command.go
+++ b/standin/internal/measurer/command.go
@@ -10,7 +10,7 @@
 	"os"
 	"strconv"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Command is the subcommand that runs the measurements.
--- a/standin/internal/measurer/entry.go
+++ b/standin/internal/measurer/entry.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"coltsfootwick.example/shared/lender"
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/lender"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // entry is one process of an entry in a sharing run.
--- a/standin/internal/measurer/failures.go
+++ b/standin/internal/measurer/failures.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 const (
--- a/standin/internal/measurer/measurer_test.go
+++ b/standin/internal/measurer/measurer_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // TestSameFigures checks that a study gives the same figures every time.
--- a/standin/internal/measurer/report.go
+++ b/standin/internal/measurer/report.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 const reportMode = 0o644
--- a/standin/internal/measurer/sharing.go
+++ b/standin/internal/measurer/sharing.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/lender"
+	"coltsfootwick.example/shared/requests/lender"
 )
 
 // sharingWay is a way of sharing the slots of targets among two entries.
--- a/standin/internal/measurer/station.go
+++ b/standin/internal/measurer/station.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // behaviour tells how a target ends an attempt that starts now.
--- a/standin/internal/measurer/stream.go
+++ b/standin/internal/measurer/stream.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // stream is one kind of requests that callers send, open loop.
--- a/standin/internal/measurer/zone.go
+++ b/standin/internal/measurer/zone.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
 )
 
 // deployment is one availability zone of a user.
--- a/standin/internal/platform/admin.go
+++ b/standin/internal/platform/admin.go
@@ -4,9 +4,9 @@
 	"io"
 	"net/http"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // maxAdminBytes is the largest body that the admin port reads.
--- a/standin/internal/platform/answer.go
+++ b/standin/internal/platform/answer.go
@@ -6,9 +6,9 @@
 
 	"github.com/go-faster/errors"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // answer is a successful answer.
--- a/standin/internal/platform/codec.go
+++ b/standin/internal/platform/codec.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 type wireFaults struct {
--- a/standin/internal/platform/command.go
+++ b/standin/internal/platform/command.go
@@ -12,10 +12,10 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/logger"
-	"coltsfootwick.example/shared/server"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/logger"
+	"coltsfootwick.example/shared/process/server"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // rebootTimeout bounds the call that tells a VM's stand-in of a reboot.
--- a/standin/internal/platform/fleet.go
+++ b/standin/internal/platform/fleet.go
@@ -3,9 +3,9 @@
 import (
 	"net/netip"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/loader"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/loader"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // Fleet is the VMs of the stand-in.
--- a/standin/internal/platform/platform.go
+++ b/standin/internal/platform/platform.go
@@ -5,7 +5,7 @@
 import (
 	"net/http"
 
-	"coltsfootwick.example/shared/keeper"
+	"coltsfootwick.example/shared/store/keeper"
 )
 
 // Platform is the platform's stand-in over HTTP.
--- a/standin/internal/platform/zone.go
+++ b/standin/internal/platform/zone.go
@@ -9,9 +9,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // maxWait is the longest wait of a watch.
--- a/standin/internal/prover/at_most_once_test.go
+++ b/standin/internal/prover/at_most_once_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/keeper"
+	"coltsfootwick.example/shared/store/keeper"
 	"coltsfootwick.example/standin/internal/assembler"
 	"coltsfootwick.example/standin/internal/ledger"
 	"coltsfootwick.example/standin/internal/target"
--- a/standin/internal/prover/command.go
+++ b/standin/internal/prover/command.go
@@ -5,7 +5,7 @@
 	"os"
 	"slices"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Command is the subcommand that runs the proofs. It needs the Go command and
--- a/standin/internal/prover/gotest.go
+++ b/standin/internal/prover/gotest.go
@@ -15,7 +15,7 @@
 
 	"github.com/go-faster/errors"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // interruptGrace is how long an interrupted test run has for its clean-up.
--- a/standin/internal/prover/points_codec.go
+++ b/standin/internal/prover/points_codec.go
@@ -3,8 +3,8 @@
 import (
 	_ "embed"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/loader"
 )
 
 //go:embed proofs.toml
--- a/standin/internal/prover/prover.go
+++ b/standin/internal/prover/prover.go
@@ -8,7 +8,7 @@
 	"io"
 	"strings"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // SeedVariable is the environment variable that gives proofs their seed.
--- a/standin/internal/provider/provider.go
+++ b/standin/internal/provider/provider.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"coltsfootwick.example/shared/jobs/modeller"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 	"coltsfootwick.example/standin/internal/executor"
 )
 
--- a/standin/internal/provider/store.go
+++ b/standin/internal/provider/store.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-faster/errors"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // commit changes the store from within the platform.
--- a/standin/internal/rehearser/command.go
+++ b/standin/internal/rehearser/command.go
@@ -9,7 +9,7 @@
 	"os"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // timeout bounds the whole demo.
--- a/standin/internal/rehearser/stage.go
+++ b/standin/internal/rehearser/stage.go
@@ -10,8 +10,8 @@
 	"path/filepath"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
 	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/allocator"
 	"coltsfootwick.example/standin/internal/provider"
 	"coltsfootwick.example/standin/internal/supervisor"
--- a/standin/internal/rehearser/step.go
+++ b/standin/internal/rehearser/step.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // step is one step of the demo.
--- a/standin/internal/sampler/sampler.go
+++ b/standin/internal/sampler/sampler.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Distribution is the distribution of a service time: Fixed, Exponential or
--- a/standin/internal/sealer/sealer.go
+++ b/standin/internal/sealer/sealer.go
@@ -11,7 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Header is the HTTP header by which a caller tells the target the identifier
--- a/standin/internal/sloper/bounds_test.go
+++ b/standin/internal/sloper/bounds_test.go
@@ -5,10 +5,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // The size that letter 1 names, for a node and a day.
--- a/standin/internal/sloper/fleet.go
+++ b/standin/internal/sloper/fleet.go
@@ -6,9 +6,9 @@
 	"strings"
 	"time"
 
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/standin/internal/sloper/journals.go
+++ b/standin/internal/sloper/journals.go
@@ -9,10 +9,10 @@
 
 	"github.com/go-faster/errors"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/journaler"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/requests/journaler"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
--- a/standin/internal/sloper/peers.go
+++ b/standin/internal/sloper/peers.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"coltsfootwick.example/shared/carrier"
-	"coltsfootwick.example/shared/measurer"
+	"coltsfootwick.example/shared/peers/carrier"
+	"coltsfootwick.example/shared/peers/measurer"
 )
 
 // peerDelays are the least and the greatest delay of a message one way.
--- a/standin/internal/sloper/process_series.go
+++ b/standin/internal/sloper/process_series.go
@@ -4,8 +4,8 @@
 	"slices"
 	"strings"
 
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 	"coltsfootwick.example/standin/internal/launcher"
 )
 
--- a/standin/internal/sloper/processes.go
+++ b/standin/internal/sloper/processes.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-faster/errors"
 
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/keeper"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/keeper"
 	"coltsfootwick.example/standin/internal/launcher"
 	"coltsfootwick.example/standin/internal/platform"
 )
--- a/standin/internal/sloper/records.go
+++ b/standin/internal/sloper/records.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"coltsfootwick.example/shared/planner"
-	"coltsfootwick.example/shared/recorder"
-	"coltsfootwick.example/shared/registrar"
-	"coltsfootwick.example/shared/sizer"
+	"coltsfootwick.example/shared/fleet/planner"
+	"coltsfootwick.example/shared/fleet/recorder"
+	"coltsfootwick.example/shared/fleet/registrar"
+	"coltsfootwick.example/shared/fleet/sizer"
 )
 
 // sizes double five times.
--- a/standin/internal/sloper/schedulers.go
+++ b/standin/internal/sloper/schedulers.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/scheduler"
+	"coltsfootwick.example/shared/requests/scheduler"
+	"coltsfootwick.example/shared/settings/configurer"
 )
 
 const slotsPerTarget = 8
--- a/standin/internal/sloper/settings.go
+++ b/standin/internal/sloper/settings.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 
-	"coltsfootwick.example/shared/configurer"
-	"coltsfootwick.example/shared/keeper"
-	"coltsfootwick.example/shared/storer"
+	"coltsfootwick.example/shared/settings/configurer"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // measureSettings measures the settings as pools, each with a service, grow.
--- a/standin/internal/supervisor/child.go
+++ b/standin/internal/supervisor/child.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Child is a started process.
--- a/standin/internal/supervisor/supervisor.go
+++ b/standin/internal/supervisor/supervisor.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // Supervisor owns the processes that it started.
--- a/standin/internal/target/admin.go
+++ b/standin/internal/target/admin.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // maxFaultBytes bounds the body of POST /faults.
--- a/standin/internal/target/fault_codec.go
+++ b/standin/internal/target/fault_codec.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 // wireFault is a fault as JSON, for POST /faults.
--- a/standin/internal/target/group_codec.go
+++ b/standin/internal/target/group_codec.go
@@ -3,8 +3,8 @@
 import (
 	"net/netip"
 
-	"coltsfootwick.example/shared/classifier"
-	"coltsfootwick.example/shared/loader"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/settings/loader"
 	"coltsfootwick.example/standin/internal/sampler"
 )
 
--- a/standin/internal/target/target.go
+++ b/standin/internal/target/target.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"coltsfootwick.example/shared/classifier"
+	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/sampler"
 )
 
