allocator: mark jobs before their first start; settle late starts before a lease

A job now gets a progress record before its first start, so one without is free at once.

A worker's lease is now extended only once it has acknowledged a stop of each start in doubt.

--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -94,6 +94,42 @@
 	must.Eq(t, 2, starts[0].Attempt)
 }
 
+func TestLeaseIsNotExtendedBeforeStartsInDoubtAreSettled(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	fx.submit("j", oneTask())
+	start := ordersOf[StartOrder](fx)[0]
+	fx.apply(StartEnded{Worker: "a", Task: start.Task, Attempt: 1, Outcome: Unanswered})
+	for range 70 {
+		fx.apply(LookFailed{Worker: "a", Outcome: Unanswered})
+		fx.pass(100 * time.Millisecond)
+	}
+	fx.orders = nil
+	fx.report("a", nil)
+	fx.pass(50 * time.Millisecond)
+	fx.report("a", nil)
+	fx.pass(50 * time.Millisecond)
+	var looks []LookOrder
+	var stops []StopOrder
+	for _, od := range fx.orders {
+		switch od := od.(type) {
+		case LookOrder:
+			looks = append(looks, od)
+		case StopOrder:
+			stops = append(stops, od)
+		default:
+		}
+	}
+	must.Len(t, 1, stops)
+	must.Eq(t, 0, looks[len(looks)-1].LeaseEnd)
+	fx.orders = nil
+	fx.apply(StopEnded{Worker: "a", Task: start.Task, Attempt: 1, Outcome: Accepted})
+	fx.report("a", nil)
+	fx.pass(50 * time.Millisecond)
+	looks = ordersOf[LookOrder](fx)
+	must.Greater(t, 0, looks[len(looks)-1].LeaseEnd)
+}
+
 func TestEndsAreAcknowledgedOnceTheyAreStored(t *testing.T) {
 	fx := newFixture(t)
 	fx.ready("a")
@@ -165,6 +201,33 @@
 	must.Len(t, 1, ordersOf[VMOrder](fx))
 }
 
+func TestJobStartsOnceItIsMarkedInTheStore(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	fx.apply(JobRecorded{Record: modeller.JobRecord{Job: modeller.Job{ID: "j", Queue: "q", Steps: []modeller.Step{oneTask()}}}})
+	must.Len(t, 0, ordersOf[StartOrder](fx))
+	fx.store()
+	must.Len(t, 1, ordersOf[StartOrder](fx))
+}
+
+func TestJobThatNoHolderHasMarkedStartsBesideSilentWorkers(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(ProgressLoaded{Progress: modeller.Progress{ID: "begun", Queue: "q"}})
+	fx.submit("begun", oneTask())
+	fx.submit("waiting", oneTask())
+	fx.worker("a")
+	fx.worker("silent")
+	fx.apply(Loaded{})
+	fx.store()
+	for range 2 {
+		fx.pass(50 * time.Millisecond)
+		fx.report("a", nil)
+	}
+	starts := ordersOf[StartOrder](fx)
+	must.Len(t, 1, starts)
+	must.Eq(t, modeller.JobID("waiting"), starts[0].Task.Job)
+}
+
 // lastingJob has a long-running job at work on workers a and b.
 func lastingJob(fx *fixture) {
 	fx.submit("l", lasting(2))
@@ -261,6 +324,7 @@
 	fx.apply(JobRecorded{Record: modeller.JobRecord{Job: modeller.Job{
 		ID: "t", Queue: "q", Steps: []modeller.Step{oneTask()}, Occurrences: 2, FirstAt: fx.now.Add(time.Second), Interval: 500 * time.Millisecond,
 	}}})
+	fx.store()
 	fx.pass(800 * time.Millisecond)
 	fx.report("a", nil)
 	must.Len(t, 0, ordersOf[StartOrder](fx))
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -174,6 +174,9 @@
 		delete(al.ended, ej.ID)
 	}
 	for id, version := range bt.versions {
+		if jb := al.jobs[id]; jb != nil {
+			jb.isMarked = true
+		}
 		if jb := al.dirty[id]; jb != nil && (jb.version == version || jb.outcome != "" && al.jobs[id] == nil) {
 			delete(al.dirty, id)
 		}
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -150,6 +150,14 @@
 			},
 		},
 	})
+	fx.store()
+}
+
+// store has what is due stored.
+func (fx *fixture) store() {
+	if batch := fx.al.Batch(fx.now); batch != nil {
+		fx.apply(BatchStored{Batch: batch})
+	}
 }
 
 // oneTask is a step of one task.
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -13,7 +13,7 @@
 	info modeller.Job
 	// occurrences are those that are due or have begun.
 	occurrences []*occurrence
-	// isOld is true for a job from before the duty was won.
+	// isOld is true for a job that an earlier holder may have started.
 	isOld bool
 	// acceptedAt is when the job was accepted, by the scheduler's clock.
 	acceptedAt  time.Time
@@ -21,6 +21,9 @@
 	// outcome is set once the job has ended, and isFinalStored once that is stored.
 	outcome    modeller.JobState
 	hasStarted bool
+	// isMarked is true once a progress record is stored, which has to be before
+	// the first start: a later holder may start a job without one at once.
+	isMarked bool
 	// work is the job's core-time, and chain its longest chain.
 	work, chain time.Duration
 	// version counts changes, so that a stored batch cleans just what it held.
@@ -106,6 +109,7 @@
 		jb.loaded[name] = tp
 	}
 	jb.hasStarted = len(pg.Tasks) > 0
+	jb.isMarked = true
 }
 
 func (al *Allocator) recordJob(now time.Time, jr modeller.JobRecord) {
@@ -133,7 +137,10 @@
 		return
 	}
 	jb.info = jr.Job
-	jb.isOld = !al.isLoaded
+	jb.isOld = jb.isMarked
+	if !jb.isMarked {
+		al.touch(jb)
+	}
 	jb.acceptedAt = now
 	jb.work, jb.chain = measure(jr.Job)
 	if jr.Job.Occurrences == 0 {
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -54,7 +54,7 @@
 		if len(open[pool]) == 0 {
 			continue
 		}
-		if !al.mayStart(now, jb) {
+		if !jb.isMarked || !al.mayStart(now, jb) {
 			continue
 		}
 		if jb.isOld {
--- a/shared/jobs/allocator/plan.go
+++ b/shared/jobs/allocator/plan.go
@@ -13,6 +13,7 @@
 		al.dropSilent(now)
 		al.beginDue(now, timeOfDay)
 		al.repeatStops(now)
+		al.settle(now)
 		al.pace(now)
 		// What ends healthy runs is left to whoever surely holds the duty.
 		if now.Sub(al.confirmedAt) < al.bounds.DutyLease {
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -286,11 +286,14 @@
 	if wk == nil {
 		return
 	}
+	isRefusedLater := ev.Outcome == Accepted || ev.Outcome == Outdated
+	if isRefusedLater && wk.unsettled[ev.Task] == ev.Attempt {
+		delete(wk.unsettled, ev.Task)
+	}
 	rn := wk.runs[ev.Task]
 	if rn == nil || rn.attempt != ev.Attempt {
 		return
 	}
-	isRefusedLater := ev.Outcome == Accepted || ev.Outcome == Outdated
 	if isRefusedLater && rn.stoppedAt.IsZero() {
 		rn.stoppedAt = now
 	}
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -37,11 +37,17 @@
 	// runs are all runs that hold capacity, and used what they hold.
 	runs map[modeller.TaskName]*run
 	used modeller.Resources
+	// unsettled are the attempts of starts without an answer that were given up
+	// with the lease. The worker may still carry them out, so its lease isn't
+	// extended until it has acknowledged a stop of each.
+	unsettled map[modeller.TaskName]int
 	// processedEnd and storedEnd are numbers of ends.
 	processedEnd, storedEnd int64
 	// failedJobs are the jobs that failed here since the last success.
 	failedJobs       map[modeller.JobID]struct{}
 	quarantinedUntil time.Time
+	// settledAt is when stops of unsettled starts were last sent.
+	settledAt time.Time
 	// suspectUntil is until when it gets no work after an unanswered call.
 	suspectUntil time.Time
 	// isCordoned is true while the worker is emptied for a move or an upkeep.
@@ -88,6 +94,7 @@
 		wk = &worker{
 			runs:       map[modeller.TaskName]*run{},
 			failedJobs: map[modeller.JobID]struct{}{},
+			unsettled:  map[modeller.TaskName]int{},
 		}
 		wk.mayHoldOldRuns = !al.isLoaded
 		al.workers[info.ID] = wk
@@ -193,6 +200,7 @@
 	wk.storedEnd = 0
 	wk.leaseEnd = 0
 	wk.bornMS = 0
+	wk.unsettled = map[modeller.TaskName]int{}
 	wk.failedJobs = map[modeller.JobID]struct{}{}
 	wk.quarantinedUntil = time.Time{}
 	al.note(Finding{Message: "worker's life ended", Worker: wk.info.ID, Reason: reason})
@@ -216,13 +224,18 @@
 			continue
 		}
 		if len(wk.runs) > 0 || wk.isSynced {
+			unsettled := wk.unsettled
 			for _, rn := range wk.runsInOrder() {
+				if rn.state != runRunning {
+					unsettled[rn.name] = max(unsettled[rn.name], rn.attempt)
+				}
 				al.loseRun(now, rn, "lease passed")
 			}
 			al.endLife(now, wk, "silent until its lease passed")
+			wk.unsettled = unsettled
 		}
 		wk.mayHoldOldRuns = false
-		if !wk.isListed && !wk.isLooking {
+		if !wk.isListed && !wk.isLooking && len(wk.unsettled) == 0 {
 			delete(al.workers, id)
 			al.ordered = nil
 			al.isRosterDirty = true
@@ -248,7 +261,7 @@
 		if wk.isSynced {
 			// A look without an answer may still extend the lease, so a silent
 			// worker's lease is left to end.
-			if !wk.isSilent {
+			if !wk.isSilent && len(wk.unsettled) == 0 {
 				wk.leaseEnd = max(wk.leaseEnd, al.clockOf(now, wk)+al.bounds.RunLease)
 				lo.Wait = al.bounds.LookWait
 			}
@@ -259,6 +272,23 @@
 	}
 }
 
+// settle has a worker that is back stop what it may still start late.
+func (al *Allocator) settle(now time.Time) {
+	for _, wk := range al.inOrder() {
+		if len(wk.unsettled) == 0 || !wk.isSynced || now.Sub(wk.settledAt) < orderRepeat {
+			continue
+		}
+		wk.settledAt = now
+		for _, name := range slices.SortedFunc(maps.Keys(wk.unsettled), modeller.TaskName.Compare) {
+			al.orders = append(al.orders, StopOrder{
+				Worker:  wk.info,
+				Task:    name,
+				Attempt: wk.unsettled[name],
+			})
+		}
+	}
+}
+
 // isUncertain reports whether runs of earlier holders may go on unseen at a
 // worker of a pool.
 func (al *Allocator) isUncertain(pool string) bool {
