--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// isDirectoryBehind reports whether, soon after the duty was won, VMs that are up
-// have workers that aren't listed yet.
+// isDirectoryBehind reports whether, soon after the duty was won, most VMs that
+// are up have workers that aren't listed yet.
 func (al *Allocator) isDirectoryBehind(now time.Time, standby string) bool {
 	if now.Sub(al.startedAt) > directoryTime {
 		return false
@@ -112,7 +112,7 @@
 			listed++
 		}
 	}
-	return listed < up
+	return listed < up/2
 }
 
 // standbyPool returns the pool whose VMs are off, or an empty name.
