--- a/coltsfootwick-manager/internal/conductor/load.go
+++ b/coltsfootwick-manager/internal/conductor/load.go
@@ -132,7 +132,7 @@
 		return err
 	}
 	for _, et := range entries {
-		wave, err := archiver.DecodeWave(et)
+		wave, err := archiver.DecodeWave(et, tm.timeOfDay().UnixMilli())
 		if err != nil {
 			tm.logger.Error("progress of a wave can't be read", zap.Error(err))
 			continue
--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -182,6 +182,24 @@
 	must.Len(t, 1, ordersOf[VMOrder](fx))
 }
 
+func TestWaveTakesSpareVMsUntilItMustHurry(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(WaveProgressLoaded{Number: 1, Elapsed: 2 * time.Second})
+	fx.ready("a")
+	fx.apply(WaveRecorded{Wave: modeller.Wave{Number: 1, VMs: []string{"vm-a"}, Duration: 20 * time.Second, MaxDown: 1}})
+	// One round of an upkeep takes 5 s, half as much again is kept in hand, and 6 s.
+	for elapsed := 2 * time.Second; elapsed < 6*time.Second; elapsed += 100 * time.Millisecond {
+		fx.list(vmOf("a", modeller.VMUp))
+		fx.report("a", nil)
+		fx.pass(100 * time.Millisecond)
+	}
+	must.Len(t, 0, ordersOf[VMOrder](fx), must.Sprint("the pool has none to spare"))
+	fx.list(vmOf("a", modeller.VMUp))
+	fx.report("a", nil)
+	fx.pass(time.Second)
+	must.Len(t, 1, ordersOf[VMOrder](fx))
+}
+
 func TestVMsThatAnEarlierHolderTookDownCount(t *testing.T) {
 	fx := newFixture(t)
 	fx.ready("a")
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -48,6 +48,8 @@
 	Maintained []string
 	// IsCompleted is true once that is all of them.
 	IsCompleted bool
+	// Elapsed is how long the wave has lasted.
+	Elapsed time.Duration
 }
 
 // lifeEnd is the last processed end of a life of a worker.
@@ -70,7 +72,7 @@
 	bt := &Batch{
 		versions: map[modeller.JobID]int{},
 		ends:     map[modeller.WorkerID]lifeEnd{},
-		Waves:    al.fleet.changed(),
+		Waves:    al.fleet.changed(now),
 		Expired:  al.expired(now),
 	}
 	isWhole := true
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -151,13 +151,15 @@
 	Wave modeller.Wave
 }
 
-// WaveProgressLoaded tells which VMs of a wave have been maintained, and
-// whether operators have been told that it is completed.
+// WaveProgressLoaded tells which VMs of a wave have been maintained under
+// earlier holders. It comes before the wave.
 type WaveProgressLoaded struct {
 	// Number names the wave.
 	Number int64
 	// Maintained are the VMs.
 	Maintained []string
+	// Elapsed is how long the wave has lasted.
+	Elapsed time.Duration
 }
 
 // VMOrderEnded tells what became of a move or an upkeep.
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -20,6 +20,11 @@
 	maxListAge = 2 * time.Second
 	// vmOrderRepeat is after what time a refused or unanswered order is sent again.
 	vmOrderRepeat = 400 * time.Millisecond
+	// emptyingTime is how long a VM takes to run out of tasks, and hurryFactor
+	// and hurryMargin are what a wave keeps in hand.
+	emptyingTime = 3 * time.Second
+	hurryFactor  = 1.5
+	hurryMargin  = 6 * time.Second
 	// urgentShare is the share of a wave's time from which on it stops tasks
 	// that would still run for a while.
 	urgentShare = 0.6
@@ -46,8 +51,10 @@
 	// down are the VMs that an upkeep was ordered for and that aren't back.
 	down map[string]*downVM
 	// emptying are the VMs that get no work until their upkeep.
-	emptying  map[string]time.Time
-	begunAt   time.Time
+	emptying map[string]time.Time
+	begunAt  time.Time
+	// elapsed is how long the wave had lasted under earlier holders.
+	elapsed   time.Duration
 	isDirty   bool
 	isStored  bool
 	isAllDone bool
@@ -87,7 +94,7 @@
 }
 
 // changed returns the progress that has to be stored.
-func (fl *fleet) changed() []WaveProgress {
+func (fl *fleet) changed(now time.Time) []WaveProgress {
 	var changed []WaveProgress
 	for _, number := range slices.Sorted(maps.Keys(fl.waves)) {
 		wv := fl.waves[number]
@@ -97,6 +104,7 @@
 		wp := WaveProgress{
 			Number:      number,
 			IsCompleted: wv.isAllDone,
+			Elapsed:     now.Sub(wv.begunAt),
 		}
 		for vm := range wv.maintained {
 			wp.Maintained = append(wp.Maintained, vm)
@@ -128,13 +136,14 @@
 		return
 	}
 	wv.info = info
-	wv.begunAt = now
+	wv.begunAt = now.Add(-min(wv.elapsed, info.Duration))
 	wv.isDirty = true
 	al.note(Finding{Message: "wave recorded", Reason: "operators"})
 }
 
 func (al *Allocator) loadWave(ev WaveProgressLoaded) {
 	wv := al.fleet.wave(ev.Number)
+	wv.elapsed = max(ev.Elapsed, 0)
 	for _, vm := range ev.Maintained {
 		wv.maintained[vm] = struct{}{}
 	}
@@ -234,6 +243,24 @@
 	}
 }
 
+// mustHurry reports whether the wave needs all of its remaining time, with
+// something to spare, if as many VMs as may be are down from now on.
+func (wv *wave) mustHurry(now time.Time, upkeepTime time.Duration) bool {
+	pending := len(wv.info.VMs) - len(wv.maintained)
+	rounds := (pending + wv.info.MaxDown - 1) / wv.info.MaxDown
+	needed := time.Duration(hurryFactor*float64(rounds)*float64(upkeepTime+emptyingTime)) + hurryMargin
+	return now.Add(needed).After(wv.begunAt.Add(wv.info.Duration))
+}
+
+// isSpare reports whether a VM runs nothing and its pool can do without it.
+func (al *Allocator) isSpare(vm modeller.VM) bool {
+	wk := al.workers[vm.Worker]
+	if wk == nil || al.configuration.Pools[vm.Pool].IsStandby {
+		return true
+	}
+	return wk.isSynced && len(wk.runs) == 0 && len(al.fleet.history[vm.Pool].surplusSince) > 0
+}
+
 // cordon chooses the VMs that are emptied next: those with the least to lose.
 func (al *Allocator) cordon(now time.Time, wv *wave) {
 	type candidate struct {
@@ -241,6 +268,7 @@
 		cost float64
 	}
 	var candidates []candidate
+	isHurried := wv.mustHurry(now, al.bounds.UpkeepTime)
 	for _, name := range wv.info.VMs {
 		vm, ok := al.fleet.vms[name]
 		if _, isDone := wv.maintained[name]; isDone || !ok || vm.State != modeller.VMUp {
@@ -252,6 +280,9 @@
 		if al.fleet.moves[name] != nil {
 			continue
 		}
+		if !isHurried && !al.isSpare(vm) {
+			continue
+		}
 		candidates = append(candidates, candidate{
 			name: name,
 			cost: al.emptyingCost(vm),
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"time"
 
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/modeller"
@@ -65,10 +66,10 @@
 // overhead is how many entries of a transaction its fences take.
 const overhead = 3
 
-// Transactions returns the changes of a batch, each small enough for a
-// transaction beside its fences.
-func Transactions(bt *allocator.Batch, region string, endedAtMS int64, status Status) ([]storer.Transaction, error) {
-	changes, err := changesOf(bt, region, endedAtMS, status)
+// Transactions returns the changes of a batch at a Unix millisecond, each small
+// enough for a transaction beside its fences.
+func Transactions(bt *allocator.Batch, region string, nowMS int64, status Status) ([]storer.Transaction, error) {
+	changes, err := changesOf(bt, region, nowMS, status)
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +89,7 @@
 	return transactions, nil
 }
 
-func changesOf(bt *allocator.Batch, region string, endedAtMS int64, status Status) ([]change, error) {
+func changesOf(bt *allocator.Batch, region string, nowMS int64, status Status) ([]change, error) {
 	var changes []change
 	for _, pg := range bt.Progress {
 		value, err := modeller.EncodeProgress(pg)
@@ -98,7 +99,7 @@
 		changes = append(changes, writeOf(ProgressKey(pg.Queue, pg.ID), value))
 	}
 	for _, ej := range bt.Ended {
-		ch, err := endOf(ej, endedAtMS)
+		ch, err := endOf(ej, nowMS)
 		if err != nil {
 			return nil, err
 		}
@@ -110,7 +111,7 @@
 		})
 	}
 	for _, wp := range bt.Waves {
-		ch, err := waveOf(wp, status)
+		ch, err := waveOf(wp, nowMS, status)
 		if err != nil {
 			return nil, err
 		}
@@ -152,9 +153,10 @@
 	return ch, nil
 }
 
-func waveOf(wp allocator.WaveProgress, status Status) (change, error) {
+func waveOf(wp allocator.WaveProgress, nowMS int64, status Status) (change, error) {
 	value, err := json.Marshal(waveRecord{
 		Maintained: wp.Maintained,
+		BegunAtMS:  nowMS - wp.Elapsed.Milliseconds(),
 	})
 	if err != nil {
 		return change{}, classifier.Wrap(err, classifier.Internal, "wave %d", wp.Number)
@@ -174,10 +176,12 @@
 // waveRecord is a wave's progress as it is stored.
 type waveRecord struct {
 	Maintained []string `json:"maintained"`
+	// BegunAtMS is the Unix millisecond at which the wave began.
+	BegunAtMS int64 `json:"begunAtMs"`
 }
 
-// DecodeWave returns the progress of a wave's entry.
-func DecodeWave(et storer.Entry) (allocator.WaveProgressLoaded, error) {
+// DecodeWave returns the progress of a wave's entry at a Unix millisecond.
+func DecodeWave(et storer.Entry, nowMS int64) (allocator.WaveProgressLoaded, error) {
 	number, err := strconv.ParseInt(strings.TrimPrefix(et.Key, storer.WavePrefix), 10, 64)
 	if err != nil {
 		return allocator.WaveProgressLoaded{}, classifier.Wrap(err, classifier.RecordInvalid, "%s", et.Key)
@@ -189,6 +193,7 @@
 	return allocator.WaveProgressLoaded{
 		Number:     number,
 		Maintained: rec.Maintained,
+		Elapsed:    time.Duration(nowMS-rec.BegunAtMS) * time.Millisecond,
 	}, nil
 }
 
