--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -147,7 +147,6 @@
 		case qu := <-tm.questions:
 			qu.ask(tm.allocator)
 			close(qu.done)
-			continue
 		case err := <-tm.failed:
 			return err
 		case <-ticker.C:
@@ -263,6 +262,19 @@
 	return state, nil
 }
 
+// Announce takes a job that is stored; the watch tells of it as well.
+func (cd *Conductor) Announce(ctx context.Context, jr modeller.JobRecord) error {
+	return cd.ask(ctx, func(al *allocator.Allocator) {
+		// Before the records are loaded, the job's place among those of earlier
+		// holders isn't known.
+		if al.IsLoaded() {
+			al.Apply(timekeeper.Now(), allocator.JobRecorded{
+				Record: jr,
+			})
+		}
+	})
+}
+
 // Pending returns the number of a queue's jobs that haven't begun.
 func (cd *Conductor) Pending(ctx context.Context, queue string) (int, error) {
 	var pending int
--- a/coltsfootwick-manager/internal/peer/client.go
+++ b/coltsfootwick-manager/internal/peer/client.go
@@ -1,8 +1,9 @@
-// Package peer is what the managers of a region say to each other: whoever
-// holds the scheduler's duty tells the others the states of jobs.
+// Package peer is what the managers of a region say to each other: they tell
+// whoever holds the scheduler's duty of new jobs, and ask it for states.
 package peer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -21,8 +22,9 @@
 	askTimeout = 250 * time.Millisecond
 	// connectionsPerPeer is how many questions are open at once.
 	connectionsPerPeer = 4
-	// maxAnswerBytes is the largest answer that is read.
-	maxAnswerBytes = 64 << 10
+	// maxMessageBytes is the largest message that is read; a job with many steps
+	// is the largest there is.
+	maxMessageBytes = 512 << 10
 )
 
 // Client asks the holder of the scheduler's duty.
@@ -63,29 +65,47 @@
 	return message.Pending, err
 }
 
+// Announce tells the holder of a job that is stored, so that it need not wait
+// for its watch.
+func (cl *Client) Announce(ctx context.Context, holder netip.AddrPort, record []byte) error {
+	_, err := cl.call(ctx, http.MethodPost, holder, announcePath, bytes.NewReader(record))
+	return err
+}
+
+// announcePath is where jobs are announced.
+const announcePath = "/jobs"
+
 func (cl *Client) ask(ctx context.Context, holder netip.AddrPort, path string, into any) error {
+	data, err := cl.call(ctx, http.MethodGet, holder, path, nil)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return classifier.Wrap(err, classifier.JobUnavailable, "%s at %s", path, holder)
+	}
+	return nil
+}
+
+func (cl *Client) call(ctx context.Context, method string, holder netip.AddrPort, path string, body io.Reader) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+holder.String()+path, nil)
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+holder.String()+path, body)
 	if err != nil {
-		return classifier.Wrap(err, classifier.Internal, "%s", path)
+		return nil, classifier.Wrap(err, classifier.Internal, "%s", path)
 	}
 	rs, err := cl.http.Do(rq)
 	if err != nil {
-		return classifier.Wrap(err, classifier.JobUnavailable, "%s at %s", path, holder)
+		return nil, classifier.Wrap(err, classifier.JobUnavailable, "%s at %s", path, holder)
 	}
 	defer func() { _ = rs.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswerBytes))
+	data, err := io.ReadAll(io.LimitReader(rs.Body, maxMessageBytes))
 	switch {
 	case err != nil:
-		return classifier.Wrap(err, classifier.JobUnavailable, "%s at %s", path, holder)
+		return nil, classifier.Wrap(err, classifier.JobUnavailable, "%s at %s", path, holder)
 	case rs.StatusCode == http.StatusNotFound:
-		return classifier.New(classifier.JobUnknown, "%s at %s", path, holder)
+		return nil, classifier.New(classifier.JobUnknown, "%s at %s", path, holder)
 	case rs.StatusCode != http.StatusOK:
-		return classifier.New(classifier.JobUnavailable, "%s at %s: status %d", path, holder, rs.StatusCode)
+		return nil, classifier.New(classifier.JobUnavailable, "%s at %s: status %d", path, holder, rs.StatusCode)
 	}
-	if err := json.Unmarshal(data, into); err != nil {
-		return classifier.Wrap(err, classifier.JobUnavailable, "%s at %s", path, holder)
-	}
-	return nil
+	return data, nil
 }
--- a/coltsfootwick-manager/internal/peer/handler.go
+++ b/coltsfootwick-manager/internal/peer/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"go.uber.org/zap"
@@ -17,6 +18,8 @@
 	State(ctx context.Context, id modeller.JobID) (modeller.JobState, error)
 	// Pending returns the number of a queue's jobs that haven't begun.
 	Pending(ctx context.Context, queue string) (int, error)
+	// Announce takes a job that is stored.
+	Announce(ctx context.Context, jr modeller.JobRecord) error
 }
 
 // NewHandler returns the handler of the other managers' questions.
@@ -30,9 +33,25 @@
 		pending, err := scheduler.Pending(rq.Context(), rq.PathValue("queue"))
 		answer(rw, logger, err, pendingMessage{Pending: pending})
 	})
+	mux.HandleFunc("POST "+announcePath, func(rw http.ResponseWriter, rq *http.Request) {
+		answer(rw, logger, takeAnnounced(scheduler, rq), struct{}{})
+	})
 	return mux
 }
 
+// takeAnnounced hands a job that a peer has stored to the scheduler.
+func takeAnnounced(scheduler Scheduler, rq *http.Request) error {
+	data, err := io.ReadAll(io.LimitReader(rq.Body, maxMessageBytes))
+	if err != nil {
+		return classifier.Wrap(err, classifier.JobUnavailable, "announced job")
+	}
+	jr, err := modeller.DecodeJob(data)
+	if err != nil {
+		return err
+	}
+	return scheduler.Announce(rq.Context(), jr)
+}
+
 func answer(rw http.ResponseWriter, logger *zap.Logger, err error, message any) {
 	switch classifier.CodeOf(err) {
 	case classifier.OK:
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -35,6 +35,8 @@
 	State(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobState, error)
 	// Pending returns the number of a queue's jobs that haven't begun.
 	Pending(ctx context.Context, holder netip.AddrPort, queue string) (int, error)
+	// Announce tells of a job that is stored, by its record.
+	Announce(ctx context.Context, holder netip.AddrPort, record []byte) error
 }
 
 // Locator knows where the holder is.
@@ -163,6 +165,7 @@
 		switch {
 		case err == nil:
 			answerAll(batch, nil)
+			sm.announce(ctx, batch)
 			return
 		case errors.As(err, &conflict):
 			batch = answerStored(batch, conflict.Entries)
@@ -176,6 +179,21 @@
 	}
 }
 
+// announce tells the holder of jobs that have just been stored. Its watch tells
+// it as well, so a failure costs time only.
+func (sm *Submitter) announce(ctx context.Context, batch []*submission) {
+	holder, ok := sm.locator.Holder()
+	if !ok {
+		return
+	}
+	for _, sub := range batch {
+		if err := sm.scheduler.Announce(ctx, holder, sub.data); err != nil {
+			sm.logger.Debug("job not announced", zap.String("job", string(sub.job.ID)), zap.Error(err))
+			return
+		}
+	}
+}
+
 func transactionOf(batch []*submission) storer.Transaction {
 	var tx storer.Transaction
 	for _, sub := range batch {
--- a/coltsfootwick-manager/internal/submitter/submitter_test.go
+++ b/coltsfootwick-manager/internal/submitter/submitter_test.go
@@ -24,8 +24,10 @@
 }
 
 func (fakeScheduler) Pending(context.Context, netip.AddrPort, string) (int, error) { return 0, nil }
-func (fakeScheduler) Holder() (netip.AddrPort, bool)                               { return netip.AddrPort{}, false }
-func (fs fakeScheduler) IsOut() bool                                               { return fs.isOut }
+func (fakeScheduler) Announce(context.Context, netip.AddrPort, []byte) error       { return nil }
+
+func (fakeScheduler) Holder() (netip.AddrPort, bool) { return netip.AddrPort{}, false }
+func (fs fakeScheduler) IsOut() bool                 { return fs.isOut }
 
 // run runs a test in virtual time with a submitter and its store.
 func run(t *testing.T, isOut bool, test func(t *testing.T, sm *Submitter, kr *keeper.Keeper)) {
