--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -24,7 +24,7 @@
 	surplusTime = 700 * time.Millisecond
 	// standbyTime is for how long before they go on standby: about as long as a
 	// VM may run for the price of two moves.
-	standbyTime = 2500 * time.Millisecond
+	standbyTime = 1200 * time.Millisecond
 	// directoryTime is for how long after the duty was won the directory may be
 	// behind the list of VMs; workers report every one and a half seconds.
 	directoryTime = 4 * time.Second
