--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -296,6 +296,20 @@
 	must.Len(t, 0, ordersOf[StopOrder](fx))
 }
 
+func TestLongRunningTasksOfAStepDoNotCrowdOneWorker(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a", "b")
+	st := lasting(4)
+	st.MaxPerWorker = 0
+	st.Demand.MilliCores = 100
+	fx.submit("l", st)
+	perWorker := map[modeller.WorkerID]int{}
+	for _, so := range ordersOf[StartOrder](fx) {
+		perWorker[so.Worker.ID]++
+	}
+	must.Eq(t, map[modeller.WorkerID]int{"a": 2, "b": 2}, perWorker)
+}
+
 func TestGangStartsWholeOrNotAtAll(t *testing.T) {
 	fx := newFixture(t)
 	fx.ready("a")
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -318,9 +318,14 @@
 const (
 	nearDataWeight      = 4
 	besideServerWeight  = 2
+	crowdedWeight       = 3
 	besideLastingWeight = 0.2
 )
 
+// evictionRounds is how many times a long-running step's tasks on one worker may
+// have to be moved one lot after the other; a lot takes about two seconds.
+const evictionRounds = 2
+
 // suitability returns how well a worker suits a task. Fuller workers come first,
 // so that others stay free for a move or an upkeep, and long-running tasks share
 // workers, since they keep a worker where it is.
@@ -329,6 +334,9 @@
 	if rack := tk.step.spec.PreferredRack; rack != "" && wk.info.HasLabel(rack) {
 		score += nearDataWeight
 	}
+	if st := tk.step; st.spec.IsLongRunning && st.perWorker[wk.info.ID] >= evictionRounds*max(st.spec.MaxAway, 1) {
+		score -= crowdedWeight
+	}
 	isServing := tk.step.spec.LatencyTarget > 0
 	for _, rn := range wk.runs {
 		if rn.task == nil {
