--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINTER_VERSION := v2.15.0
 LINTER := $(CURDIR)/.bin/golangci-lint-$(LINTER_VERSION)
 
-.PHONY: all build test known-red race race-programs prove measure slopes bench demo format format-check lint fuzz clean
+.PHONY: all build test known-red race race-programs prove emulate measure slopes bench demo format format-check lint fuzz clean
 
 all: build
 
@@ -48,6 +48,13 @@
 prove: build
 	./bin/standin prove
 
+# DAYS and SEED choose the days that are played; SEED=0 takes fresh ones.
+DAYS := 1000
+SEED := 0
+
+emulate: build
+	./bin/standin emulate --days $(DAYS) --seed $(SEED)
+
 measure: build
 	./bin/standin measure
 
--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/coltsfootwick-manager/internal/dispatcher"
@@ -33,7 +32,7 @@
 )
 
 // errFenced ends a holder whose orders are refused for a later holder's.
-var errFenced = errors.New("a worker or the VM interface has seen a later holder")
+var errFenced = classifier.New(classifier.OrderFenced, "a worker or the VM interface has seen a later holder")
 
 // Conductor holds the duty while it is served. State and Pending may be called
 // at any time.
@@ -207,8 +206,18 @@
 
 func (tm *term) log() {
 	for _, fi := range tm.allocator.Findings() {
-		tm.logger.Info(fi.Message, zap.String("job", string(fi.Job)), zap.String("task", fi.Task), zap.String("worker", string(fi.Worker)),
-			zap.Int("attempt", fi.Attempt), zap.String("reason", fi.Reason), zap.Uint64("epoch", tm.holding.Epoch()))
+		fields := []zap.Field{zap.String("reason", fi.Reason), zap.Uint64("epoch", tm.holding.Epoch())}
+		for _, subject := range []struct{ key, value string }{
+			{"job", string(fi.Job)}, {"task", fi.Task}, {"vm", fi.VM}, {"worker", string(fi.Worker)},
+		} {
+			if subject.value != "" {
+				fields = append(fields, zap.String(subject.key, subject.value))
+			}
+		}
+		if fi.Attempt > 0 {
+			fields = append(fields, zap.Int("attempt", fi.Attempt))
+		}
+		tm.logger.Info(fi.Message, fields...)
 	}
 }
 
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -139,9 +139,10 @@
 type Finding struct {
 	// Message says what was decided.
 	Message string
-	// Job, Task and Worker are what it is about, where there are any.
+	// Job, Task, VM and Worker are what it is about, where there are any.
 	Job    modeller.JobID
 	Task   string
+	VM     string
 	Worker modeller.WorkerID
 	// Attempt is the run's attempt, or zero.
 	Attempt int
--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -331,6 +331,27 @@
 	}
 }
 
+func TestGangMemberWhoseStartHadNoEffectRejoins(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a", "b")
+	gang := oneTask()
+	gang.Count = 5
+	gang.IsGang = true
+	fx.submit("g", gang)
+	starts := ordersOf[StartOrder](fx)
+	must.Len(t, 5, starts)
+	refused := starts[4]
+	for _, so := range starts[:4] {
+		fx.accept(so)
+	}
+	fx.apply(StartEnded{Worker: refused.Worker.ID, Task: refused.Task, Attempt: 1, Outcome: Full})
+	fx.pass(200 * time.Millisecond)
+	again := ordersOf[StartOrder](fx)
+	must.Len(t, 1, again)
+	must.Eq(t, refused.Task, again[0].Task)
+	must.Eq(t, 1, again[0].Attempt)
+}
+
 func TestDrainingWorkerGetsNoWork(t *testing.T) {
 	fx := newFixture(t)
 	fx.ready("a")
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -65,9 +65,11 @@
 	run    *run
 	isDone bool
 	// attempt is the highest that was started as far as is known.
-	attempt    int
-	failed     []int
-	checkpoint string
+	attempt int
+	// endedAttempt is the highest that has ended.
+	endedAttempt int
+	failed       []int
+	checkpoint   string
 	// notBefore is until when it isn't placed.
 	notBefore time.Time
 	avoided   map[modeller.WorkerID]time.Time
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -319,7 +319,7 @@
 	if wk := al.workers[worker]; wk != nil {
 		wk.isCordoned = true
 	}
-	al.note(Finding{Message: "VM moves", Worker: worker, Task: vm, Reason: "to pool " + pool})
+	al.note(Finding{Message: "VM moves", Worker: worker, VM: vm, Reason: "to pool " + pool})
 	al.orders = append(al.orders, VMOrder{
 		VM:   vm,
 		Pool: pool,
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -213,14 +213,24 @@
 }
 
 // placeGang starts all tasks of a gang at once or none, on one rack if there is
-// one with room.
+// one with room. Members whose starts had no effect join those that wait for them.
 func (al *Allocator) placeGang(now time.Time, st *step, open []*worker) {
+	if running := st.runningAttempt(); running > 0 {
+		al.rejoinGang(now, st, open, running)
+		return
+	}
 	attempt := 0
+	checkpoint := ""
 	for _, tk := range st.tasks {
-		if tk.run != nil || tk.isDone || now.Before(tk.notBefore) {
+		if tk.isDone || now.Before(tk.notBefore) {
 			return
 		}
 		attempt = max(attempt, tk.nextAttempt())
+		checkpoint = max(checkpoint, tk.checkpoint)
+	}
+	// All members have to go on from the same checkpoint.
+	for _, tk := range st.tasks {
+		tk.checkpoint = checkpoint
 	}
 	racks := []string{""}
 	if st.spec.IsSameRack {
@@ -233,6 +243,34 @@
 	}
 }
 
+// runningAttempt returns the attempt that members of a gang run at, or zero.
+func (st *step) runningAttempt() int {
+	for _, tk := range st.tasks {
+		if tk.run != nil {
+			return tk.run.attempt
+		}
+	}
+	return 0
+}
+
+// rejoinGang starts the members again whose starts at an attempt had no effect.
+// Once a member's run at that attempt has ended, the others end as well.
+func (al *Allocator) rejoinGang(now time.Time, st *step, open []*worker, attempt int) {
+	for _, tk := range st.tasks {
+		if tk.endedAttempt >= attempt || tk.run != nil && (tk.run.isStopping || tk.run.attempt != attempt) {
+			return
+		}
+	}
+	for _, tk := range st.tasks {
+		if tk.run != nil || tk.isDone {
+			continue
+		}
+		if wk := al.choose(now, tk, open, ""); wk != nil {
+			al.start(now, tk, wk, attempt)
+		}
+	}
+}
+
 func racksOf(open []*worker) []string {
 	var racks []string
 	for _, wk := range open {
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -150,6 +150,7 @@
 		return
 	}
 	tk.attempt = max(tk.attempt, end.Attempt)
+	tk.endedAttempt = max(tk.endedAttempt, end.Attempt)
 	jb := tk.step.job
 	switch end.Kind {
 	case modeller.EndDone:
--- a/standin/main.go
+++ b/standin/main.go
@@ -14,6 +14,7 @@
 	"coltsfootwick.example/standin/internal/bencher"
 	"coltsfootwick.example/standin/internal/comparer"
 	"coltsfootwick.example/standin/internal/demonstrator"
+	"coltsfootwick.example/standin/internal/emulator"
 	"coltsfootwick.example/standin/internal/generator"
 	"coltsfootwick.example/standin/internal/measurer"
 	"coltsfootwick.example/standin/internal/platform"
@@ -31,6 +32,7 @@
 	Load     generator.Command    `cmd:"" help:"Send callers' load and judge the answers."`
 	Demo     demonstrator.Command `cmd:"" help:"Run the demo with the programs of ./bin."`
 	Jobs     rehearser.Command    `cmd:"" help:"Run the demo of jobs on the users' platform with the programs of ./bin."`
+	Emulate  emulator.Command     `cmd:"" help:"Play days of jobs in virtual time and check the promises."`
 	Prove    prover.Command       `cmd:"" help:"Run the proofs of what must always hold."`
 	Measure  measurer.Command     `cmd:"" help:"Measure the policies of the request path in virtual time."`
 	Bench    bencher.Command      `cmd:"" help:"Measure one entry beside direct connections to its targets."`
