--- a/coltsfootwick-manager/internal/runner/health.go
+++ b/coltsfootwick-manager/internal/runner/health.go
@@ -1,8 +1,10 @@
 package runner
 
 import (
+	"context"
 	"sync/atomic"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/shared/process/classifier"
@@ -20,6 +22,10 @@
 
 // observe takes in the outcome of a call.
 func (he *health) observe(call string, err error) {
+	if errors.Is(err, context.Canceled) {
+		// The manager has given the call up itself.
+		return
+	}
 	switch classifier.CodeOf(err) {
 	case classifier.PlatformUnavailable, classifier.PlatformAmbiguous, classifier.PlatformRateLimited:
 		if he.failures.Add(1) == outAfter {
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -60,6 +60,7 @@
 	logger    *zap.Logger
 	ring      chan *submission
 	commits   chan struct{}
+	patience  storer.Patience
 }
 
 // submission is a job that waits to be stored.
@@ -160,7 +161,7 @@
 // the rest is tried again without them.
 func (sm *Submitter) commit(ctx context.Context, batch []*submission) {
 	for len(batch) > 0 {
-		_, err := sm.store.Commit(ctx, transactionOf(batch))
+		_, err := storer.CommitPatiently(ctx, sm.store, transactionOf(batch), &sm.patience)
 		var conflict *storer.ConflictError
 		switch {
 		case err == nil:
@@ -244,7 +245,7 @@
 
 func (sm *Submitter) settleOne(ctx context.Context, sub *submission) error {
 	for sub.ctx.Err() == nil && ctx.Err() == nil {
-		_, err := sm.store.Commit(ctx, transactionOf([]*submission{sub}))
+		_, err := storer.CommitPatiently(ctx, sm.store, transactionOf([]*submission{sub}), &sm.patience)
 		var conflict *storer.ConflictError
 		if err == nil || errors.As(err, &conflict) {
 			return nil
--- a/shared/jobs/archiver/committer.go
+++ b/shared/jobs/archiver/committer.go
@@ -17,6 +17,7 @@
 	epoch       storer.Revision
 	sequenceKey string
 	revision    storer.Revision
+	patience    storer.Patience
 }
 
 // NewCommitter returns the Committer of a holder whose duty's key has the
@@ -57,7 +58,7 @@
 		Key:   cm.sequenceKey,
 		Value: []byte(strconv.FormatUint(uint64(cm.epoch), 10)),
 	})
-	revision, err := cm.store.Commit(ctx, tx)
+	revision, err := storer.CommitPatiently(ctx, cm.store, tx, &cm.patience)
 	if err == nil {
 		cm.revision = revision
 		return nil
--- /dev/null
+++ b/shared/store/storer/patience.go
@@ -0,0 +1,47 @@
+package storer
+
+import (
+	"sync"
+	"time"
+)
+
+// The bounds of a Patience.
+const (
+	// minPatience is well above the time of an answer of a healthy service.
+	minPatience = 200 * time.Millisecond
+	// maxPatience is longer than an answer of a slow one takes.
+	maxPatience = time.Second
+	// patienceFactor is how many times as long as the last answer took the next
+	// is waited for.
+	patienceFactor = 4
+)
+
+// Patience tells how long an answer to a write is worth waiting for, where the
+// write may be sent again: not long while the service answers quickly, so that a
+// lost answer costs little, and longer once it is slow. It is safe for
+// concurrent use.
+type Patience struct {
+	mu   sync.Mutex
+	wait time.Duration
+}
+
+// Wait returns how long the next answer is waited for.
+func (pa *Patience) Wait() time.Duration {
+	pa.mu.Lock()
+	defer pa.mu.Unlock()
+	return max(pa.wait, minPatience)
+}
+
+// Answered tells that an answer took a time.
+func (pa *Patience) Answered(latency time.Duration) {
+	pa.mu.Lock()
+	defer pa.mu.Unlock()
+	pa.wait = min(max(patienceFactor*latency, minPatience), maxPatience)
+}
+
+// Unanswered tells that no answer came in time.
+func (pa *Patience) Unanswered() {
+	pa.mu.Lock()
+	defer pa.mu.Unlock()
+	pa.wait = min(2*max(pa.wait, minPatience), maxPatience)
+}
--- /dev/null
+++ b/shared/store/storer/patience_test.go
@@ -0,0 +1,25 @@
+package storer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"coltsfootwick.example/shared/store/storer"
+)
+
+func TestPatienceFollowsTheService(t *testing.T) {
+	var pa storer.Patience
+	must.Eq(t, 200*time.Millisecond, pa.Wait())
+	pa.Unanswered()
+	must.Eq(t, 400*time.Millisecond, pa.Wait())
+	pa.Answered(350 * time.Millisecond)
+	must.Eq(t, time.Second, pa.Wait())
+	for range 5 {
+		pa.Unanswered()
+	}
+	must.Eq(t, time.Second, pa.Wait())
+	pa.Answered(4 * time.Millisecond)
+	must.Eq(t, 200*time.Millisecond, pa.Wait())
+}
