--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -130,7 +130,6 @@
 				StopGrace:       settings.Bounds.StopGrace,
 				StatusRetention: settings.Bounds.StatusRetention,
 				UpkeepTime:      settings.Bounds.UpkeepTime,
-				AwayNotice:      settings.Bounds.AwayNotice,
 			},
 			Platform: dispatcher.Platform{
 				Workers: adapter.NewWorkers(),
--- /dev/null
+++ b/coltsfootwick-manager/internal/submitter/cancel.go
@@ -0,0 +1,66 @@
+package submitter
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"coltsfootwick.example/shared/jobs/archiver"
+	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
+)
+
+// Cancel implements adapter.Jobs.
+func (sm *Submitter) Cancel(ctx context.Context, queue string, id modeller.JobID) error {
+	err := sm.cancel(ctx, queue, id)
+	sm.logger.Info("cancellation", zap.String("job", string(id)), zap.String("queue", queue), zap.Error(err))
+	return err
+}
+
+func (sm *Submitter) cancel(ctx context.Context, queue string, id modeller.JobID) error {
+	for {
+		err := sm.cancelOnce(ctx, queue, id)
+		if code := classifier.CodeOf(err); code != classifier.PlatformConflict && code != classifier.PlatformAmbiguous {
+			return err
+		}
+		timer := time.NewTimer(settlePause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return classifier.Wrap(err, classifier.JobOutcomeUnknown, "job %s", id)
+		}
+	}
+}
+
+// cancelOnce stores the wish on the condition that the job is as it was read,
+// so that none is left behind for a job that has ended.
+func (sm *Submitter) cancelOnce(ctx context.Context, queue string, id modeller.JobID) error {
+	et, err := sm.store.Get(ctx, archiver.JobKey(queue, id))
+	switch classifier.CodeOf(err) {
+	case classifier.OK:
+	case classifier.PlatformNotFound:
+		return classifier.New(classifier.JobUnknown, "job %s", id)
+	default:
+		return classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
+	}
+	jr, err := modeller.DecodeJob(et.Value)
+	if err != nil {
+		return classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
+	}
+	if jr.FinalState != "" {
+		return nil
+	}
+	_, err = sm.store.Commit(ctx, storer.Transaction{
+		Expected: []storer.Expectation{{Key: et.Key, Revision: et.Revision}},
+		Writes:   []storer.Write{{Key: archiver.CancelKey(queue, id), Value: []byte("{}")}},
+	})
+	switch classifier.CodeOf(err) {
+	case classifier.PlatformUnavailable, classifier.PlatformRateLimited:
+		return classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/coltsfootwick-manager/internal/submitter/state.go
@@ -0,0 +1,63 @@
+package submitter
+
+import (
+	"context"
+
+	"coltsfootwick.example/shared/jobs/archiver"
+	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/shared/process/classifier"
+)
+
+// State implements adapter.Jobs. The holder knows best; without it, or if it
+// doesn't know the job, the store does.
+func (sm *Submitter) State(ctx context.Context, queue string, id modeller.JobID) (modeller.JobState, error) {
+	if holder, ok := sm.locator.Holder(); ok {
+		state, err := sm.scheduler.State(ctx, holder, id)
+		if err == nil {
+			return state, nil
+		}
+	}
+	return sm.storedState(ctx, queue, id)
+}
+
+// storedState returns the state of a job as the store has it.
+func (sm *Submitter) storedState(ctx context.Context, queue string, id modeller.JobID) (modeller.JobState, error) {
+	key := archiver.JobKey(queue, id)
+	entries, _, err := sm.store.List(ctx, key)
+	if err != nil {
+		return "", classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
+	}
+	state := modeller.JobState("")
+	isCancelled := false
+	for _, et := range entries {
+		switch et.Key {
+		case key:
+			jr, err := modeller.DecodeJob(et.Value)
+			if err != nil {
+				return "", classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
+			}
+			state = modeller.JobRunning
+			if jr.FinalState != "" {
+				state = jr.FinalState
+			}
+		case archiver.CancelKey(queue, id):
+			isCancelled = true
+		}
+	}
+	switch {
+	case state == "":
+		return "", classifier.New(classifier.JobUnknown, "job %s", id)
+	case isCancelled && !state.IsFinal():
+		return modeller.JobCancelled, nil
+	}
+	return state, nil
+}
+
+// Pending implements adapter.Jobs.
+func (sm *Submitter) Pending(ctx context.Context, queue string) (int, error) {
+	holder, ok := sm.locator.Holder()
+	if !ok {
+		return 0, classifier.New(classifier.JobUnavailable, "no scheduler is known")
+	}
+	return sm.scheduler.Pending(ctx, holder, queue)
+}
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -36,8 +36,6 @@
 	DutyLease time.Duration
 	// UpkeepTime is how long maintenance takes a VM away.
 	UpkeepTime time.Duration
-	// AwayNotice is from when a task that isn't at work counts as away.
-	AwayNotice time.Duration
 }
 
 // Times and limits of decisions.
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -183,7 +183,6 @@
 			delete(al.dirty, id)
 		}
 	}
-	al.fleet.stored(bt.Waves)
 	al.acknowledge(bt)
 }
 
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -261,7 +261,7 @@
 	case BatchFailed:
 		al.batchFailed(ev.Batch)
 	case VMsListed:
-		al.listVMs(now, ev)
+		al.listVMs(ev)
 	case WaveRecorded:
 		al.recordWave(now, ev.Wave)
 	case WaveProgressLoaded:
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -20,7 +20,6 @@
 	StopGrace:       900 * time.Millisecond,
 	StatusRetention: time.Minute,
 	UpkeepTime:      2 * time.Second,
-	AwayNotice:      4500 * time.Millisecond,
 }
 
 // fixture is an allocator in virtual time. Workers report only when a test has
--- /dev/null
+++ b/shared/jobs/allocator/fleet.go
@@ -0,0 +1,97 @@
+package allocator
+
+import (
+	"time"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+// fleet is the state of VMs and waves.
+type fleet struct {
+	vms      map[string]modeller.VM
+	waves    map[int64]*wave
+	listedAt time.Time
+	askedAt  time.Time
+	isAsking bool
+	// moves are the VMs on their way to another pool.
+	moves          map[string]*move
+	movesPlannedAt time.Time
+	// history is by pool.
+	history map[string]needHistory
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		vms:     map[string]modeller.VM{},
+		waves:   map[int64]*wave{},
+		moves:   map[string]*move{},
+		history: map[string]needHistory{},
+	}
+}
+
+func (al *Allocator) listVMs(ev VMsListed) {
+	fl := al.fleet
+	fl.isAsking = false
+	if ev.VMs == nil {
+		return
+	}
+	fl.listedAt = ev.AskedAt
+	clear(fl.vms)
+	for _, vm := range ev.VMs {
+		fl.vms[vm.Name] = vm
+	}
+}
+
+// planFleet empties VMs that are due for maintenance and orders their upkeep.
+func (al *Allocator) planFleet(now time.Time) {
+	fl := al.fleet
+	isActive := al.standbyPool() != ""
+	for _, number := range fl.numbers() {
+		wv := fl.waves[number]
+		if wv.isAllDone {
+			continue
+		}
+		isActive = true
+		if !fl.listedAt.IsZero() && al.isLoaded {
+			al.planWave(now, wv)
+		}
+	}
+	if isActive && !fl.isAsking && now.Sub(fl.askedAt) >= vmListInterval {
+		fl.isAsking = true
+		fl.askedAt = now
+		al.orders = append(al.orders, ListVMsOrder{})
+	}
+}
+
+// vmOrderEnded takes in what became of a move or an upkeep.
+func (al *Allocator) vmOrderEnded(now time.Time, ev VMOrderEnded) {
+	if ev.Order.Pool != "" {
+		al.moveEnded(now, ev)
+		return
+	}
+	wv := al.fleet.waves[ev.Order.Wave]
+	if wv == nil || wv.down[ev.Order.VM] == nil {
+		return
+	}
+	dv := wv.down[ev.Order.VM]
+	dv.isSending = false
+	al.note(Finding{Message: "upkeep ordered", Worker: dv.worker, Reason: ev.Outcome.String()})
+	switch ev.Outcome {
+	case Accepted:
+		dv.isAccepted = true
+		dv.acceptedAt = now
+		wv.maintained[ev.Order.VM] = struct{}{}
+		delete(wv.emptying, ev.Order.VM)
+		wv.isDirty = true
+		if wk := al.workers[dv.worker]; wk != nil {
+			al.takeDown(now, wk, "VM goes down for upkeep")
+		}
+	case Malformed:
+		// The VM or its wave is unknown to the platform; there is nothing to wait for.
+		wv.maintained[ev.Order.VM] = struct{}{}
+		delete(wv.emptying, ev.Order.VM)
+		delete(wv.down, ev.Order.VM)
+		al.uncordon(dv.worker)
+	default:
+	}
+}
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -32,51 +32,6 @@
 	loaded map[modeller.TaskName]modeller.TaskProgress
 }
 
-// occurrence is one run of a job's steps.
-type occurrence struct {
-	number int
-	steps  []*step
-	isDone bool
-}
-
-// step is one step of an occurrence.
-type step struct {
-	spec    modeller.Step
-	job     *job
-	tasks   []*task
-	done    int
-	waiting int
-	// tickets let workers run the step, where the queue needs them.
-	tickets map[modeller.WorkerID]ticket
-	// perWorker counts the step's runs.
-	perWorker map[modeller.WorkerID]int
-}
-
-// ticket lets a worker run a step.
-type ticket struct {
-	text       string
-	validUntil time.Time
-}
-
-// task is one task of a step.
-type task struct {
-	name   modeller.TaskName
-	step   *step
-	run    *run
-	isDone bool
-	// attempt is the highest that was started as far as is known.
-	attempt int
-	// endedAttempt is the highest that has ended.
-	endedAttempt int
-	failed       []int
-	checkpoint   string
-	// notBefore is until when it isn't placed.
-	notBefore time.Time
-	avoided   map[modeller.WorkerID]time.Time
-	// awaySince is since when a long-running task is not at work.
-	awaySince time.Time
-}
-
 func (al *Allocator) configure(cf modeller.Configuration) {
 	if cf.Version >= al.configuration.Version {
 		al.configuration = cf
@@ -190,8 +145,7 @@
 					Step:       stepNumber,
 					Index:      index,
 				},
-				step:      st,
-				awaySince: now,
+				step: st,
 			}
 			al.restore(tk, jb)
 			st.tasks = append(st.tasks, tk)
@@ -204,22 +158,10 @@
 		oc.steps = append(oc.steps, st)
 	}
 	jb.occurrences = append(jb.occurrences, oc)
-	al.settleOccurrence(jb, oc)
+	oc.settle()
 	al.settleJob(now, jb)
 }
 
-// restore sets a task to what is known of it from earlier holders.
-func (al *Allocator) restore(tk *task, jb *job) {
-	tp, ok := jb.loaded[tk.name]
-	if !ok {
-		return
-	}
-	tk.isDone = tp.IsDone
-	tk.attempt = tp.Attempt
-	tk.failed = slices.Clone(tp.FailedAttempts)
-	tk.checkpoint = tp.Checkpoint
-}
-
 // beginDue begins the occurrences that are due by the time of day.
 func (al *Allocator) beginDue(now time.Time, timeOfDay time.Time) {
 	if al.timed == 0 {
@@ -237,19 +179,6 @@
 	}
 }
 
-// findTask returns a task, or nil.
-func (al *Allocator) findTask(name modeller.TaskName) *task {
-	jb := al.jobs[name.Job]
-	if jb == nil || name.Occurrence >= len(jb.occurrences) {
-		return nil
-	}
-	oc := jb.occurrences[name.Occurrence]
-	if name.Step >= len(oc.steps) || name.Index >= len(oc.steps[name.Step].tasks) {
-		return nil
-	}
-	return oc.steps[name.Step].tasks[name.Index]
-}
-
 // cancel has all runs of a job stopped.
 func (al *Allocator) cancel(now time.Time, id modeller.JobID) {
 	jb := al.jobs[id]
@@ -280,16 +209,6 @@
 	al.dirty[jb.info.ID] = jb
 }
 
-// settleOccurrence notes whether an occurrence is done.
-func (al *Allocator) settleOccurrence(_ *job, oc *occurrence) {
-	for _, st := range oc.steps {
-		if st.done < len(st.tasks) {
-			return
-		}
-	}
-	oc.isDone = true
-}
-
 // settleJob ends a job that has nothing left to do.
 func (al *Allocator) settleJob(now time.Time, jb *job) {
 	if jb.outcome != "" || len(jb.info.Steps) == 0 {
@@ -364,59 +283,6 @@
 	return false
 }
 
-// isReady reports whether all steps that come before a step are done.
-func (oc *occurrence) isReady(st *step) bool {
-	for _, earlier := range st.spec.After {
-		if oc.steps[earlier].done < len(oc.steps[earlier].tasks) {
-			return false
-		}
-	}
-	return true
-}
-
-// release makes a task wait for its next start.
-func (al *Allocator) release(now time.Time, tk *task, reason string) {
-	rn := tk.run
-	if rn == nil {
-		return
-	}
-	tk.run = nil
-	tk.step.perWorker[rn.worker.info.ID]--
-	if tk.isDone {
-		al.settleJob(now, tk.step.job)
-		return
-	}
-	tk.step.waiting++
-	tk.awaySince = now
-	al.note(Finding{Message: "task waits again", Task: tk.name.String(), Worker: rn.worker.info.ID, Attempt: rn.attempt, Reason: reason})
-	al.settleJob(now, tk.step.job)
-}
-
-// attach gives a task its run.
-func (al *Allocator) attach(tk *task, rn *run) {
-	tk.run = rn
-	tk.attempt = max(tk.attempt, rn.attempt)
-	tk.step.waiting--
-	tk.step.perWorker[rn.worker.info.ID]++
-	tk.step.job.hasStarted = true
-}
-
-// complete notes that a task is done.
-func (al *Allocator) complete(now time.Time, tk *task) {
-	if tk.isDone {
-		return
-	}
-	tk.isDone = true
-	st := tk.step
-	st.done++
-	if tk.run == nil {
-		st.waiting--
-	}
-	jb := st.job
-	al.settleOccurrence(jb, jb.occurrences[tk.name.Occurrence])
-	al.settleJob(now, jb)
-}
-
 // State returns the state of a job, and false if it isn't known.
 func (al *Allocator) State(id modeller.JobID) (modeller.JobState, bool) {
 	if ended, ok := al.ended[id]; ok {
--- a/shared/jobs/allocator/plan.go
+++ b/shared/jobs/allocator/plan.go
@@ -1,6 +1,8 @@
 package allocator
 
-import "time"
+import (
+	"time"
+)
 
 // choreInterval is the least time between two rounds of what depends on time
 // alone, so that a burst of events doesn't repeat it.
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -78,9 +78,6 @@
 	if reported.Checkpoint != "" {
 		tk.checkpoint = reported.Checkpoint
 	}
-	if isAtWork(rn) {
-		tk.awaySince = time.Time{}
-	}
 }
 
 // isAtWork reports whether a long-running task serves, as far as is known: of a
--- /dev/null
+++ b/shared/jobs/allocator/stall.go
@@ -0,0 +1,26 @@
+package allocator
+
+import (
+	"time"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+// moveStalled stops runs that make no progress, so that they start elsewhere.
+func (al *Allocator) moveStalled(now time.Time) {
+	for _, wk := range al.inOrder() {
+		for _, rn := range wk.runsInOrder() {
+			isStuck := rn.state == runRunning && !rn.isStopping && rn.task != nil && now.Sub(wk.reportedAt) < reportFreshness &&
+				now.Sub(rn.progressAt) > stallTimeout
+			if !isStuck || rn.progress >= 100 || rn.task.step.spec.IsFilling {
+				continue
+			}
+			if rn.task.avoided == nil {
+				rn.task.avoided = map[modeller.WorkerID]time.Time{}
+			}
+			rn.task.avoided[wk.info.ID] = now.Add(avoidTime)
+			al.note(Finding{Message: "run stalled", Task: rn.name.String(), Worker: wk.info.ID, Attempt: rn.attempt, Reason: "no progress"})
+			al.stop(now, rn)
+		}
+	}
+}
--- /dev/null
+++ b/shared/jobs/allocator/suit.go
@@ -0,0 +1,76 @@
+package allocator
+
+import (
+	"time"
+)
+
+// Weights of a worker's suitability beside its free share, which is at most 1.
+const (
+	nearDataWeight      = 4
+	besideServerWeight  = 2
+	crowdedWeight       = 3
+	besideLastingWeight = 0.2
+)
+
+// evictionRounds is how many times a long-running step's tasks on one worker may
+// have to be moved one lot after the other; a lot takes about two seconds.
+const evictionRounds = 2
+
+// choose returns the best worker for a task, or nil if none has room. Tasks go
+// near their data, filling tasks away from serving ones, and all others to the
+// fullest worker that has room.
+func (al *Allocator) choose(now time.Time, tk *task, open []*worker, rack string) *worker {
+	st := tk.step
+	demand := st.spec.Occupies()
+	var best *worker
+	var bestScore float64
+	for _, wk := range open {
+		if rack != "" && rackOf(wk.info) != rack {
+			continue
+		}
+		if !wk.info.HasLabel(st.spec.RequiredLabel) || !wk.used.Plus(demand).FitsIn(wk.info.Capacity) {
+			continue
+		}
+		if st.spec.MaxPerWorker > 0 && st.perWorker[wk.info.ID] >= st.spec.MaxPerWorker {
+			continue
+		}
+		if now.Before(tk.avoided[wk.info.ID]) || wk.runs[tk.name] != nil {
+			continue
+		}
+		if st.tickets != nil && !st.tickets[wk.info.ID].isValid(now) {
+			continue
+		}
+		score := suitability(tk, wk)
+		if best == nil || score > bestScore {
+			best, bestScore = wk, score
+		}
+	}
+	return best
+}
+
+// suitability returns how well a worker suits a task. Fuller workers come first,
+// so that others stay free for a move or an upkeep, and long-running tasks share
+// workers, since they keep a worker where it is.
+func suitability(tk *task, wk *worker) float64 {
+	score := float64(wk.used.MilliCores) / float64(max(wk.info.Capacity.MilliCores, 1))
+	if rack := tk.step.spec.PreferredRack; rack != "" && wk.info.HasLabel(rack) {
+		score += nearDataWeight
+	}
+	if st := tk.step; st.spec.IsLongRunning && st.perWorker[wk.info.ID] >= evictionRounds*max(st.spec.MaxAway, 1) {
+		score -= crowdedWeight
+	}
+	isServing := tk.step.spec.LatencyTarget > 0
+	for _, rn := range wk.runs {
+		if rn.task == nil {
+			continue
+		}
+		other := rn.task.step.spec
+		if other.IsLongRunning && !other.IsFilling {
+			score += besideLastingWeight
+		}
+		if tk.step.spec.IsFilling && (other.LatencyTarget > 0 || other.IsFilling) || isServing && other.IsFilling {
+			score -= besideServerWeight
+		}
+	}
+	return score
+}
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -30,20 +30,6 @@
 	urgentShare = 0.6
 )
 
-// fleet is the state of VMs and waves.
-type fleet struct {
-	vms      map[string]modeller.VM
-	waves    map[int64]*wave
-	listedAt time.Time
-	askedAt  time.Time
-	isAsking bool
-	// moves are the VMs on their way to another pool.
-	moves          map[string]*move
-	movesPlannedAt time.Time
-	// history is by pool.
-	history map[string]needHistory
-}
-
 // wave is a maintenance wave.
 type wave struct {
 	info       modeller.Wave
@@ -56,7 +42,6 @@
 	// elapsed is how long the wave had lasted under earlier holders.
 	elapsed   time.Duration
 	isDirty   bool
-	isStored  bool
 	isAllDone bool
 }
 
@@ -71,15 +56,6 @@
 	sentAt    time.Time
 }
 
-func newFleet() *fleet {
-	return &fleet{
-		vms:     map[string]modeller.VM{},
-		waves:   map[int64]*wave{},
-		moves:   map[string]*move{},
-		history: map[string]needHistory{},
-	}
-}
-
 func (fl *fleet) wave(number int64) *wave {
 	wv := fl.waves[number]
 	if wv == nil {
@@ -116,14 +92,6 @@
 	return changed
 }
 
-func (fl *fleet) stored(waves []WaveProgress) {
-	for _, wp := range waves {
-		if wp.IsCompleted {
-			fl.waves[wp.Number].isStored = true
-		}
-	}
-}
-
 func (fl *fleet) failed(waves []WaveProgress) {
 	for _, wp := range waves {
 		fl.waves[wp.Number].isDirty = true
@@ -149,40 +117,6 @@
 	}
 }
 
-func (al *Allocator) listVMs(_ time.Time, ev VMsListed) {
-	fl := al.fleet
-	fl.isAsking = false
-	if ev.VMs == nil {
-		return
-	}
-	fl.listedAt = ev.AskedAt
-	clear(fl.vms)
-	for _, vm := range ev.VMs {
-		fl.vms[vm.Name] = vm
-	}
-}
-
-// planFleet empties VMs that are due for maintenance and orders their upkeep.
-func (al *Allocator) planFleet(now time.Time) {
-	fl := al.fleet
-	isActive := al.standbyPool() != ""
-	for _, number := range fl.numbers() {
-		wv := fl.waves[number]
-		if wv.isAllDone {
-			continue
-		}
-		isActive = true
-		if !fl.listedAt.IsZero() && al.isLoaded {
-			al.planWave(now, wv)
-		}
-	}
-	if isActive && !fl.isAsking && now.Sub(fl.askedAt) >= vmListInterval {
-		fl.isAsking = true
-		fl.askedAt = now
-		al.orders = append(al.orders, ListVMsOrder{})
-	}
-}
-
 func (fl *fleet) numbers() []int64 {
 	var numbers []int64
 	for number, wv := range fl.waves {
@@ -376,95 +310,3 @@
 		Wave: wv.info.Number,
 	})
 }
-
-// empty has a worker's long-running tasks stopped as far as their steps can do
-// without them, and with isUrgent all that saves its progress. It reports
-// whether the worker runs nothing any more.
-func (al *Allocator) empty(now time.Time, wk *worker, isUrgent bool) bool {
-	if !wk.isSynced {
-		return al.confirmedAt.After(al.leaseBound(wk))
-	}
-	if len(wk.runs) == 0 {
-		return true
-	}
-	for _, rn := range wk.runsInOrder() {
-		switch {
-		case rn.isStopping || rn.task == nil:
-		case rn.task.step.spec.IsLongRunning:
-			if al.seesStops(now) && rn.task.step.canMiss(rn) {
-				al.stop(now, rn)
-			}
-		case isUrgent && rn.task.step.spec.IsCheckpointing:
-			al.stop(now, rn)
-		}
-	}
-	return false
-}
-
-// seesStops reports whether the stops that an earlier holder ordered have taken
-// effect: until then, workers list their runs as if they went on.
-func (al *Allocator) seesStops(now time.Time) bool {
-	return now.Sub(al.startedAt) > al.bounds.StopGrace+stopMargin
-}
-
-// canMiss reports whether a long-running step can do without one more task. All
-// that aren't at work count as away, for whatever cause.
-func (st *step) canMiss(rn *run) bool {
-	away := 0
-	for _, tk := range st.tasks {
-		if tk != rn.task && !isAtWork(tk.run) {
-			away++
-		}
-	}
-	if !isAtWork(rn) {
-		return rn.state == runRunning && away < max(st.spec.MaxAway, 1)
-	}
-	return away < max(st.spec.MaxAway, 1)
-}
-
-// leaveDraining moves long-running tasks off workers that are about to leave.
-func (al *Allocator) leaveDraining(now time.Time) {
-	for _, wk := range al.inOrder() {
-		if !wk.info.IsDraining {
-			continue
-		}
-		for _, rn := range wk.runsInOrder() {
-			if rn.task != nil && rn.task.step.spec.IsLongRunning && !rn.isStopping && rn.state == runRunning {
-				al.stop(now, rn)
-			}
-		}
-	}
-}
-
-// vmOrderEnded takes in what became of a move or an upkeep.
-func (al *Allocator) vmOrderEnded(now time.Time, ev VMOrderEnded) {
-	if ev.Order.Pool != "" {
-		al.moveEnded(now, ev)
-		return
-	}
-	wv := al.fleet.waves[ev.Order.Wave]
-	if wv == nil || wv.down[ev.Order.VM] == nil {
-		return
-	}
-	dv := wv.down[ev.Order.VM]
-	dv.isSending = false
-	al.note(Finding{Message: "upkeep ordered", Worker: dv.worker, Reason: ev.Outcome.String()})
-	switch ev.Outcome {
-	case Accepted:
-		dv.isAccepted = true
-		dv.acceptedAt = now
-		wv.maintained[ev.Order.VM] = struct{}{}
-		delete(wv.emptying, ev.Order.VM)
-		wv.isDirty = true
-		if wk := al.workers[dv.worker]; wk != nil {
-			al.takeDown(now, wk, "VM goes down for upkeep")
-		}
-	case Malformed:
-		// The VM or its wave is unknown to the platform; there is nothing to wait for.
-		wv.maintained[ev.Order.VM] = struct{}{}
-		delete(wv.emptying, ev.Order.VM)
-		delete(wv.down, ev.Order.VM)
-		al.uncordon(dv.worker)
-	default:
-	}
-}
--- a/standin/internal/emulator/check.go
+++ b/standin/internal/emulator/check.go
@@ -131,7 +131,7 @@
 // or has been away for long for whatever cause.
 func (dy *Day) isStoppedAway(name modeller.TaskName) bool {
 	ls := dy.lasting[name]
-	return ls != nil && !dy.isAtWork(name) && (ls.isStopped || dy.now.Sub(ls.atWorkAt) >= bounds.AwayNotice)
+	return ls != nil && !dy.isAtWork(name) && (ls.isStopped || dy.now.Sub(ls.atWorkAt) >= awayNotice)
 }
 
 func (dy *Day) isAtWork(name modeller.TaskName) bool {
--- a/standin/internal/executor/executor.go
+++ b/standin/internal/executor/executor.go
@@ -258,6 +258,9 @@
 	if ex.leaseEnd > 0 && ex.leaseEnd <= ex.Clock(now) {
 		ex.lapsedAt = now
 	}
+	if !ex.isDue(now) {
+		return
+	}
 	for _, name := range slices.SortedFunc(maps.Keys(ex.runs), func(a, b modeller.TaskName) int {
 		return cmp.Or(ex.endOf(ex.runs[a]).Compare(ex.endOf(ex.runs[b])), a.Compare(b))
 	}) {
@@ -276,6 +279,19 @@
 	}
 }
 
+// isDue reports whether a run may end by a time.
+func (ex *Executor) isDue(now time.Time) bool {
+	if len(ex.runs) > 0 && ex.leaseEnd > 0 && ex.leaseEnd <= ex.Clock(now) {
+		return true
+	}
+	for _, rn := range ex.runs {
+		if !rn.stopAt.IsZero() && !now.Before(rn.stopAt) || !now.Before(ex.endOf(rn)) {
+			return true
+		}
+	}
+	return false
+}
+
 // endOf returns when a run ends by itself.
 func (ex *Executor) endOf(rn *run) time.Time {
 	return rn.startedAt.Add(time.Duration(float64(rn.profile.Duration) * rn.slowness))
