--- a/shared/jobs/allocator/suit.go
+++ b/shared/jobs/allocator/suit.go
@@ -2,9 +2,12 @@
 
 import (
 	"time"
+
+	"coltsfootwick.example/shared/jobs/modeller"
 )
 
-// Weights of a worker's suitability beside its free share, which is at most 1.
+// Weights of a worker's suitability beside the share of it that is used, which
+// is at most 1.
 const (
 	nearDataWeight      = 4
 	besideServerWeight  = 2
@@ -59,18 +62,25 @@
 	if st := tk.step; st.spec.IsLongRunning && st.perWorker[wk.info.ID] >= evictionRounds*max(st.spec.MaxAway, 1) {
 		score -= crowdedWeight
 	}
-	isServing := tk.step.spec.LatencyTarget > 0
+	lasting, disturbing := neighbours(tk.step.spec, wk)
+	return score + besideLastingWeight*float64(lasting) - besideServerWeight*float64(disturbing)
+}
+
+// neighbours counts a worker's long-running tasks, and those that a task of a
+// step would disturb or be disturbed by.
+func neighbours(spec modeller.Step, wk *worker) (lasting, disturbing int) {
+	isServing := spec.LatencyTarget > 0
 	for _, rn := range wk.runs {
 		if rn.task == nil {
 			continue
 		}
 		other := rn.task.step.spec
 		if other.IsLongRunning && !other.IsFilling {
-			score += besideLastingWeight
+			lasting++
 		}
-		if tk.step.spec.IsFilling && (other.LatencyTarget > 0 || other.IsFilling) || isServing && other.IsFilling {
-			score -= besideServerWeight
+		if spec.IsFilling && (other.LatencyTarget > 0 || other.IsFilling) || isServing && other.IsFilling {
+			disturbing++
 		}
 	}
-	return score
+	return lasting, disturbing
 }
