--- a/shared/store/storer/follow_test.go
+++ b/shared/store/storer/follow_test.go
@@ -253,13 +253,13 @@
 		store := keeper.New().Zone("a")
 		vw := newView(t)
 		stop := follow(t, store, vw)
-		defer stop()
 		time.Sleep(time.Second)
 		_, err := store.Commit(t.Context(), storer.Transaction{
 			Writes: []storer.Write{{Key: "k/1", Value: []byte("one")}, {Key: "k/2", Value: []byte("two")}},
 		})
-		must.NoError(t, err)
 		time.Sleep(time.Second)
+		stop()
+		must.NoError(t, err)
 		must.Eq(t, map[string]string{"k/1": "one", "k/2": "two"}, vw.values)
 	})
 }
