--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -117,7 +117,7 @@
 			LeaseEnd:   od.LeaseEnd,
 			Fence:      di.fence,
 		})
-		di.log("start", od.Worker.ID, od.Task, od.Attempt, err)
+		di.log("start", od.Worker.ID, od.Task, od.Attempt, err, zap.Duration("reportAge", od.ReportAge), zap.Int("freeMilliCores", od.FreeMilliCores))
 		di.tell(allocator.StartEnded{
 			Worker:  od.Worker.ID,
 			Task:    od.Task,
@@ -155,8 +155,8 @@
 	}
 }
 
-func (di *Dispatcher) log(order string, worker modeller.WorkerID, task modeller.TaskName, attempt int, err error) {
-	fields := []zap.Field{zap.String("worker", string(worker)), zap.Stringer("task", task), zap.Int("attempt", attempt), zap.Uint64("fence", di.fence)}
+func (di *Dispatcher) log(order string, worker modeller.WorkerID, task modeller.TaskName, attempt int, err error, inputs ...zap.Field) {
+	fields := append([]zap.Field{zap.String("worker", string(worker)), zap.Stringer("task", task), zap.Int("attempt", attempt), zap.Uint64("fence", di.fence)}, inputs...)
 	if err != nil {
 		di.logger.Warn(order+" refused or in doubt", append(fields, zap.Error(err))...)
 		return
--- a/shared/jobs/allocator/order.go
+++ b/shared/jobs/allocator/order.go
@@ -26,6 +26,10 @@
 	Ticket string
 	// LeaseEnd is the end of the worker's lease by its own clock.
 	LeaseEnd time.Duration
+	// ReportAge is how old the worker's last report was when the start was
+	// decided, and FreeMilliCores what it had free then.
+	ReportAge      time.Duration
+	FreeMilliCores int
 }
 
 // StopOrder has a worker stop a run.
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -103,16 +103,19 @@
 		progressAt: now,
 		progress:   -1,
 	}
+	free := wk.info.Capacity.Minus(wk.used)
 	al.attach(tk, rn)
 	wk.addRun(rn)
 	al.touch(tk.step.job)
 	al.orders = append(al.orders, StartOrder{
-		Worker:     wk.info,
-		Task:       tk.name,
-		Attempt:    attempt,
-		Payload:    tk.step.job.info.Payload,
-		Checkpoint: tk.checkpoint,
-		Ticket:     tk.step.tickets[wk.info.ID].text,
-		LeaseEnd:   wk.leaseEnd,
+		Worker:         wk.info,
+		Task:           tk.name,
+		Attempt:        attempt,
+		Payload:        tk.step.job.info.Payload,
+		Checkpoint:     tk.checkpoint,
+		Ticket:         tk.step.tickets[wk.info.ID].text,
+		LeaseEnd:       wk.leaseEnd,
+		ReportAge:      now.Sub(wk.reportedAt),
+		FreeMilliCores: free.MilliCores,
 	})
 }
