--- a/shared/store/storer/patience.go
+++ b/shared/store/storer/patience.go
@@ -7,8 +7,9 @@
 
 // The bounds of a Patience.
 const (
-	// minPatience is well above the time of an answer of a healthy service.
-	minPatience = 200 * time.Millisecond
+	// minPatience is above the time of an answer of a service a hundred times
+	// slower than it should be, 400 ms, which must not be taken for out.
+	minPatience = 600 * time.Millisecond
 	// maxPatience is longer than an answer of a slow one takes.
 	maxPatience = time.Second
 	// patienceFactor is how many times as long as the last answer took the next
