allocator: let the silent worker's test fail without its mend

Cause: the test answered looks that were not under way, so none was ordered and no lease extended, with the mend or without. Now it leaves each look that is ordered without an answer, and fails when a silent worker's lease is extended.

--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -22,8 +22,10 @@
 	fx.ready("a", "b")
 	start := fx.startOne("j")
 	other := map[modeller.WorkerID]string{"a": "b", "b": "a"}[start.Worker.ID]
+	// The look that was under way gets no answer, and none after it does.
+	fx.apply(LookFailed{Worker: start.Worker.ID, Outcome: Unanswered})
 	for range 70 {
-		fx.apply(LookFailed{Worker: start.Worker.ID, Outcome: Unanswered})
+		fx.failLooks(start.Worker.ID)
 		fx.report(other, nil)
 		fx.pass(100 * time.Millisecond)
 	}
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -225,3 +226,16 @@
 		Worker: modeller.WorkerID(worker),
 	}
 }
+
+// failLooks leaves the looks at a worker that were ordered since the last call
+// without an answer.
+func (fx *fixture) failLooks(id modeller.WorkerID) {
+	fx.orders = slices.DeleteFunc(fx.orders, func(od Order) bool {
+		lo, ok := od.(LookOrder)
+		if !ok || lo.Worker.ID != id {
+			return false
+		}
+		fx.apply(LookFailed{Worker: id, Outcome: Unanswered})
+		return true
+	})
+}
