--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -54,6 +54,8 @@
 // question asks the allocator for something.
 type question struct {
 	ask func(al *allocator.Allocator)
+	// isNews is true if the answer may call for orders.
+	isNews bool
 	// done is closed once it has been asked.
 	done chan struct{}
 }
@@ -146,6 +148,9 @@
 		case qu := <-tm.questions:
 			qu.ask(tm.allocator)
 			close(qu.done)
+			if !qu.isNews {
+				continue
+			}
 		case err := <-tm.failed:
 			return err
 		case <-ticker.C:
@@ -235,10 +240,13 @@
 // ask has a question asked by the allocator's goroutine. The error is
 // JobUnavailable if the duty is not held here.
 func (cd *Conductor) ask(ctx context.Context, ask func(al *allocator.Allocator)) error {
-	qu := question{
+	return cd.put(ctx, question{
 		ask:  ask,
 		done: make(chan struct{}),
-	}
+	})
+}
+
+func (cd *Conductor) put(ctx context.Context, qu question) error {
 	timer := time.NewTimer(askTimeout)
 	defer timer.Stop()
 	select {
@@ -273,14 +281,18 @@
 
 // Announce takes a job that is stored; the watch tells of it as well.
 func (cd *Conductor) Announce(ctx context.Context, jr modeller.JobRecord) error {
-	return cd.ask(ctx, func(al *allocator.Allocator) {
-		// Before the records are loaded, the job's place among those of earlier
-		// holders isn't known.
-		if al.IsLoaded() {
-			al.Apply(timekeeper.Now(), allocator.JobRecorded{
-				Record: jr,
-			})
-		}
+	return cd.put(ctx, question{
+		ask: func(al *allocator.Allocator) {
+			// Before the records are loaded, the job's place among those of
+			// earlier holders isn't known.
+			if al.IsLoaded() {
+				al.Apply(timekeeper.Now(), allocator.JobRecorded{
+					Record: jr,
+				})
+			}
+		},
+		isNews: true,
+		done:   make(chan struct{}),
 	})
 }
 
--- a/coltsfootwick-manager/internal/conductor/load.go
+++ b/coltsfootwick-manager/internal/conductor/load.go
@@ -72,11 +72,8 @@
 			isFailing = true
 			tm.logger.Warn(what+" failed and is repeated", zap.Error(err))
 		}
-		timer := time.NewTimer(loadRetry)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if err := storer.Pause(ctx, loadRetry); err != nil {
+			return err
 		}
 	}
 }
--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -83,7 +83,9 @@
 		log.Error("manager not started", zap.Error(err))
 		return err
 	}
-	return mg.run()
+	err = mg.run()
+	log.Info("log ends", zap.Uint64("droppedLines", ring.Dropped()))
+	return err
 }
 
 // manager is a running manager.
@@ -105,8 +107,9 @@
 		logger: log,
 	}
 	store := storer.ObserveTransactions(adapter.NewStore(settings.Store), he.observe)
+	ttl := max(dutyTTL, settings.Bounds.MinLeaseTTL)
 	duty := leaser.New(store, settings.Region, dutyName, settings.Internal.String(),
-		leaser.WithTTL(max(dutyTTL, settings.Bounds.MinLeaseTTL)), leaser.WithWait(dutyWait), leaser.WithOverrun(dutyOverrun),
+		leaser.WithTTL(ttl), leaser.WithWait(dutyWait), leaser.WithOverrun(dutyOverrun),
 		leaser.WithClock(timekeeper.Now), leaser.WithNotify(func(nt leaser.Notice) { logDuty(log, nt) }))
 	locator := peer.NewLocator(store, duty.Key(), log)
 	mg := &manager{
@@ -126,7 +129,7 @@
 				RunLease:        min(runLease, settings.Bounds.MaxRunLease),
 				MaxOverrun:      dutyOverrun,
 				LookWait:        lookWait,
-				DutyLease:       dutyTTL,
+				DutyLease:       ttl,
 				StopGrace:       settings.Bounds.StopGrace,
 				StatusRetention: settings.Bounds.StatusRetention,
 				UpkeepTime:      settings.Bounds.UpkeepTime,
--- a/coltsfootwick-manager/internal/submitter/cancel.go
+++ b/coltsfootwick-manager/internal/submitter/cancel.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -25,11 +24,7 @@
 		if code := classifier.CodeOf(err); code != classifier.PlatformConflict && code != classifier.PlatformAmbiguous {
 			return err
 		}
-		timer := time.NewTimer(settlePause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if storer.Pause(ctx, settlePause) != nil {
 			return classifier.Wrap(err, classifier.JobOutcomeUnknown, "job %s", id)
 		}
 	}
--- a/coltsfootwick-manager/internal/submitter/submission.go
+++ b/coltsfootwick-manager/internal/submitter/submission.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -113,12 +112,8 @@
 		if err == nil || errors.As(err, &conflict) {
 			return nil
 		}
-		timer := time.NewTimer(settlePause)
-		select {
-		case <-timer.C:
-		case <-sub.ctx.Done():
-			timer.Stop()
-		}
+		// The loop's condition looks at the context.
+		_ = storer.Pause(sub.ctx, settlePause)
 	}
 	return classifier.New(classifier.JobOutcomeUnknown, "job %s: the store's answer was lost", sub.job.ID)
 }
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -64,7 +64,7 @@
 }
 
 // Batch returns what has to be stored, or nil if there is nothing or a batch is
-// under way. Every batch has to be answered by BatchStored or BatchFailed.
+// under way. Every batch has to be stored and then answered by BatchStored.
 func (al *Allocator) Batch(now time.Time) *Batch {
 	if al.isStoring || !al.isLoaded {
 		return nil
@@ -194,12 +194,3 @@
 		}
 	}
 }
-
-// batchFailed has a batch stored again.
-func (al *Allocator) batchFailed(bt *Batch) {
-	al.isStoring = false
-	if bt.Roster != nil {
-		al.isRosterDirty = true
-	}
-	al.fleet.failed(bt.Waves)
-}
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -131,12 +131,6 @@
 	Batch *Batch
 }
 
-// BatchFailed tells that a batch has not been stored, as far as is known.
-type BatchFailed struct {
-	// Batch is the batch.
-	Batch *Batch
-}
-
 // VMsListed tells of all VMs.
 type VMsListed struct {
 	// VMs are the VMs.
@@ -186,7 +180,6 @@
 func (PaceEnded) event()          {}
 func (Advised) event()            {}
 func (BatchStored) event()        {}
-func (BatchFailed) event()        {}
 func (VMsListed) event()          {}
 func (WaveRecorded) event()       {}
 func (WaveProgressLoaded) event() {}
@@ -258,8 +251,6 @@
 		al.advised(now, ev)
 	case BatchStored:
 		al.batchStored(now, ev.Batch)
-	case BatchFailed:
-		al.batchFailed(ev.Batch)
 	case VMsListed:
 		al.listVMs(ev)
 	case WaveRecorded:
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -193,10 +193,7 @@
 // once jobs fail there one after the other. A job that has failed elsewhere
 // says nothing about the worker.
 func (al *Allocator) noteFailure(now time.Time, wk *worker, tk *task) {
-	if tk.avoided == nil {
-		tk.avoided = map[modeller.WorkerID]time.Time{}
-	}
-	tk.avoided[wk.info.ID] = now.Add(avoidTime)
+	tk.avoid(now, wk)
 	al.note(Finding{Message: "task failed", Task: tk.name.String(), Worker: wk.info.ID, Attempt: tk.attempt, Reason: "listed by its worker"})
 	if len(tk.failed) > 1 || tk.step.spec.IsLongRunning {
 		return
--- a/shared/jobs/allocator/stall.go
+++ b/shared/jobs/allocator/stall.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"coltsfootwick.example/shared/jobs/modeller"
 )
 
 // moveStalled stops runs that make no progress, so that they start elsewhere.
@@ -15,10 +13,7 @@
 			if !isStuck || rn.progress >= 100 || rn.task.step.spec.IsFilling {
 				continue
 			}
-			if rn.task.avoided == nil {
-				rn.task.avoided = map[modeller.WorkerID]time.Time{}
-			}
-			rn.task.avoided[wk.info.ID] = now.Add(avoidTime)
+			rn.task.avoid(now, wk)
 			al.note(Finding{Message: "run stalled", Task: rn.name.String(), Worker: wk.info.ID, Attempt: rn.attempt, Reason: "no progress"})
 			al.stop(now, rn)
 		}
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -56,6 +56,14 @@
 	tk.checkpoint = tp.Checkpoint
 }
 
+// avoid keeps the task away from a worker for a while.
+func (tk *task) avoid(now time.Time, wk *worker) {
+	if tk.avoided == nil {
+		tk.avoided = map[modeller.WorkerID]time.Time{}
+	}
+	tk.avoided[wk.info.ID] = now.Add(avoidTime)
+}
+
 // findTask returns a task, or nil.
 func (al *Allocator) findTask(name modeller.TaskName) *task {
 	jb := al.jobs[name.Job]
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -92,12 +92,6 @@
 	return changed
 }
 
-func (fl *fleet) failed(waves []WaveProgress) {
-	for _, wp := range waves {
-		fl.waves[wp.Number].isDirty = true
-	}
-}
-
 func (al *Allocator) recordWave(now time.Time, info modeller.Wave) {
 	wv := al.fleet.wave(info.Number)
 	if wv.info.Number == info.Number && !wv.begunAt.IsZero() {
--- a/shared/jobs/modeller/queue.go
+++ b/shared/jobs/modeller/queue.go
@@ -40,10 +40,8 @@
 
 // Limits bound callers' requests.
 type Limits struct {
-	// MaxBodyBytes bounds the body and MaxHeaderBytes the headers.
-	MaxBodyBytes, MaxHeaderBytes int
-	// HeaderTimeout and IdleTimeout bound how long a connection is waited for.
-	HeaderTimeout, IdleTimeout time.Duration
+	// MaxBodyBytes bounds the body; zero is no bound.
+	MaxBodyBytes int
 }
 
 // Configuration is the operators' configuration of queues and pools.
--- a/shared/process/logger/logger.go
+++ b/shared/process/logger/logger.go
@@ -17,8 +17,15 @@
 	}
 	cfg := zap.NewProductionConfig()
 	cfg.Level = zap.NewAtomicLevelAt(parsed)
-	cfg.EncoderConfig.TimeKey = "time"
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncoderConfig = encoding()
 	cfg.Sampling = nil
 	return cfg.Build()
 }
+
+// encoding returns how lines are written.
+func encoding() zapcore.EncoderConfig {
+	ec := zap.NewProductionEncoderConfig()
+	ec.TimeKey = "time"
+	ec.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return ec
+}
--- a/shared/process/logger/ring.go
+++ b/shared/process/logger/ring.go
@@ -81,8 +81,5 @@
 	if err != nil {
 		return nil, classifier.Wrap(err, classifier.SettingsRange, "log level %q", level)
 	}
-	ec := zap.NewProductionEncoderConfig()
-	ec.TimeKey = "time"
-	ec.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(ec), ring, parsed)), nil
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoding()), ring, parsed)), nil
 }
--- a/shared/settings/configurer/application.go
+++ b/shared/settings/configurer/application.go
@@ -31,7 +31,7 @@
 			return Record{}, err
 		}
 		ap.rp.retry(err)
-		if sleep(ctx, ap.rp.jitter(pause)) != nil {
+		if storer.Pause(ctx, ap.rp.jitter(pause)) != nil {
 			return Record{}, ap.abandoned(err)
 		}
 		pause = min(2*pause, maxPause)
@@ -131,15 +131,3 @@
 	}
 	return false
 }
-
-// sleep waits for a pause, or until the context is done.
-func sleep(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/shared/store/storer/backoff.go
+++ b/shared/store/storer/backoff.go
@@ -35,7 +35,12 @@
 
 // Pause waits for the next pause, or until the context is done.
 func (bf *Backoff) Pause(ctx context.Context) error {
-	timer := time.NewTimer(bf.Next())
+	return Pause(ctx, bf.Next())
+}
+
+// Pause waits for a time, or until the context is done.
+func Pause(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/standin/internal/emulator/check.go
+++ b/standin/internal/emulator/check.go
@@ -23,7 +23,7 @@
 }
 
 // acknowledge checks the ends that a look acknowledges.
-func (dy *Day) acknowledge(nd *node, _ *term, lo allocator.LookOrder) {
+func (dy *Day) acknowledge(nd *node, lo allocator.LookOrder) {
 	for _, end := range nd.ex.Report(dy.now).Ended {
 		if end.Number > lo.AcknowledgedEnds {
 			continue
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -135,7 +135,7 @@
 			dy.tell(tm, lo.Wait+orderTimeout, allocator.LookFailed{Worker: id, SentAt: sent, Outcome: allocator.Unanswered})
 			return
 		}
-		dy.acknowledge(nd, tm, lo)
+		dy.acknowledge(nd, lo)
 		if _, _, ok := nd.ex.Look(dy.now, tm.fence, lo.LeaseEnd, lo.AcknowledgedEnds); !ok {
 			tm.isOver = true
 			return
--- a/standin/internal/executor/executor.go
+++ b/standin/internal/executor/executor.go
@@ -227,9 +227,6 @@
 // HasEnds reports whether ends wait to be acknowledged beyond a number.
 func (ex *Executor) HasEnds(beyond int64) bool { return ex.lastEnd > beyond }
 
-// LastEnd returns the number of the last end.
-func (ex *Executor) LastEnd() int64 { return ex.lastEnd }
-
 func (ex *Executor) admit(fence uint64) bool {
 	if fence < ex.fence {
 		return false
--- a/standin/internal/sloper/processes.go
+++ b/standin/internal/sloper/processes.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"coltsfootwick.example/shared/store/storer"
+
 	"github.com/go-faster/errors"
 
 	"coltsfootwick.example/shared/settings/configurer"
@@ -172,7 +174,7 @@
 			return err
 		}
 	}
-	if err := sleep(ctx, settleTime); err != nil {
+	if err := storer.Pause(ctx, settleTime); err != nil {
 		return err
 	}
 	for _, st := range sites {
@@ -182,7 +184,7 @@
 		}
 		st.before = sn
 	}
-	if err := sleep(ctx, cd.Window); err != nil {
+	if err := storer.Pause(ctx, cd.Window); err != nil {
 		return err
 	}
 	for _, st := range sites {
@@ -204,7 +206,7 @@
 			return err
 		}
 	}
-	if err := sleep(ctx, changeTime); err != nil {
+	if err := storer.Pause(ctx, changeTime); err != nil {
 		return err
 	}
 	for _, st := range sites {
@@ -253,7 +255,7 @@
 		if err != nil || got >= revision {
 			return err
 		}
-		if err := sleep(ctx, askInterval); err != nil {
+		if err := storer.Pause(ctx, askInterval); err != nil {
 			return err
 		}
 	}
@@ -273,12 +275,3 @@
 	}
 	return sum
 }
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	select {
-	case <-time.After(duration):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/standin/internal/target/deliverer.go
+++ b/standin/internal/target/deliverer.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // deliverer sends one answer with a fault.
@@ -21,7 +23,7 @@
 func (dr *deliverer) deliver(ar answer, ft Fault) {
 	switch kind := ft.(type) {
 	case Late:
-		if sleep(dr.ctx, kind.Length) != nil {
+		if storer.Pause(dr.ctx, kind.Length) != nil {
 			panic(http.ErrAbortHandler)
 		}
 		dr.whole(ar)
@@ -88,7 +90,7 @@
 		<-dr.ctx.Done()
 		panic(http.ErrAbortHandler)
 	}
-	if sleep(dr.ctx, ft.Length) != nil {
+	if storer.Pause(dr.ctx, ft.Length) != nil {
 		panic(http.ErrAbortHandler)
 	}
 	if !ft.Offset.InBody {
@@ -123,7 +125,7 @@
 		return false
 	}
 	defer func() { _ = conn.SetReadDeadline(time.Now()) }()
-	return sleep(gone, length) == nil
+	return storer.Pause(gone, length) == nil
 }
 
 func (dr *deliverer) doubled(ar answer, ft Doubled) {
--- a/standin/internal/target/handler.go
+++ b/standin/internal/target/handler.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"coltsfootwick.example/shared/store/storer"
+
 	"coltsfootwick.example/standin/internal/sealer"
 )
 
@@ -86,7 +88,7 @@
 // execute runs the request and returns the status of its answer.
 func (hr *handler) execute(ctx context.Context, en Execution, ft Fault) (int, error) {
 	if _, failing := ft.(FailFast); failing {
-		return http.StatusInternalServerError, sleep(ctx, failFastDelay)
+		return http.StatusInternalServerError, storer.Pause(ctx, failFastDelay)
 	}
 	return http.StatusOK, hr.target.runner.Run(ctx, Work{
 		Identifier: en.Identifier,
--- a/standin/internal/target/runner.go
+++ b/standin/internal/target/runner.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
+
+	"coltsfootwick.example/shared/store/storer"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -55,16 +56,5 @@
 	if work.Long {
 		dn = sg.long
 	}
-	return sleep(ctx, sampler.Sample(dn, rng))
-}
-
-func sleep(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return storer.Pause(ctx, sampler.Sample(dn, rng))
 }
--- a/standin/internal/target/target.go
+++ b/standin/internal/target/target.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"coltsfootwick.example/shared/store/storer"
+
 	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/sampler"
 )
@@ -152,7 +154,7 @@
 	if err := tt.SetFault(Crash{}, 0); err != nil {
 		return err
 	}
-	if err := sleep(tt.ctx, tt.rebootTime); err != nil {
+	if err := storer.Pause(tt.ctx, tt.rebootTime); err != nil {
 		return classifier.Wrap(err, classifier.ListenFailed, "target %s was closed while it rebooted", tt.name)
 	}
 	return tt.SetFault(None{}, 0)
