--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -22,7 +22,7 @@
 const (
 	// ringEvents is how many events wait; whoever brings more waits as well.
 	ringEvents = 1024
-	// tickInterval is how often decisions that depend on time are looked at.
+	// tickInterval is how often decisions that depend on time are made.
 	tickInterval = 25 * time.Millisecond
 	// batchInterval is the least time between two batches of records, so that
 	// one holds the changes of several jobs.
@@ -198,7 +198,7 @@
 		return ev.Outcome == allocator.Fenced
 	case allocator.StopEnded:
 		return ev.Outcome == allocator.Fenced
-	case allocator.LookFailed:
+	case allocator.PollFailed:
 		return ev.Outcome == allocator.Fenced
 	case allocator.PaceEnded:
 		return ev.Outcome == allocator.Fenced
--- a/coltsfootwick-manager/internal/dispatcher/dispatcher.go
+++ b/coltsfootwick-manager/internal/dispatcher/dispatcher.go
@@ -78,8 +78,8 @@
 func (di *Dispatcher) Dispatch(ctx context.Context, now time.Time, orders []allocator.Order) {
 	for _, od := range orders {
 		switch od := od.(type) {
-		case allocator.LookOrder:
-			di.lane(ctx, od.Worker.ID).looks <- od
+		case allocator.PollOrder:
+			di.lane(ctx, od.Worker.ID).polls <- od
 		case allocator.StartOrder:
 			di.enqueue(ctx, now, od.Worker.ID, od)
 		case allocator.StopOrder:
--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -14,7 +14,7 @@
 
 // lane takes the orders of one worker.
 type lane struct {
-	looks  chan allocator.LookOrder
+	polls  chan allocator.PollOrder
 	orders chan timedOrder
 }
 
@@ -25,11 +25,11 @@
 		return ln
 	}
 	ln = &lane{
-		looks:  make(chan allocator.LookOrder, 1),
+		polls:  make(chan allocator.PollOrder, 1),
 		orders: make(chan timedOrder, ringOrders),
 	}
 	di.lanes[id] = ln
-	go di.runLooks(ctx, ln)
+	go di.runPolls(ctx, ln)
 	for range sendersPerWorker {
 		go di.runOrders(ctx, ln)
 	}
@@ -51,39 +51,39 @@
 	}
 }
 
-func (di *Dispatcher) runLooks(ctx context.Context, ln *lane) {
+func (di *Dispatcher) runPolls(ctx context.Context, ln *lane) {
 	for {
 		select {
-		case lo := <-ln.looks:
-			di.look(ctx, lo)
+		case po := <-ln.polls:
+			di.poll(ctx, po)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (di *Dispatcher) look(ctx context.Context, lo allocator.LookOrder) {
+func (di *Dispatcher) poll(ctx context.Context, po allocator.PollOrder) {
 	if !di.isHeld() {
 		return
 	}
 	sentAt := timekeeper.Now()
-	report, err := di.platform.Workers.Look(ctx, placeOf(lo.Worker), adapter.Look{
+	report, err := di.platform.Workers.Poll(ctx, placeOf(po.Worker), adapter.Poll{
 		Fence:            di.fence,
-		LeaseEnd:         lo.LeaseEnd,
-		AcknowledgedEnds: lo.AcknowledgedEnds,
-		Wait:             lo.Wait,
+		LeaseEnd:         po.LeaseEnd,
+		AcknowledgedEnds: po.AcknowledgedEnds,
+		Wait:             po.Wait,
 	})
 	if err != nil {
-		di.logger.Info("look failed", zap.String("worker", string(lo.Worker.ID)), zap.Error(err))
-		di.tell(allocator.LookFailed{
-			Worker:  lo.Worker.ID,
+		di.logger.Info("poll failed", zap.String("worker", string(po.Worker.ID)), zap.Error(err))
+		di.tell(allocator.PollFailed{
+			Worker:  po.Worker.ID,
 			SentAt:  sentAt,
 			Outcome: outcomeOf(err),
 		})
 		return
 	}
 	di.tell(allocator.Reported{
-		Worker:     lo.Worker.ID,
+		Worker:     po.Worker.ID,
 		SentAt:     sentAt,
 		ReceivedAt: timekeeper.Now(),
 		Report:     report,
--- a/coltsfootwick-manager/internal/dispatcher/vm.go
+++ b/coltsfootwick-manager/internal/dispatcher/vm.go
@@ -47,7 +47,7 @@
 		if od.Pool != "" {
 			err = di.platform.VMs.Move(ctx, hd, od.VM, od.Pool)
 		} else {
-			err = di.platform.VMs.Upkeep(ctx, hd, od.VM, od.Wave)
+			err = di.platform.VMs.Maintain(ctx, hd, od.VM, od.Wave)
 		}
 		di.logger.Info("order of a VM", zap.String("vm", od.VM), zap.String("pool", od.Pool), zap.Int64("wave", od.Wave), zap.Uint64("fence", di.fence), zap.Error(err))
 		di.tell(allocator.VMOrderEnded{
--- a/coltsfootwick-manager/internal/peer/locator.go
+++ b/coltsfootwick-manager/internal/peer/locator.go
@@ -38,34 +38,34 @@
 }
 
 // Run follows the duty until the context is done.
-func (lo *Locator) Run(ctx context.Context) error {
-	return storer.Follow(ctx, lo.store, lo.key, lo.handle,
+func (po *Locator) Run(ctx context.Context) error {
+	return storer.Follow(ctx, po.store, po.key, po.handle,
 		storer.WithWait(watchWait), storer.WithBackoff(firstPause, maxPause))
 }
 
-func (lo *Locator) handle(nt storer.Notice) {
+func (po *Locator) handle(nt storer.Notice) {
 	changed, ok := nt.(storer.Changed)
-	if !ok || changed.Event.Entry.Key != lo.key {
+	if !ok || changed.Event.Entry.Key != po.key {
 		return
 	}
 	if changed.Event.Deleted {
-		lo.logger.Info("scheduler's duty is free", zap.Uint64("revision", uint64(changed.Event.Entry.Revision)))
-		lo.holder.Store(nil)
+		po.logger.Info("scheduler's duty is free", zap.Uint64("revision", uint64(changed.Event.Entry.Revision)))
+		po.holder.Store(nil)
 		return
 	}
 	address, err := netip.ParseAddrPort(string(changed.Event.Entry.Value))
 	if err != nil {
-		lo.logger.Error("scheduler's duty has an unreadable holder", zap.Error(err))
-		lo.holder.Store(nil)
+		po.logger.Error("scheduler's duty has an unreadable holder", zap.Error(err))
+		po.holder.Store(nil)
 		return
 	}
-	lo.logger.Info("scheduler's duty is held", zap.Stringer("holder", address), zap.Uint64("epoch", uint64(changed.Event.Entry.Revision)))
-	lo.holder.Store(&address)
+	po.logger.Info("scheduler's duty is held", zap.Stringer("holder", address), zap.Uint64("epoch", uint64(changed.Event.Entry.Revision)))
+	po.holder.Store(&address)
 }
 
 // Holder returns the holder's address, and false while none is known.
-func (lo *Locator) Holder() (netip.AddrPort, bool) {
-	address := lo.holder.Load()
+func (po *Locator) Holder() (netip.AddrPort, bool) {
+	address := po.holder.Load()
 	if address == nil {
 		return netip.AddrPort{}, false
 	}
--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -41,8 +41,8 @@
 	// runLease is how long runs outlive the holder's last word: longer than a
 	// takeover takes after a kill.
 	runLease = 5 * time.Second
-	// lookWait is how long a worker waits for an end before it reports.
-	lookWait = time.Second
+	// pollWait is how long a worker waits for an end before it reports.
+	pollWait = time.Second
 	// headerTimeout and idleTimeout bound callers' connections.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
@@ -128,11 +128,11 @@
 			Bounds: allocator.Bounds{
 				RunLease:        min(runLease, settings.Bounds.MaxRunLease),
 				MaxOverrun:      dutyOverrun,
-				LookWait:        lookWait,
+				PollWait:        pollWait,
 				DutyLease:       ttl,
 				StopGrace:       settings.Bounds.StopGrace,
 				StatusRetention: settings.Bounds.StatusRetention,
-				UpkeepTime:      settings.Bounds.UpkeepTime,
+				MaintenanceTime: settings.Bounds.MaintenanceTime,
 			},
 			Platform: dispatcher.Platform{
 				Workers: adapter.NewWorkers(),
--- a/coltsfootwick-manager/internal/submitter/submission.go
+++ b/coltsfootwick-manager/internal/submitter/submission.go
@@ -112,7 +112,7 @@
 		if err == nil || errors.As(err, &conflict) {
 			return nil
 		}
-		// The loop's condition looks at the context.
+		// The loop's condition tells of the context's end.
 		_ = storer.Pause(sub.ctx, settlePause)
 	}
 	return classifier.New(classifier.JobOutcomeUnknown, "job %s: the store's answer was lost", sub.job.ID)
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -6,7 +6,7 @@
 // What keeps a task from running twice: a task has at most one run, and the run
 // is given up only when its worker has listed its end, when the worker's life is
 // known to be over, or when the longest lease that any holder may have granted
-// has passed. A start without an answer keeps its run until a look shows it, or
+// has passed. A start without an answer keeps its run until a poll shows it, or
 // until a stop of that attempt is acknowledged, after which the worker refuses it.
 //
 // What keeps a worker within its capacity: it gets no start before it has
@@ -26,22 +26,22 @@
 	RunLease time.Duration
 	// MaxOverrun is how long a holder may act after its duty's lease has ended.
 	MaxOverrun time.Duration
-	// LookWait is how long a worker waits for an end before it reports.
-	LookWait time.Duration
+	// PollWait is how long a worker waits for an end before it reports.
+	PollWait time.Duration
 	// StopGrace is the longest time that a stop takes.
 	StopGrace time.Duration
 	// StatusRetention is how long an ended job is remembered.
 	StatusRetention time.Duration
 	// DutyLease is how long the duty stays taken after it was confirmed.
 	DutyLease time.Duration
-	// UpkeepTime is how long maintenance takes a VM away.
-	UpkeepTime time.Duration
+	// MaintenanceTime is how long maintenance takes a VM away.
+	MaintenanceTime time.Duration
 }
 
 // Times and limits of decisions.
 const (
 	// reportFreshness is how old a worker's report may be for a new start. A
-	// report comes at least after each look's wait.
+	// report comes at least after each poll's wait.
 	reportFreshness = 1800 * time.Millisecond
 	// clockDrift is how much slower a worker's clock may run.
 	clockDrift = 0.02
@@ -49,14 +49,14 @@
 	leaseMargin = 300 * time.Millisecond
 	// orderRepeat is after what time an unanswered stop is sent again.
 	orderRepeat = 700 * time.Millisecond
-	// lookPause is the least time between two looks at a worker, so that one
-	// look carries several ends.
-	lookPause = 30 * time.Millisecond
-	// lookRetry is the pause after a look that got no answer. It doubles with
-	// each further one, up to maxLookRetry.
-	lookRetry        = 150 * time.Millisecond
-	maxLookRetry     = 600 * time.Millisecond
-	maxLookDoublings = 4
+	// pollPause is the least time between two polls of a worker, so that one
+	// poll carries several ends.
+	pollPause = 30 * time.Millisecond
+	// pollRetry is the pause after a poll that got no answer. It doubles with
+	// each further one, up to maxPollRetry.
+	pollRetry        = 150 * time.Millisecond
+	maxPollRetry     = 600 * time.Millisecond
+	maxPollDoublings = 4
 	// stopMargin is added to the time that a stop takes, for the time that an
 	// earlier holder's last orders may be on their way.
 	stopMargin = 500 * time.Millisecond
@@ -99,7 +99,7 @@
 	isRosterDirty  bool
 	isStoring      bool
 	adviceInFlight bool
-	// choresAt is when what depends on time alone was last looked at.
+	// choresAt is when what depends on time alone was last decided.
 	choresAt time.Time
 	orders   []Order
 	findings []Finding
--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -9,12 +9,12 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
-func TestWorkersAreLookedAtOnceTheRecordsAreLoaded(t *testing.T) {
+func TestWorkersArePolledOnceTheRecordsAreLoaded(t *testing.T) {
 	fx := newFixture(t)
 	fx.worker("a")
-	must.Len(t, 0, ordersOf[LookOrder](fx))
+	must.Len(t, 0, ordersOf[PollOrder](fx))
 	fx.apply(Loaded{})
-	must.Len(t, 1, ordersOf[LookOrder](fx))
+	must.Len(t, 1, ordersOf[PollOrder](fx))
 }
 
 func TestTaskStartsAgainOnceASilentWorkersLeaseHasPassed(t *testing.T) {
@@ -22,10 +22,10 @@
 	fx.ready("a", "b")
 	start := fx.startOne("j")
 	other := map[modeller.WorkerID]string{"a": "b", "b": "a"}[start.Worker.ID]
-	// The look that was under way gets no answer, and none after it does.
-	fx.apply(LookFailed{Worker: start.Worker.ID, Outcome: Unanswered})
+	// The poll that was under way gets no answer, and none after it does.
+	fx.apply(PollFailed{Worker: start.Worker.ID, Outcome: Unanswered})
 	for range 70 {
-		fx.failLooks(start.Worker.ID)
+		fx.failPolls(start.Worker.ID)
 		fx.report(other, nil)
 		fx.pass(100 * time.Millisecond)
 	}
@@ -42,7 +42,7 @@
 	other := map[modeller.WorkerID]string{"a": "b", "b": "a"}[start.Worker.ID]
 	fx.isConfirmed = false
 	for range 70 {
-		fx.apply(LookFailed{Worker: start.Worker.ID, Outcome: Unanswered})
+		fx.apply(PollFailed{Worker: start.Worker.ID, Outcome: Unanswered})
 		fx.report(other, nil)
 		fx.pass(100 * time.Millisecond)
 	}
@@ -87,7 +87,7 @@
 	must.Len(t, 1, ordersOf[StopOrder](fx))
 	fx.apply(StopEnded{Worker: "a", Task: start.Task, Attempt: 1, Outcome: Accepted})
 	fx.pass(900 * time.Millisecond)
-	// A look that was sent between the first acknowledgement and the second.
+	// A poll that was sent between the first acknowledgement and the second.
 	sentAt := fx.now.Add(-500 * time.Millisecond)
 	fx.apply(StopEnded{Worker: "a", Task: start.Task, Attempt: 1, Outcome: Accepted})
 	fx.reportTo(sentAt, "a", nil)
@@ -103,7 +103,7 @@
 	start := ordersOf[StartOrder](fx)[0]
 	fx.apply(StartEnded{Worker: "a", Task: start.Task, Attempt: 1, Outcome: Unanswered})
 	for range 70 {
-		fx.apply(LookFailed{Worker: "a", Outcome: Unanswered})
+		fx.apply(PollFailed{Worker: "a", Outcome: Unanswered})
 		fx.pass(100 * time.Millisecond)
 	}
 	fx.orders = nil
@@ -111,25 +111,25 @@
 	fx.pass(50 * time.Millisecond)
 	fx.report("a", nil)
 	fx.pass(50 * time.Millisecond)
-	var looks []LookOrder
+	var polls []PollOrder
 	var stops []StopOrder
 	for _, od := range fx.orders {
 		switch od := od.(type) {
-		case LookOrder:
-			looks = append(looks, od)
+		case PollOrder:
+			polls = append(polls, od)
 		case StopOrder:
 			stops = append(stops, od)
 		default:
 		}
 	}
 	must.Len(t, 1, stops)
-	must.Eq(t, 0, looks[len(looks)-1].LeaseEnd)
+	must.Eq(t, 0, polls[len(polls)-1].LeaseEnd)
 	fx.orders = nil
 	fx.apply(StopEnded{Worker: "a", Task: start.Task, Attempt: 1, Outcome: Accepted})
 	fx.report("a", nil)
 	fx.pass(50 * time.Millisecond)
-	looks = ordersOf[LookOrder](fx)
-	must.Greater(t, 0, looks[len(looks)-1].LeaseEnd)
+	polls = ordersOf[PollOrder](fx)
+	must.Greater(t, 0, polls[len(polls)-1].LeaseEnd)
 }
 
 func TestEndsAreAcknowledgedOnceTheyAreStored(t *testing.T) {
@@ -138,8 +138,8 @@
 	start := fx.startOne("j")
 	fx.report("a", nil, modeller.End{Number: 1, Task: start.Task, Attempt: 1, Kind: modeller.EndDone})
 	fx.pass(50 * time.Millisecond)
-	looks := ordersOf[LookOrder](fx)
-	must.Eq(t, 0, looks[len(looks)-1].AcknowledgedEnds)
+	polls := ordersOf[PollOrder](fx)
+	must.Eq(t, 0, polls[len(polls)-1].AcknowledgedEnds)
 	state, _ := fx.al.State("j")
 	must.Eq(t, modeller.JobRunning, state, must.Sprint("not shown before it is stored"))
 	batch := fx.al.Batch(fx.now)
@@ -149,8 +149,8 @@
 	must.Eq(t, modeller.JobCompleted, state)
 	fx.report("a", nil, modeller.End{Number: 1, Task: start.Task, Attempt: 1, Kind: modeller.EndDone})
 	fx.pass(50 * time.Millisecond)
-	looks = ordersOf[LookOrder](fx)
-	must.Eq(t, 1, looks[len(looks)-1].AcknowledgedEnds)
+	polls = ordersOf[PollOrder](fx)
+	must.Eq(t, 1, polls[len(polls)-1].AcknowledgedEnds)
 }
 
 func TestFailedEndCountsOnceAcrossHolders(t *testing.T) {
@@ -189,7 +189,7 @@
 	fx.apply(WaveProgressLoaded{Number: 1, Elapsed: 2 * time.Second})
 	fx.ready("a")
 	fx.apply(WaveRecorded{Wave: modeller.Wave{Number: 1, VMs: []string{"vm-a"}, Duration: 20 * time.Second, MaxDown: 1}})
-	// One round of an upkeep takes 5 s, half as much again is kept in hand, and 6 s.
+	// One round of maintenance takes 5 s, half as much again is kept in hand, and 6 s.
 	for elapsed := 2 * time.Second; elapsed < 6*time.Second; elapsed += 100 * time.Millisecond {
 		fx.list(vmOf("a", modeller.VMUp))
 		fx.report("a", nil)
@@ -205,7 +205,7 @@
 func TestVMsThatAnEarlierHolderTookDownCount(t *testing.T) {
 	fx := newFixture(t)
 	fx.ready("a")
-	fx.wave(1, vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUpkeep))
+	fx.wave(1, vmOf("a", modeller.VMUp), vmOf("b", modeller.VMMaintenance))
 	must.Len(t, 0, ordersOf[VMOrder](fx))
 	fx.list(vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
 	must.Len(t, 1, ordersOf[VMOrder](fx))
@@ -293,7 +293,7 @@
 	lastingJob(fx)
 	fx.pass(2 * time.Second)
 	reportLasting(fx)
-	fx.apply(LookFailed{Worker: "b", Outcome: Unanswered})
+	fx.apply(PollFailed{Worker: "b", Outcome: Unanswered})
 	fx.wave(3, vmOf("a", modeller.VMUp))
 	must.Len(t, 0, ordersOf[StopOrder](fx))
 }
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -63,21 +63,21 @@
 // Loaded tells that all records from before the duty was won have been told of.
 type Loaded struct{}
 
-// Reported tells of a worker's answer to a look.
+// Reported tells of a worker's answer to a poll.
 type Reported struct {
 	// Worker is the worker.
 	Worker modeller.WorkerID
-	// SentAt and ReceivedAt are when the look left and its answer came.
+	// SentAt and ReceivedAt are when the poll left and its answer came.
 	SentAt, ReceivedAt time.Time
 	// Report is the answer.
 	Report modeller.Report
 }
 
-// LookFailed tells that a look got no report.
-type LookFailed struct {
+// PollFailed tells that a poll got no report.
+type PollFailed struct {
 	// Worker is the worker.
 	Worker modeller.WorkerID
-	// SentAt is when the look left.
+	// SentAt is when the poll left.
 	SentAt time.Time
 	// Outcome says why.
 	Outcome Outcome
@@ -156,7 +156,7 @@
 	Elapsed time.Duration
 }
 
-// VMOrderEnded tells what became of a move or an upkeep.
+// VMOrderEnded tells what became of a move or maintenance.
 type VMOrderEnded struct {
 	// Order is the order.
 	Order VMOrder
@@ -174,7 +174,7 @@
 func (CancelRecorded) event()     {}
 func (Loaded) event()             {}
 func (Reported) event()           {}
-func (LookFailed) event()         {}
+func (PollFailed) event()         {}
 func (StartEnded) event()         {}
 func (StopEnded) event()          {}
 func (PaceEnded) event()          {}
@@ -239,8 +239,8 @@
 		al.isLoaded = true
 	case Reported:
 		al.report(now, ev)
-	case LookFailed:
-		al.lookFailed(now, ev)
+	case PollFailed:
+		al.pollFailed(now, ev)
 	case StartEnded:
 		al.startEnded(now, ev)
 	case StopEnded:
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -16,11 +16,11 @@
 var testBounds = Bounds{
 	RunLease:        5 * time.Second,
 	MaxOverrun:      6 * time.Second,
-	LookWait:        time.Second,
+	PollWait:        time.Second,
 	DutyLease:       1500 * time.Millisecond,
 	StopGrace:       900 * time.Millisecond,
 	StatusRetention: time.Minute,
-	UpkeepTime:      2 * time.Second,
+	MaintenanceTime: 2 * time.Second,
 }
 
 // fixture is an allocator in virtual time. Workers report only when a test has
@@ -102,12 +102,12 @@
 	})
 }
 
-// report has a worker answer a look that was sent a moment ago.
+// report has a worker answer a poll that was sent a moment ago.
 func (fx *fixture) report(id string, running []modeller.Run, ended ...modeller.End) {
 	fx.reportTo(fx.now.Add(-time.Millisecond), id, running, ended...)
 }
 
-// reportTo has a worker answer a look that was sent at a time.
+// reportTo has a worker answer a poll that was sent at a time.
 func (fx *fixture) reportTo(sentAt time.Time, id string, running []modeller.Run, ended ...modeller.End) {
 	fx.apply(Reported{
 		Worker:     modeller.WorkerID(id),
@@ -227,15 +227,15 @@
 	}
 }
 
-// failLooks leaves the looks at a worker that were ordered since the last call
+// failPolls leaves the polls of a worker that were ordered since the last call
 // without an answer.
-func (fx *fixture) failLooks(id modeller.WorkerID) {
+func (fx *fixture) failPolls(id modeller.WorkerID) {
 	fx.orders = slices.DeleteFunc(fx.orders, func(od Order) bool {
-		lo, ok := od.(LookOrder)
-		if !ok || lo.Worker.ID != id {
+		po, ok := od.(PollOrder)
+		if !ok || po.Worker.ID != id {
 			return false
 		}
-		fx.apply(LookFailed{Worker: id, Outcome: Unanswered})
+		fx.apply(PollFailed{Worker: id, Outcome: Unanswered})
 		return true
 	})
 }
--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// planFleet empties VMs that are due for maintenance and orders their upkeep.
+// planFleet empties VMs that are due for maintenance and orders their maintenance.
 func (al *Allocator) planFleet(now time.Time) {
 	fl := al.fleet
 	isActive := al.standbyPool() != ""
@@ -63,7 +63,7 @@
 	}
 }
 
-// vmOrderEnded takes in what became of a move or an upkeep.
+// vmOrderEnded takes in what became of a move or maintenance.
 func (al *Allocator) vmOrderEnded(now time.Time, ev VMOrderEnded) {
 	if ev.Order.Pool != "" {
 		al.moveEnded(now, ev)
@@ -75,7 +75,7 @@
 	}
 	dv := wv.down[ev.Order.VM]
 	dv.isSending = false
-	al.note(Finding{Message: "upkeep ordered", Worker: dv.worker, Reason: ev.Outcome.String()})
+	al.note(Finding{Message: "maintenance ordered", Worker: dv.worker, Reason: ev.Outcome.String()})
 	switch ev.Outcome {
 	case Accepted:
 		dv.isAccepted = true
@@ -84,7 +84,7 @@
 		delete(wv.emptying, ev.Order.VM)
 		wv.isDirty = true
 		if wk := al.workers[dv.worker]; wk != nil {
-			al.takeDown(now, wk, "VM goes down for upkeep")
+			al.takeDown(now, wk, "VM goes down for maintenance")
 		}
 	case Malformed:
 		// The VM or its wave is unknown to the platform; there is nothing to wait for.
--- a/shared/jobs/allocator/order.go
+++ b/shared/jobs/allocator/order.go
@@ -52,8 +52,8 @@
 	Percent int
 }
 
-// LookOrder asks a worker for its runs.
-type LookOrder struct {
+// PollOrder asks a worker for its runs.
+type PollOrder struct {
 	// Worker is the worker.
 	Worker modeller.Worker
 	// LeaseEnd is the end of its lease by its own clock; zero leaves it as it is.
@@ -90,7 +90,7 @@
 func (StartOrder) order()   {}
 func (StopOrder) order()    {}
 func (PaceOrder) order()    {}
-func (LookOrder) order()    {}
+func (PollOrder) order()    {}
 func (AdviseOrder) order()  {}
 func (VMOrder) order()      {}
 func (ListVMsOrder) order() {}
--- a/shared/jobs/allocator/plan.go
+++ b/shared/jobs/allocator/plan.go
@@ -26,7 +26,7 @@
 		}
 	}
 	al.place(now)
-	al.look(now)
+	al.poll(now)
 	orders := al.orders
 	al.orders = nil
 	return orders
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -7,14 +7,14 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
-// report takes in a worker's answer to a look.
+// report takes in a worker's answer to a poll.
 func (al *Allocator) report(now time.Time, ev Reported) {
 	wk := al.workers[ev.Worker]
 	if wk == nil {
 		return
 	}
-	wk.isLooking = false
-	wk.lookAt = now.Add(lookPause)
+	wk.isPolling = false
+	wk.pollAt = now.Add(pollPause)
 	if wk.isSynced && ev.Report.BornMS != wk.bornMS {
 		if ev.Report.BornMS < wk.bornMS {
 			return
@@ -26,14 +26,14 @@
 		wk.clockAt = ev.ReceivedAt
 	}
 	if !wk.isSynced {
-		wk.lookAt = now
+		wk.pollAt = now
 	}
 	wk.isSynced = true
 	wk.mayHoldOldRuns = false
 	wk.bornMS = ev.Report.BornMS
 	wk.reportedAt = ev.ReceivedAt
 	wk.isSilent = false
-	wk.failedLooks = 0
+	wk.failedPolls = 0
 	wk.suspectUntil = time.Time{}
 	for _, end := range ev.Report.Ended {
 		al.end(now, wk, end)
@@ -118,17 +118,17 @@
 	return rn
 }
 
-// missing settles a run that a worker doesn't list, in the answer to a look
+// missing settles a run that a worker doesn't list, in the answer to a poll
 // that was sent at a time.
-func (al *Allocator) missing(now time.Time, rn *run, lookSentAt time.Time) {
+func (al *Allocator) missing(now time.Time, rn *run, pollSentAt time.Time) {
 	switch {
-	case !rn.stoppedAt.IsZero() && lookSentAt.After(rn.stoppedAt):
+	case !rn.stoppedAt.IsZero() && pollSentAt.After(rn.stoppedAt):
 		al.loseRun(now, rn, "stopped before it was carried out")
-	case rn.state == runRunning && lookSentAt.After(rn.confirmedAt):
+	case rn.state == runRunning && pollSentAt.After(rn.confirmedAt):
 		// A run that was there and is neither listed nor ended can't be
 		// explained by an order; the stop makes sure that it is gone.
 		al.stop(now, rn)
-	case rn.state == runDoubtful && lookSentAt.After(rn.sentAt):
+	case rn.state == runDoubtful && pollSentAt.After(rn.sentAt):
 		al.stop(now, rn)
 	}
 }
@@ -205,15 +205,15 @@
 	}
 }
 
-func (al *Allocator) lookFailed(now time.Time, ev LookFailed) {
+func (al *Allocator) pollFailed(now time.Time, ev PollFailed) {
 	wk := al.workers[ev.Worker]
 	if wk == nil {
 		return
 	}
-	wk.isLooking = false
+	wk.isPolling = false
 	wk.isSilent = true
-	wk.lookAt = now.Add(min(lookRetry<<wk.failedLooks, maxLookRetry))
-	wk.failedLooks = min(wk.failedLooks+1, maxLookDoublings)
+	wk.pollAt = now.Add(min(pollRetry<<wk.failedPolls, maxPollRetry))
+	wk.failedPolls = min(wk.failedPolls+1, maxPollDoublings)
 	wk.suspectUntil = now.Add(reportFreshness)
 	if ev.Outcome == Replaced {
 		for _, rn := range wk.runsInOrder() {
@@ -241,7 +241,7 @@
 	case Unanswered:
 		rn.state = runDoubtful
 		rn.sentAt = now
-		wk.suspectUntil = now.Add(lookRetry)
+		wk.suspectUntil = now.Add(pollRetry)
 		al.note(Finding{Message: "start in doubt", Task: rn.name.String(), Worker: wk.info.ID, Attempt: rn.attempt, Reason: "no answer"})
 	default:
 		al.startRefused(now, rn, ev.Outcome)
--- a/shared/jobs/allocator/suit.go
+++ b/shared/jobs/allocator/suit.go
@@ -52,7 +52,7 @@
 }
 
 // suitability returns how well a worker suits a task. Fuller workers come first,
-// so that others stay free for a move or an upkeep, and long-running tasks share
+// so that others stay free for a move or maintenance, and long-running tasks share
 // workers, since they keep a worker where it is.
 func suitability(tk *task, wk *worker) float64 {
 	score := float64(wk.used.MilliCores) / float64(max(wk.info.Capacity.MilliCores, 1))
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -16,7 +16,7 @@
 	// cordonAhead is how many times a wave's bound its VMs are emptied at once,
 	// so that the next is empty when one returns.
 	cordonAhead = 2
-	// maxListAge is how old the list of VMs may be for an upkeep to be ordered.
+	// maxListAge is how old the list of VMs may be for maintenance to be ordered.
 	maxListAge = 2 * time.Second
 	// vmOrderRepeat is after what time a refused or unanswered order is sent again.
 	vmOrderRepeat = 400 * time.Millisecond
@@ -34,9 +34,9 @@
 type wave struct {
 	info       modeller.Wave
 	maintained map[string]struct{}
-	// down are the VMs that an upkeep was ordered for and that aren't back.
+	// down are the VMs that maintenance was ordered for and that aren't back.
 	down map[string]*downVM
-	// emptying are the VMs that get no work until their upkeep.
+	// emptying are the VMs that get no work until their maintenance.
 	emptying map[string]time.Time
 	begunAt  time.Time
 	// elapsed is how long the wave had lasted under earlier holders.
@@ -45,7 +45,7 @@
 	isAllDone bool
 }
 
-// downVM is a VM that an upkeep was ordered for.
+// downVM is a VM that maintenance was ordered for.
 type downVM struct {
 	worker modeller.WorkerID
 	// isAccepted is true once the order was accepted, at acceptedAt.
@@ -144,7 +144,7 @@
 		return
 	}
 	al.cordon(now, wv)
-	al.orderUpkeeps(now, wv)
+	al.orderMaintenances(now, wv)
 }
 
 // noteReturned takes the VMs that are back from those that are down.
@@ -160,7 +160,7 @@
 			al.uncordon(dv.worker)
 		}
 		if !dv.isAccepted && !dv.isSending && now.Sub(dv.sentAt) >= vmOrderRepeat {
-			al.orderUpkeep(now, wv, name, dv)
+			al.orderMaintenance(now, wv, name, dv)
 		}
 	}
 }
@@ -173,10 +173,10 @@
 
 // mustHurry reports whether the wave needs all of its remaining time, with
 // something to spare, if as many VMs as may be are down from now on.
-func (wv *wave) mustHurry(now time.Time, upkeepTime time.Duration) bool {
+func (wv *wave) mustHurry(now time.Time, maintenanceTime time.Duration) bool {
 	pending := len(wv.info.VMs) - len(wv.maintained)
 	rounds := (pending + wv.info.MaxDown - 1) / wv.info.MaxDown
-	needed := time.Duration(hurryFactor*float64(rounds)*float64(upkeepTime+emptyingTime)) + hurryMargin
+	needed := time.Duration(hurryFactor*float64(rounds)*float64(maintenanceTime+emptyingTime)) + hurryMargin
 	return now.Add(needed).After(wv.begunAt.Add(wv.info.Duration))
 }
 
@@ -196,7 +196,7 @@
 		cost float64
 	}
 	var candidates []candidate
-	isHurried := wv.mustHurry(now, al.bounds.UpkeepTime)
+	isHurried := wv.mustHurry(now, al.bounds.MaintenanceTime)
 	for _, name := range wv.info.VMs {
 		vm, ok := al.fleet.vms[name]
 		if _, isDone := wv.maintained[name]; isDone || !ok || vm.State != modeller.VMUp {
@@ -226,7 +226,7 @@
 		wv.emptying[ca.name] = now
 		if wk := al.workers[al.fleet.vms[ca.name].Worker]; wk != nil {
 			wk.isCordoned = true
-			al.note(Finding{Message: "worker cordoned", Worker: wk.info.ID, Reason: "upkeep is due"})
+			al.note(Finding{Message: "worker cordoned", Worker: wk.info.ID, Reason: "maintenance is due"})
 		}
 	}
 }
@@ -234,7 +234,7 @@
 // longRunningCost is the cost of moving a long-running task, in other tasks.
 const longRunningCost = 10
 
-// emptyingCost returns how much work is in the way of a VM's upkeep.
+// emptyingCost returns how much work is in the way of a VM's maintenance.
 func (al *Allocator) emptyingCost(vm modeller.VM) float64 {
 	wk := al.workers[vm.Worker]
 	if wk == nil {
@@ -251,8 +251,8 @@
 	return cost
 }
 
-// orderUpkeeps orders the upkeep of VMs that are empty, within the wave's bound.
-func (al *Allocator) orderUpkeeps(now time.Time, wv *wave) {
+// orderMaintenances orders maintenance for VMs that are empty, within the wave's bound.
+func (al *Allocator) orderMaintenances(now time.Time, wv *wave) {
 	names := make([]string, 0, len(wv.emptying))
 	for name := range wv.emptying {
 		names = append(names, name)
@@ -280,7 +280,7 @@
 			worker: vm.Worker,
 		}
 		wv.down[name] = dv
-		al.orderUpkeep(now, wv, name, dv)
+		al.orderMaintenance(now, wv, name, dv)
 	}
 }
 
@@ -289,14 +289,14 @@
 func (fl *fleet) down(wv *wave) int {
 	count := len(wv.down)
 	for _, name := range wv.info.VMs {
-		if fl.vms[name].State == modeller.VMUpkeep && wv.down[name] == nil {
+		if fl.vms[name].State == modeller.VMMaintenance && wv.down[name] == nil {
 			count++
 		}
 	}
 	return count
 }
 
-func (al *Allocator) orderUpkeep(now time.Time, wv *wave, name string, dv *downVM) {
+func (al *Allocator) orderMaintenance(now time.Time, wv *wave, name string, dv *downVM) {
 	dv.isSending = true
 	dv.sentAt = now
 	al.orders = append(al.orders, VMOrder{
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -27,13 +27,13 @@
 	clock    time.Duration
 	clockAt  time.Time
 	leaseEnd time.Duration
-	// isSilent is true if the last look got no report, and failedLooks counts
-	// the looks since the last that did.
+	// isSilent is true if the last poll got no report, and failedPolls counts
+	// the polls since the last that did.
 	isSilent    bool
-	failedLooks int
-	// isLooking is true while a look is under way; the next is due at lookAt.
-	isLooking bool
-	lookAt    time.Time
+	failedPolls int
+	// isPolling is true while a poll is under way; the next is due at pollAt.
+	isPolling bool
+	pollAt    time.Time
 	// runs are all runs that hold capacity, and used what they hold.
 	runs map[modeller.TaskName]*run
 	used modeller.Resources
@@ -50,7 +50,7 @@
 	settledAt time.Time
 	// suspectUntil is until when it gets no work after an unanswered call.
 	suspectUntil time.Time
-	// isCordoned is true while the worker is emptied for a move or an upkeep.
+	// isCordoned is true while the worker is emptied for a move or maintenance.
 	isCordoned bool
 }
 
@@ -171,7 +171,7 @@
 			wk.unsettled = unsettled
 		}
 		wk.mayHoldOldRuns = false
-		if !wk.isListed && !wk.isLooking && len(wk.unsettled) == 0 {
+		if !wk.isListed && !wk.isPolling && len(wk.unsettled) == 0 {
 			delete(al.workers, id)
 			al.ordered = nil
 			al.isRosterDirty = true
@@ -179,32 +179,32 @@
 	}
 }
 
-// look orders the looks that are due. Before all records from before are known
+// poll orders the polls that are due. Before all records from before are known
 // a report would show runs of jobs that nobody seems to want.
-func (al *Allocator) look(now time.Time) {
+func (al *Allocator) poll(now time.Time) {
 	if !al.isLoaded {
 		return
 	}
 	for _, wk := range al.inOrder() {
 		isGone := !wk.isListed && !wk.isSynced && !wk.mayHoldOldRuns && len(wk.runs) == 0
-		if wk.isLooking || now.Before(wk.lookAt) || isGone {
+		if wk.isPolling || now.Before(wk.pollAt) || isGone {
 			continue
 		}
-		lo := LookOrder{
+		po := PollOrder{
 			Worker:           wk.info,
 			AcknowledgedEnds: wk.storedEnd,
 		}
 		if wk.isSynced {
-			// A look without an answer may still extend the lease, so a silent
+			// A poll without an answer may still extend the lease, so a silent
 			// worker's lease is left to end.
 			if !wk.isSilent && len(wk.unsettled) == 0 {
 				wk.leaseEnd = max(wk.leaseEnd, al.clockOf(now, wk)+al.bounds.RunLease)
-				lo.Wait = al.bounds.LookWait
+				po.Wait = al.bounds.PollWait
 			}
-			lo.LeaseEnd = wk.leaseEnd
+			po.LeaseEnd = wk.leaseEnd
 		}
-		wk.isLooking = true
-		al.orders = append(al.orders, lo)
+		wk.isPolling = true
+		al.orders = append(al.orders, po)
 	}
 }
 
--- a/shared/jobs/modeller/fleet.go
+++ b/shared/jobs/modeller/fleet.go
@@ -7,11 +7,11 @@
 
 // The states of a VM.
 const (
-	VMUp      VMState = "up"
-	VMMoving  VMState = "moving"
-	VMUpkeep  VMState = "upkeep"
-	VMDown    VMState = "down"
-	VMUnknown VMState = "unknown"
+	VMUp          VMState = "up"
+	VMMoving      VMState = "moving"
+	VMMaintenance VMState = "maintenance"
+	VMDown        VMState = "down"
+	VMUnknown     VMState = "unknown"
 )
 
 // VM is a machine that is in exactly one pool.
--- a/shared/jobs/modeller/worker.go
+++ b/shared/jobs/modeller/worker.go
@@ -79,7 +79,7 @@
 	Checkpoint string
 }
 
-// Report is a worker's answer to a look at its runs.
+// Report is a worker's answer to a poll at its runs.
 type Report struct {
 	// BornMS is the Unix millisecond of the worker's start; zero if it isn't told.
 	BornMS int64
--- a/standin/internal/emulator/check.go
+++ b/standin/internal/emulator/check.go
@@ -22,10 +22,10 @@
 	}
 }
 
-// acknowledge checks the ends that a look acknowledges.
-func (dy *Day) acknowledge(nd *node, lo allocator.LookOrder) {
+// acknowledge checks the ends that a poll acknowledges.
+func (dy *Day) acknowledge(nd *node, po allocator.PollOrder) {
 	for _, end := range nd.ex.Report(dy.now).Ended {
-		if end.Number > lo.AcknowledgedEnds {
+		if end.Number > po.AcknowledgedEnds {
 			continue
 		}
 		if end.Kind == modeller.EndFailed {
@@ -161,11 +161,11 @@
 	}
 }
 
-// checkUpkeep checks that a VM may go down.
-func (dy *Day) checkUpkeep(nd *node) {
+// checkMaintenance checks that a VM may go down.
+func (dy *Day) checkMaintenance(nd *node) {
 	down := 0
 	for _, other := range dy.nodes {
-		if other.state == modeller.VMUpkeep {
+		if other.state == modeller.VMMaintenance {
 			down++
 		}
 	}
@@ -174,7 +174,7 @@
 	}
 	for name := range nd.ex.Runs() {
 		if sj := dy.jobs[name.Job]; sj.job.Steps[name.Step].IsLongRunning && sj.cancelledAt.IsZero() && nd.ex.IsAtWork(dy.now, name) {
-			dy.breakPromise("AVAIL", "%s is ended by the upkeep of %s", name, nd.info.VM)
+			dy.breakPromise("AVAIL", "%s is ended by the maintenance of %s", name, nd.info.VM)
 		}
 	}
 }
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -32,7 +32,7 @@
 	workersPerPool = 6
 	pools          = 2
 	maxAttempts    = 3
-	// watchInterval is how often long-running tasks are looked at.
+	// watchInterval is how often long-running tasks are checked.
 	watchInterval = 50 * time.Millisecond
 	// awayNotice is from when a task that isn't at work counts as away.
 	awayNotice = 4500 * time.Millisecond
@@ -43,11 +43,11 @@
 var bounds = allocator.Bounds{
 	RunLease:        5 * time.Second,
 	MaxOverrun:      6 * time.Second,
-	LookWait:        time.Second,
+	PollWait:        time.Second,
 	DutyLease:       1500 * time.Millisecond,
 	StopGrace:       900 * time.Millisecond,
 	StatusRetention: 120 * time.Second,
-	UpkeepTime:      2 * time.Second,
+	MaintenanceTime: 2 * time.Second,
 }
 
 // Day is a day that is played.
--- a/standin/internal/emulator/fault.go
+++ b/standin/internal/emulator/fault.go
@@ -209,7 +209,7 @@
 			continue
 		}
 		nd.isUp = false
-		dy.dropLook(nd)
+		dy.dropPoll(nd)
 		nd.backAt = backAt
 		nd.state = modeller.VMDown
 		dy.due.add(dy.now.Add(3*time.Second), func() {
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -59,8 +59,8 @@
 // send sends an order on its way.
 func (dy *Day) send(tm *term, od allocator.Order) {
 	switch od := od.(type) {
-	case allocator.LookOrder:
-		dy.sendLook(tm, od)
+	case allocator.PollOrder:
+		dy.sendPoll(tm, od)
 	case allocator.StartOrder:
 		dy.sendOrder(tm, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
 			return allocator.StartEnded{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Outcome: oc}
@@ -126,52 +126,52 @@
 	}
 }
 
-func (dy *Day) sendLook(tm *term, lo allocator.LookOrder) {
+func (dy *Day) sendPoll(tm *term, po allocator.PollOrder) {
 	sent := dy.now
-	id := lo.Worker.ID
+	id := po.Worker.ID
 	dy.due.add(dy.now.Add(hop), func() {
 		nd := dy.nodes[id]
 		if !dy.reaches(tm, nd) {
-			dy.tell(tm, lo.Wait+orderTimeout, allocator.LookFailed{Worker: id, SentAt: sent, Outcome: allocator.Unanswered})
+			dy.tell(tm, po.Wait+orderTimeout, allocator.PollFailed{Worker: id, SentAt: sent, Outcome: allocator.Unanswered})
 			return
 		}
-		dy.acknowledge(nd, lo)
-		if _, _, ok := nd.ex.Look(dy.now, tm.fence, lo.LeaseEnd, lo.AcknowledgedEnds); !ok {
+		dy.acknowledge(nd, po)
+		if _, _, ok := nd.ex.Poll(dy.now, tm.fence, po.LeaseEnd, po.AcknowledgedEnds); !ok {
 			tm.isOver = true
 			return
 		}
-		dy.dropLook(nd)
-		nd.look = &waitingLook{
+		dy.dropPoll(nd)
+		nd.poll = &waitingPoll{
 			term:  tm,
-			order: lo,
+			order: po,
 			sent:  sent,
-			until: dy.now.Add(lo.Wait),
+			until: dy.now.Add(po.Wait),
 		}
 	})
 }
 
-// dropLook leaves the look that waits at a node without an answer.
-func (dy *Day) dropLook(nd *node) {
-	if lk := nd.look; lk != nil {
-		nd.look = nil
-		dy.tell(lk.term, lk.until.Sub(dy.now)+orderTimeout, allocator.LookFailed{Worker: nd.info.ID, SentAt: lk.sent, Outcome: allocator.Unanswered})
+// dropPoll leaves the poll that waits at a node without an answer.
+func (dy *Day) dropPoll(nd *node) {
+	if pol := nd.poll; pol != nil {
+		nd.poll = nil
+		dy.tell(pol.term, pol.until.Sub(dy.now)+orderTimeout, allocator.PollFailed{Worker: nd.info.ID, SentAt: pol.sent, Outcome: allocator.Unanswered})
 	}
 }
 
-// answerLook answers a look that has waited.
-func (dy *Day) answerLook(nd *node, lk *waitingLook) {
+// answerPoll answers a poll that has waited.
+func (dy *Day) answerPoll(nd *node, pol *waitingPoll) {
 	id := nd.info.ID
-	if !dy.reaches(lk.term, nd) {
-		dy.tell(lk.term, orderTimeout, allocator.LookFailed{Worker: id, SentAt: lk.sent, Outcome: allocator.Unanswered})
+	if !dy.reaches(pol.term, nd) {
+		dy.tell(pol.term, orderTimeout, allocator.PollFailed{Worker: id, SentAt: pol.sent, Outcome: allocator.Unanswered})
 		return
 	}
 	report := nd.ex.Report(dy.now)
 	dy.due.add(dy.now.Add(hop), func() {
-		if !lk.term.isOver {
-			lk.term.hasNews = true
-			lk.term.al.Apply(dy.now, allocator.Reported{
+		if !pol.term.isOver {
+			pol.term.hasNews = true
+			pol.term.al.Apply(dy.now, allocator.Reported{
 				Worker:     id,
-				SentAt:     lk.sent,
+				SentAt:     pol.sent,
 				ReceivedAt: dy.now,
 				Report:     report,
 			})
@@ -231,11 +231,11 @@
 			dy.tell(tm, hop, allocator.VMOrderEnded{Order: vo, Outcome: allocator.Busy})
 			return
 		}
-		dy.checkUpkeep(nd)
+		dy.checkMaintenance(nd)
 		nd.isUp = false
-		nd.state = modeller.VMUpkeep
-		dy.dropLook(nd)
-		nd.backAt = dy.now.Add(bounds.UpkeepTime)
+		nd.state = modeller.VMMaintenance
+		dy.dropPoll(nd)
+		nd.backAt = dy.now.Add(bounds.MaintenanceTime)
 		dy.unlist(nd)
 		dy.tell(tm, hop, allocator.VMOrderEnded{Order: vo, Outcome: allocator.Accepted})
 		return
--- a/standin/internal/emulator/node.go
+++ b/standin/internal/emulator/node.go
@@ -22,16 +22,16 @@
 	backAt   time.Time
 	state    modeller.VMState
 	life     int
-	// look is the look that waits here.
-	look *waitingLook
+	// poll is the poll that waits here.
+	poll *waitingPoll
 	// lateShare of the orders get no answer and are carried out late.
 	lateShare float64
 }
 
-// waitingLook is a look that waits for an end.
-type waitingLook struct {
+// waitingPoll is a poll that waits for an end.
+type waitingPoll struct {
 	term  *term
-	order allocator.LookOrder
+	order allocator.PollOrder
 	sent  time.Time
 	until time.Time
 }
@@ -62,7 +62,7 @@
 	nd.info.ID = id
 	nd.info.BornMS = dy.now.UnixMilli()
 	nd.life++
-	dy.dropLook(nd)
+	dy.dropPoll(nd)
 	life := nd.life
 	nd.ex = executor.New(dy.now, executor.Settings{
 		Worker:   nd.info,
@@ -89,7 +89,7 @@
 	dy.tellAll(allocator.WorkerUnlisted{Worker: nd.info.ID})
 }
 
-// advance lets the workers' time pass and answers the looks that wait.
+// advance lets the workers' time pass and answers the polls that wait.
 func (dy *Day) advance() {
 	for _, nd := range dy.nodesInOrder() {
 		if !nd.isUp {
@@ -99,9 +99,9 @@
 			continue
 		}
 		nd.ex.Advance(dy.now)
-		if lk := nd.look; lk != nil && (nd.ex.HasEnds(lk.order.AcknowledgedEnds) || !dy.now.Before(lk.until)) {
-			nd.look = nil
-			dy.answerLook(nd, lk)
+		if pol := nd.poll; pol != nil && (nd.ex.HasEnds(pol.order.AcknowledgedEnds) || !dy.now.Before(pol.until)) {
+			nd.poll = nil
+			dy.answerPoll(nd, pol)
 		}
 	}
 }
--- a/standin/internal/executor/executor.go
+++ b/standin/internal/executor/executor.go
@@ -194,8 +194,8 @@
 	return "", true
 }
 
-// Look acknowledges ends, extends the lease and returns the executor's report.
-func (ex *Executor) Look(now time.Time, fence uint64, leaseEnd time.Duration, acknowledged int64) (modeller.Report, Refusal, bool) {
+// Poll acknowledges ends, extends the lease and returns the executor's report.
+func (ex *Executor) Poll(now time.Time, fence uint64, leaseEnd time.Duration, acknowledged int64) (modeller.Report, Refusal, bool) {
 	ex.Advance(now)
 	if !ex.admit(fence) {
 		return modeller.Report{}, RefusedFence, false
--- a/standin/internal/provider/provider.go
+++ b/standin/internal/provider/provider.go
@@ -22,7 +22,7 @@
 const (
 	// advanceInterval is how often the workers' time passes.
 	advanceInterval = 5 * time.Millisecond
-	// awayTime is how long a move or an upkeep takes a VM away.
+	// awayTime is how long a move or maintenance takes a VM away.
 	awayTime = 800 * time.Millisecond
 	stopTime = 100 * time.Millisecond
 	maxLease = 10 * time.Second
@@ -224,7 +224,7 @@
 	}
 }
 
-// noteAcknowledged takes in the ends that a look acknowledges. An end that is
+// noteAcknowledged takes in the ends that a poll acknowledges. An end that is
 // lost with its worker before that doesn't count.
 func (pv *Provider) noteAcknowledged(machine *vm, acknowledged int64) {
 	for _, end := range machine.worker.Report(time.Now()).Ended {
--- a/standin/internal/provider/vm.go
+++ b/standin/internal/provider/vm.go
@@ -29,7 +29,7 @@
 		row := map[string]any{
 			"machine":  machine.name,
 			"pool":     machine.pool,
-			"state":    string(machine.state),
+			"state":    wireState(machine.state),
 			"zone":     machine.zone,
 			"capacity": map[string]int{"cpu": machine.capacity.MilliCores, "mem_mb": machine.capacity.MemoryMB, "gpu": 0},
 		}
@@ -41,6 +41,14 @@
 	writeJSON(rw, http.StatusOK, map[string]any{"machines": rows, "next_token": nil})
 }
 
+// wireState returns how the platform spells a state.
+func wireState(state modeller.VMState) string {
+	if state == modeller.VMMaintenance {
+		return "upkeep"
+	}
+	return string(state)
+}
+
 // vmOrder is an order of a VM.
 type vmOrder struct {
 	Machine string `json:"machine"`
@@ -98,7 +106,7 @@
 		writeJSON(rw, http.StatusConflict, map[string]string{"reason": "busy"})
 	default:
 		machine.maintained[vo.Wave] = true
-		pv.takeAway(machine, modeller.VMUpkeep, machine.pool)
+		pv.takeAway(machine, modeller.VMMaintenance, machine.pool)
 		writeJSON(rw, http.StatusOK, map[string]string{})
 	}
 }
--- a/standin/internal/provider/worker.go
+++ b/standin/internal/provider/worker.go
@@ -12,8 +12,8 @@
 	"coltsfootwick.example/standin/internal/executor"
 )
 
-// lookInterval is how often a look that waits is answered if there is an end.
-const lookInterval = 5 * time.Millisecond
+// pollInterval is how often a poll that waits is answered if there is an end.
+const pollInterval = 5 * time.Millisecond
 
 // payload is what the stand-in's callers put into a job's payload: what is true
 // of its tasks, which the scheduler doesn't read.
@@ -48,7 +48,7 @@
 	mux.HandleFunc("POST /run-start", wh.start)
 	mux.HandleFunc("POST /run-stop", wh.stop)
 	mux.HandleFunc("POST /pace", wh.pace)
-	mux.HandleFunc("POST /hold", wh.look)
+	mux.HandleFunc("POST /hold", wh.poll)
 	return mux
 }
 
@@ -157,8 +157,8 @@
 	writeJSON(rw, http.StatusOK, map[string]any{"clock_ms": clock})
 }
 
-// look answers as soon as there is an end, or after the wait.
-func (wh *workerHandler) look(rw http.ResponseWriter, rq *http.Request) {
+// poll answers as soon as there is an end, or after the wait.
+func (wh *workerHandler) poll(rw http.ResponseWriter, rq *http.Request) {
 	od, _, ok := decodeOrder(rw, rq)
 	if !ok {
 		return
@@ -168,23 +168,23 @@
 		isAnswered = true
 		wh.with(rw, rq, func(machine *vm) {
 			wh.provider.noteAcknowledged(machine, od.LastSeen)
-			report, refusal, ok := machine.worker.Look(time.Now(), od.FencingToken, time.Duration(od.DeadlineMS)*time.Millisecond, od.LastSeen)
+			report, refusal, ok := machine.worker.Poll(time.Now(), od.FencingToken, time.Duration(od.DeadlineMS)*time.Millisecond, od.LastSeen)
 			switch {
 			case !ok:
 				answerOrder(rw, machine, refusal, false)
 			case len(report.Ended) == 0 && time.Now().Before(until):
 				isAnswered = false
 			default:
-				answerLook(rw, report)
+				answerPoll(rw, report)
 			}
 		})
 		if !isAnswered {
-			time.Sleep(lookInterval)
+			time.Sleep(pollInterval)
 		}
 	}
 }
 
-func answerLook(rw http.ResponseWriter, report modeller.Report) {
+func answerPoll(rw http.ResponseWriter, report modeller.Report) {
 	running := [][]any{}
 	for _, rn := range report.Running {
 		running = append(running, []any{rn.Task.String(), rn.Attempt, rn.Checkpoint, rn.Progress, rn.Load})
