--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -41,6 +41,11 @@
 	orderedAt time.Time
 	// isAccepted is true once the order was accepted.
 	isAccepted bool
+	// isSending is true while the order is under way, and isDoubtful once it has
+	// got no answer: it may be carried out at any time until one that is sent
+	// again is answered.
+	isSending, isDoubtful bool
+	sentAt                time.Time
 }
 
 // poolNeed is what a pool has and needs, in VMs.
@@ -156,11 +161,18 @@
 	for vm, mv := range fl.moves {
 		listed := fl.vms[vm]
 		hasArrived := mv.isAccepted && fl.listedAt.After(mv.orderedAt) && listed.State == modeller.VMUp && listed.Pool == mv.pool
-		if hasArrived || al.hasWorker(vm, mv.pool) || now.Sub(mv.orderedAt) > arrivalTime {
+		isOverdue := mv.isAccepted && now.Sub(mv.orderedAt) > arrivalTime
+		if hasArrived || al.hasWorker(vm, mv.pool) || isOverdue {
 			delete(fl.moves, vm)
 			al.uncordon(mv.worker)
 		}
 	}
+	for _, vm := range slices.Sorted(maps.Keys(fl.moves)) {
+		mv := fl.moves[vm]
+		if !mv.isAccepted && !mv.isSending && now.Sub(mv.sentAt) >= vmOrderRepeat {
+			al.sendMove(now, vm, mv)
+		}
+	}
 }
 
 // hasWorker reports whether a VM's worker is listed in a pool.
@@ -320,9 +332,15 @@
 		wk.isCordoned = true
 	}
 	al.note(Finding{Message: "VM moves", Worker: worker, VM: vm, Reason: "to pool " + pool})
+	al.sendMove(now, vm, al.fleet.moves[vm])
+}
+
+func (al *Allocator) sendMove(now time.Time, vm string, mv *move) {
+	mv.isSending = true
+	mv.sentAt = now
 	al.orders = append(al.orders, VMOrder{
 		VM:   vm,
-		Pool: pool,
+		Pool: mv.pool,
 	})
 }
 
@@ -332,14 +350,17 @@
 	if mv == nil || mv.pool != ev.Order.Pool {
 		return
 	}
-	switch ev.Outcome {
-	case Accepted:
+	mv.isSending = false
+	switch {
+	case ev.Outcome == Accepted:
 		mv.isAccepted = true
 		if wk := al.workers[mv.worker]; wk != nil {
 			al.takeDown(now, wk, "VM moves to another pool")
 		}
-	case Unanswered:
-		// The VM may be moving; it is waited for.
+	case ev.Outcome == Unanswered:
+		mv.isDoubtful = true
+	case mv.isDoubtful && ev.Outcome != Malformed:
+		// A refusal of this order says nothing of the one before it.
 	default:
 		delete(al.fleet.moves, ev.Order.VM)
 		al.uncordon(mv.worker)
