allocator: give a worker no work before the stored roster names it

Cause: a worker that had joined its pool by a move got starts at once. Ruled out: a lost write of the progress, and a passed lease. The emulator's outages now have leases and entries lapse.

--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -160,6 +160,7 @@
 	fx.worker("a")
 	fx.worker("b")
 	fx.apply(Loaded{})
+	fx.store()
 	fx.pass(50 * time.Millisecond)
 	fx.report("a", nil, modeller.End{Number: 1, Task: name("j", 0), Attempt: 1, Kind: modeller.EndFailed})
 	fx.report("b", nil)
@@ -276,6 +277,49 @@
 	must.Len(t, 1, ordersOf[StartOrder](fx))
 }
 
+func TestWorkerGetsNoWorkBeforeTheRosterNamesIt(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready()
+	fx.submit("j", oneTask())
+	fx.worker("new")
+	for range 2 {
+		fx.pass(50 * time.Millisecond)
+		fx.report("new", nil)
+	}
+	must.Len(t, 0, ordersOf[StartOrder](fx), must.Sprint("a later holder would not know that it may hold runs"))
+	fx.store()
+	must.Len(t, 1, ordersOf[StartOrder](fx))
+}
+
+func TestWorkerOfAnotherPoolGetsNoWorkBeforeTheRosterSaysSo(t *testing.T) {
+	fx := newFixture(t)
+	fx.worker("a")
+	moved := fx.al.workers["a"].info
+	moved.Pool = "other"
+	fx.apply(WorkerListed{Worker: moved})
+	fx.apply(Loaded{})
+	fx.store()
+	must.True(t, fx.al.workers["a"].isRostered)
+	fx.worker("a")
+	must.False(t, fx.al.workers["a"].isRostered)
+	fx.store()
+	must.True(t, fx.al.workers["a"].isRostered)
+}
+
+func TestRosterThatWasOvertakenByAMoveDoesNotCount(t *testing.T) {
+	fx := newFixture(t)
+	fx.worker("a")
+	fx.apply(Loaded{})
+	batch := fx.al.Batch(fx.now)
+	moved := fx.al.workers["a"].info
+	moved.Pool = "other"
+	fx.apply(WorkerListed{Worker: moved})
+	fx.apply(BatchStored{Batch: batch})
+	must.False(t, fx.al.workers["a"].isRostered)
+	fx.store()
+	must.True(t, fx.al.workers["a"].isRostered)
+}
+
 func TestJobThatNoHolderHasMarkedStartsBesideSilentWorkers(t *testing.T) {
 	fx := newFixture(t)
 	fx.apply(ProgressLoaded{Progress: modeller.Progress{ID: "begun", Queue: "q"}})
@@ -367,6 +411,7 @@
 	fx.submit("g", gang)
 	must.Len(t, 0, ordersOf[StartOrder](fx), must.Sprint("a worker of 4 cores has no room for 5"))
 	fx.worker("b")
+	fx.store()
 	for range 2 {
 		fx.pass(50 * time.Millisecond)
 		fx.report("a", nil)
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -175,6 +175,11 @@
 	for _, ej := range bt.Expired {
 		delete(al.ended, ej.ID)
 	}
+	for _, info := range bt.Roster {
+		if wk := al.workers[info.ID]; wk != nil && wk.isAt(info) {
+			wk.isRostered = true
+		}
+	}
 	for id, version := range bt.versions {
 		if jb := al.jobs[id]; jb != nil {
 			jb.isMarked = true
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -129,6 +129,7 @@
 		fx.worker(id)
 	}
 	fx.apply(Loaded{})
+	fx.store()
 	for range 2 {
 		fx.pass(50 * time.Millisecond)
 		for _, id := range ids {
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -14,6 +14,9 @@
 	info modeller.Worker
 	// isListed is true while it is in the directory.
 	isListed bool
+	// isRostered is true once the stored roster names it, which has to be before
+	// its first start: a later holder waits for the workers that it names.
+	isRostered bool
 	// isSynced is true once its present life has reported under the fence.
 	isSynced bool
 	// bornMS is the Unix millisecond of the life that has reported.
@@ -76,10 +79,19 @@
 	if wk.isSynced && info.BornMS != 0 && wk.bornMS != 0 && info.BornMS > wk.bornMS {
 		al.endLife(now, wk, "directory lists a later start")
 	}
+	if !wk.isAt(info) {
+		wk.isRostered = false
+		al.isRosterDirty = true
+	}
 	wk.info = info
 	wk.isListed = true
 }
 
+// isAt reports whether a worker is in the pool and at the address of an entry.
+func (wk *worker) isAt(info modeller.Worker) bool {
+	return wk.info.Pool == info.Pool && wk.info.Address == info.Address
+}
+
 func (al *Allocator) unlistWorker(id modeller.WorkerID) {
 	wk, ok := al.workers[id]
 	if !ok || !wk.isListed {
@@ -95,6 +107,7 @@
 			al.listWorker(now, info)
 			al.workers[info.ID].isListed = false
 			al.workers[info.ID].mayHoldOldRuns = true
+			al.workers[info.ID].isRostered = true
 		}
 	}
 }
@@ -113,7 +126,7 @@
 
 // takesWork reports whether a worker may get a start now.
 func (al *Allocator) takesWork(now time.Time, wk *worker) bool {
-	return wk.isListed && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned &&
+	return wk.isListed && wk.isRostered && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned &&
 		now.Sub(wk.reportedAt) < reportFreshness && !now.Before(wk.quarantinedUntil) && !now.Before(wk.suspectUntil) &&
 		wk.leaseEnd > 0 && al.clockOf(now, wk) < wk.leaseEnd
 }
--- a/standin/internal/emulator/fault.go
+++ b/standin/internal/emulator/fault.go
@@ -141,6 +141,9 @@
 	switch ft.kind {
 	case faultOutage:
 		dy.store.isDown = false
+		if dy.random.IntN(2) == 0 {
+			dy.lapse()
+		}
 		held := dy.store.held
 		dy.store.held = nil
 		for _, ev := range held {
@@ -161,6 +164,27 @@
 	}
 }
 
+// maxReturn is how long after an outage the workers' entries are back.
+const maxReturn = 2 * time.Second
+
+// lapse has what lay in the store under a lease run out during an outage: the
+// duty, and the workers' entries, which come back one after the other.
+func (dy *Day) lapse() {
+	dy.replaceHolder(dy.now)
+	dy.nextTermAt = dy.now
+	for _, nd := range dy.nodesInOrder() {
+		if !nd.isListed {
+			continue
+		}
+		dy.unlist(nd)
+		dy.due.add(dy.now.Add(time.Duration(dy.random.Int64N(int64(maxReturn)))), func() {
+			if nd.isUp {
+				dy.list(nd)
+			}
+		})
+	}
+}
+
 // pick returns some nodes.
 func (dy *Day) pick(count int) []*node {
 	ids := slices.Sorted(maps.Keys(dy.nodes))
