allocator: keep work off VMs that an order may take down; keep workers with runs

Ruled out: refusals that were taken for 'not sent', a second term on the same node (the attempt would be 3), and a stop's answer. Both tests fail without their half of the mend.

--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -203,6 +203,48 @@
 	must.Len(t, 1, ordersOf[VMOrder](fx))
 }
 
+// orderMaintenanceAhead has the maintenance ordered of a VM whose worker the
+// directory doesn't list yet, and has that worker join meanwhile.
+func orderMaintenanceAhead(fx *fixture) VMOrder {
+	fx.wave(1, vmOf("new", modeller.VMUp))
+	fx.pass(100 * time.Millisecond)
+	orders := ordersOf[VMOrder](fx)
+	must.Len(fx.t, 1, orders)
+	fx.ready("new")
+	return orders[0]
+}
+
+func TestWorkerThatJoinsBesideItsVMsMaintenanceGetsNoWork(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(Loaded{})
+	order := orderMaintenanceAhead(fx)
+	fx.submit("j", oneTask())
+	must.Len(t, 0, ordersOf[StartOrder](fx), must.Sprint("the order may still take the VM down"))
+	fx.apply(VMOrderEnded{Order: order, Outcome: Accepted})
+	fx.worker("new")
+	for range 2 {
+		fx.pass(50 * time.Millisecond)
+		fx.report("new", nil)
+	}
+	must.Len(t, 1, ordersOf[StartOrder](fx))
+}
+
+func TestRunsOutliveMaintenanceThatWasDoneBefore(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	fx.startOne("j")
+	fx.worker("b")
+	fx.store()
+	for range 2 {
+		fx.pass(50 * time.Millisecond)
+		fx.report("b", nil)
+	}
+	fx.al.takeDown(fx.now, fx.al.workers["a"], "VM goes down for maintenance")
+	must.Len(t, 0, ordersOf[StartOrder](fx), must.Sprint("the worker may be a later one, and go on"))
+	fx.al.endLife(fx.now, fx.al.workers["a"], "reports a later start")
+	must.Len(t, 1, ordersOf[StartOrder](fx))
+}
+
 func TestVMWhoseMoveIsInDoubtGetsNoWork(t *testing.T) {
 	fx := newFixture(t)
 	fx.apply(Configured{
--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// mayTakeDown reports whether an order that is under way or in doubt may take a
+// VM down, with whatever worker is on it by then.
+func (fl *fleet) mayTakeDown(vm string) bool {
+	if mv := fl.moves[vm]; mv != nil && !mv.isAccepted {
+		return true
+	}
+	for _, wv := range fl.waves {
+		if dv := wv.down[vm]; dv != nil && !dv.isAccepted {
+			return true
+		}
+	}
+	return false
+}
+
 // vmOrderEnded takes in what became of a move or maintenance.
 func (al *Allocator) vmOrderEnded(now time.Time, ev VMOrderEnded) {
 	if ev.Order.Pool != "" {
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -367,12 +367,15 @@
 	}
 }
 
-// takeDown ends the life of a worker whose VM the platform has taken down.
+// takeDown ends the life of a worker whose VM the platform has taken down. A
+// worker that still has runs may be one that came after an order that had been
+// carried out before; its runs end when it says so or its lease has passed.
 func (al *Allocator) takeDown(now time.Time, wk *worker, reason string) {
-	for _, rn := range wk.runsInOrder() {
-		al.loseRun(now, rn, reason)
+	wk.isCordoned = false
+	if len(wk.runs)+len(wk.unsettled) > 0 {
+		al.note(Finding{Message: "worker kept", Worker: wk.info.ID, VM: wk.info.VM, Reason: "it has runs although its " + reason})
+		return
 	}
 	al.endLife(now, wk, reason)
 	wk.isListed = false
-	wk.isCordoned = false
 }
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -126,7 +126,7 @@
 
 // takesWork reports whether a worker may get a start now.
 func (al *Allocator) takesWork(now time.Time, wk *worker) bool {
-	return wk.isListed && wk.isRostered && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned &&
+	return wk.isListed && wk.isRostered && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned && !al.fleet.mayTakeDown(wk.info.VM) &&
 		now.Sub(wk.reportedAt) < reportFreshness && !now.Before(wk.quarantinedUntil) && !now.Before(wk.suspectUntil) &&
 		wk.leaseEnd > 0 && al.clockOf(now, wk) < wk.leaseEnd
 }
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -231,7 +231,12 @@
 			dy.tell(tm, hop, allocator.VMOrderEnded{Order: vo, Outcome: allocator.Busy})
 			return
 		}
+		if nd.isMaintained {
+			dy.tell(tm, hop, allocator.VMOrderEnded{Order: vo, Outcome: allocator.Accepted})
+			return
+		}
 		dy.checkMaintenance(nd)
+		nd.isMaintained = true
 		nd.isUp = false
 		nd.state = modeller.VMMaintenance
 		dy.dropPoll(nd)
--- a/standin/internal/emulator/node.go
+++ b/standin/internal/emulator/node.go
@@ -21,7 +21,9 @@
 	cutUntil time.Time
 	backAt   time.Time
 	state    modeller.VMState
-	life     int
+	// isMaintained is true once the wave's maintenance of the VM has begun.
+	isMaintained bool
+	life         int
 	// poll is the poll that waits here.
 	poll *waitingPoll
 	// lateShare of the orders get no answer and are carried out late.
@@ -52,6 +54,7 @@
 		VM: vm,
 	}
 	dy.renew(nd, modeller.WorkerID("w-"+vm))
+	dy.list(nd)
 }
 
 // renew gives a node a new life under an ID.
@@ -74,7 +77,6 @@
 	})
 	dy.nodes[id] = nd
 	dy.ordered = nil
-	dy.list(nd)
 }
 
 // list tells the holders of a worker's entry in the directory.
@@ -128,4 +130,14 @@
 	}
 	nd.info.IsDraining = false
 	dy.renew(nd, id)
+	life := nd.life
+	dy.due.add(dy.now.Add(time.Duration(dy.random.Int64N(int64(heartbeatInterval)))), func() {
+		if nd.isUp && nd.life == life {
+			dy.list(nd)
+		}
+	})
 }
+
+// heartbeatInterval is how long a worker may take to report to the directory
+// after its start; the VM interface names it at once.
+const heartbeatInterval = 1500 * time.Millisecond
