allocator: count a VM as gone only once the lists have lacked it for 3 s

Ruled out: an order that was done before, and pages that skip a VM. The tests fail without the mend.

--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -185,6 +185,33 @@
 	must.Len(t, 1, ordersOf[VMOrder](fx))
 }
 
+func TestWaveWaitsForAVMThatTheListLacksAtFirst(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	fx.list(vmOf("a", modeller.VMUp))
+	fx.apply(WaveRecorded{Wave: modeller.Wave{Number: 1, VMs: []string{"vm-late"}, Duration: 20 * time.Second, MaxDown: 1}})
+	fx.pass(time.Second)
+	must.False(t, fx.al.fleet.waves[1].isAllDone, must.Sprint("the list is older than the VM"))
+	fx.list(vmOf("a", modeller.VMUp), vmOf("late", modeller.VMDown))
+	fx.pass(absenceTime)
+	fx.list(vmOf("a", modeller.VMUp), vmOf("late", modeller.VMDown))
+	fx.pass(time.Second)
+	must.False(t, fx.al.fleet.waves[1].isAllDone, must.Sprint("the VM stays"))
+}
+
+func TestWaveIsCompletedWithoutAVMThatHasLeft(t *testing.T) {
+	fx := newFixture(t)
+	fx.ready("a")
+	fx.wave(1)
+	fx.apply(WaveRecorded{Wave: modeller.Wave{Number: 2, VMs: []string{"vm-gone"}, Duration: 20 * time.Second, MaxDown: 1}})
+	for range 4 {
+		must.False(t, fx.al.fleet.waves[2].isAllDone)
+		fx.list(vmOf("a", modeller.VMUp))
+		fx.pass(time.Second)
+	}
+	must.True(t, fx.al.fleet.waves[2].isAllDone)
+}
+
 func TestWaveTakesSpareVMsUntilItMustHurry(t *testing.T) {
 	fx := newFixture(t)
 	fx.apply(WaveProgressLoaded{Number: 1, Elapsed: 2 * time.Second})
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -44,7 +44,7 @@
 type WaveProgress struct {
 	// Number names the wave.
 	Number int64
-	// Maintained are the VMs that have been maintained or are gone.
+	// Maintained are the VMs that have been maintained.
 	Maintained []string
 	// IsCompleted is true once that is all of them.
 	IsCompleted bool
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -20,6 +20,9 @@
 	maxListAge = 2 * time.Second
 	// vmOrderRepeat is after what time a refused or unanswered order is sent again.
 	vmOrderRepeat = 400 * time.Millisecond
+	// absenceTime is for how long the lists must have lacked a VM before it counts
+	// as gone: a list may be older than the VM, and its pages are no snapshot.
+	absenceTime = 3 * time.Second
 	// emptyingTime is how long a VM takes to run out of tasks, and hurryFactor
 	// and hurryMargin are what a wave keeps in hand.
 	emptyingTime = 3 * time.Second
@@ -34,6 +37,8 @@
 type wave struct {
 	info       modeller.Wave
 	maintained map[string]struct{}
+	// absentSince is by VM: since when the lists have lacked it.
+	absentSince map[string]time.Time
 	// down are the VMs that maintenance was ordered for and that aren't back.
 	down map[string]*downVM
 	// emptying are the VMs that get no work until their maintenance.
@@ -60,9 +65,10 @@
 	wv := fl.waves[number]
 	if wv == nil {
 		wv = &wave{
-			maintained: map[string]struct{}{},
-			down:       map[string]*downVM{},
-			emptying:   map[string]time.Time{},
+			maintained:  map[string]struct{}{},
+			absentSince: map[string]time.Time{},
+			down:        map[string]*downVM{},
+			emptying:    map[string]time.Time{},
 		}
 		fl.waves[number] = wv
 	}
@@ -124,20 +130,8 @@
 
 func (al *Allocator) planWave(now time.Time, wv *wave) {
 	al.noteReturned(now, wv)
-	pending := 0
-	for _, vm := range wv.info.VMs {
-		if _, ok := wv.maintained[vm]; ok {
-			continue
-		}
-		if _, ok := al.fleet.vms[vm]; !ok && wv.down[vm] == nil {
-			// A VM that is no longer listed has left for good.
-			wv.maintained[vm] = struct{}{}
-			wv.isDirty = true
-			continue
-		}
-		pending++
-	}
-	if pending == 0 && len(wv.down) == 0 {
+	wv.noteAbsent(al.fleet)
+	if wv.pending(al.fleet) == 0 && len(wv.down) == 0 {
 		wv.isAllDone = true
 		wv.isDirty = true
 		al.note(Finding{Message: "wave completed", Reason: "all VMs have been maintained"})
@@ -147,6 +141,31 @@
 	al.orderMaintenances(now, wv)
 }
 
+// noteAbsent notes which VMs the latest list lacks.
+func (wv *wave) noteAbsent(fl *fleet) {
+	for _, vm := range wv.info.VMs {
+		if _, isListed := fl.vms[vm]; isListed {
+			delete(wv.absentSince, vm)
+		} else if _, ok := wv.absentSince[vm]; !ok {
+			wv.absentSince[vm] = fl.listedAt
+		}
+	}
+}
+
+// pending counts the VMs that are still to be maintained. Those that the lists
+// have lacked for some time have left for good.
+func (wv *wave) pending(fl *fleet) int {
+	pending := 0
+	for _, vm := range wv.info.VMs {
+		since, isAbsent := wv.absentSince[vm]
+		if _, isMaintained := wv.maintained[vm]; isMaintained || isAbsent && fl.listedAt.Sub(since) >= absenceTime {
+			continue
+		}
+		pending++
+	}
+	return pending
+}
+
 // noteReturned takes the VMs that are back from those that are down.
 func (al *Allocator) noteReturned(now time.Time, wv *wave) {
 	fl := al.fleet
@@ -173,8 +192,7 @@
 
 // mustHurry reports whether the wave needs all of its remaining time, with
 // something to spare, if as many VMs as may be are down from now on.
-func (wv *wave) mustHurry(now time.Time, maintenanceTime time.Duration) bool {
-	pending := len(wv.info.VMs) - len(wv.maintained)
+func (wv *wave) mustHurry(now time.Time, pending int, maintenanceTime time.Duration) bool {
 	rounds := (pending + wv.info.MaxDown - 1) / wv.info.MaxDown
 	needed := time.Duration(hurryFactor*float64(rounds)*float64(maintenanceTime+emptyingTime)) + hurryMargin
 	return now.Add(needed).After(wv.begunAt.Add(wv.info.Duration))
@@ -196,7 +214,7 @@
 		cost float64
 	}
 	var candidates []candidate
-	isHurried := wv.mustHurry(now, al.bounds.MaintenanceTime)
+	isHurried := wv.mustHurry(now, wv.pending(al.fleet), al.bounds.MaintenanceTime)
 	for _, name := range wv.info.VMs {
 		vm, ok := al.fleet.vms[name]
 		if _, isDone := wv.maintained[name]; isDone || !ok || vm.State != modeller.VMUp {
