allocator: begin the occurrences that workers or records show

Ruled out: lost writes; the ends were acknowledged as if known. Change: a report or a record begins the occurrence. Three tests fail without it.

--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -533,6 +533,50 @@
 	must.Len(t, 0, ordersOf[StartOrder](fx))
 }
 
+// timedJob is a job of two occurrences, the first of which is due after a time.
+func (fx *fixture) timedJob(after time.Duration) JobRecorded {
+	return JobRecorded{Record: modeller.JobRecord{Job: modeller.Job{
+		ID: "t", Queue: "q", Steps: []modeller.Step{oneTask()}, Occurrences: 2, FirstAt: fx.now.Add(after), Interval: time.Second,
+	}}}
+}
+
+func TestEndOfAnOccurrenceThatIsNotDueByThisClockCounts(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(ProgressLoaded{Progress: modeller.Progress{ID: "t", Queue: "q"}})
+	fx.apply(fx.timedJob(500 * time.Millisecond))
+	fx.worker("a")
+	fx.apply(Loaded{})
+	fx.store()
+	fx.pass(50 * time.Millisecond)
+	fx.report("a", nil, modeller.End{Number: 1, Task: name("t", 0), Attempt: 1, Kind: modeller.EndDone})
+	for range 2 {
+		fx.pass(500 * time.Millisecond)
+		fx.report("a", nil)
+	}
+	must.Len(t, 0, ordersOf[StartOrder](fx), must.Sprint("the first occurrence is done"))
+}
+
+func TestRunOfAnOccurrenceThatIsNotDueByThisClockIsAdopted(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(ProgressLoaded{Progress: modeller.Progress{ID: "t", Queue: "q"}})
+	fx.apply(fx.timedJob(500 * time.Millisecond))
+	fx.worker("a")
+	fx.apply(Loaded{})
+	fx.store()
+	fx.pass(50 * time.Millisecond)
+	fx.report("a", []modeller.Run{{Task: name("t", 0), Attempt: 1}})
+	must.Len(t, 0, ordersOf[StopOrder](fx))
+}
+
+func TestStoredProgressOfAnOccurrenceThatIsNotDueByThisClockIsKept(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(ProgressLoaded{Progress: modeller.Progress{ID: "t", Queue: "q", Tasks: []modeller.TaskProgress{{IsDone: true, Attempt: 1}}}})
+	fx.apply(fx.timedJob(500 * time.Millisecond))
+	fx.apply(Loaded{})
+	fx.al.touch(fx.al.jobs["t"])
+	must.Eq(t, []modeller.TaskProgress{{IsDone: true, Attempt: 1}}, fx.al.Batch(fx.now).Progress[0].Tasks)
+}
+
 func TestTimedJobStartsAtItsTime(t *testing.T) {
 	fx := newFixture(t)
 	fx.ready("a")
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -105,6 +105,17 @@
 		return
 	}
 	al.timed++
+	for name := range jb.loaded {
+		al.beginThrough(now, jb, name.Occurrence)
+	}
+}
+
+// beginThrough begins the occurrences up to one that an earlier holder has begun,
+// whose clock may have been ahead of this one's.
+func (al *Allocator) beginThrough(now time.Time, jb *job, number int) {
+	for len(jb.occurrences) <= number && len(jb.occurrences) < jb.info.Occurrences {
+		al.begin(now, jb, len(jb.occurrences))
+	}
 }
 
 // measure returns a job's core-time and its longest chain, as estimated.
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -101,7 +101,7 @@
 	}
 	// What a run of an unknown job holds is unknown as well.
 	rn.occupies = wk.info.Capacity
-	tk := al.findTask(reported.Task)
+	tk := al.reportedTask(now, reported.Task)
 	if tk != nil {
 		rn.occupies = tk.step.spec.Occupies()
 		tk.attempt = max(tk.attempt, reported.Attempt)
@@ -142,7 +142,7 @@
 	if rn := wk.runs[end.Task]; rn != nil && rn.attempt == end.Attempt {
 		wk.removeRun(rn)
 	}
-	tk := al.findTask(end.Task)
+	tk := al.reportedTask(now, end.Task)
 	if tk == nil {
 		return
 	}
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -77,6 +77,14 @@
 	return oc.steps[name.Step].tasks[name.Index]
 }
 
+// reportedTask returns the task that a worker has reported a run of, or nil.
+func (al *Allocator) reportedTask(now time.Time, name modeller.TaskName) *task {
+	if jb := al.jobs[name.Job]; jb != nil {
+		al.beginThrough(now, jb, name.Occurrence)
+	}
+	return al.findTask(name)
+}
+
 // isReady reports whether all steps that come before a step are done.
 func (oc *occurrence) isReady(st *step) bool {
 	for _, earlier := range st.spec.After {
--- a/standin/internal/emulator/caller.go
+++ b/standin/internal/emulator/caller.go
@@ -84,6 +84,11 @@
 		step.IsGang = true
 		step.Count = 3
 		sj.job.Steps = []modeller.Step{step}
+	case kind < 0.15:
+		sj.job.Steps = []modeller.Step{step}
+		sj.job.Occurrences = 1 + dy.random.IntN(3)
+		sj.job.FirstAt = dy.now.Add(time.Duration(dy.random.IntN(3000)) * time.Millisecond)
+		sj.job.Interval = time.Duration(200+dy.random.IntN(1500)) * time.Millisecond
 	default:
 		sj.job.Steps = []modeller.Step{step}
 		for number := range dy.random.IntN(3) {
--- a/standin/internal/emulator/check.go
+++ b/standin/internal/emulator/check.go
@@ -75,9 +75,12 @@
 			atWorkAt: dy.now,
 		}
 	}
+	if dueAt := sj.job.FirstAt.Add(time.Duration(name.Occurrence) * sj.job.Interval); sj.job.Occurrences > 0 && dueAt.Sub(dy.now) > maxSkew {
+		dy.breakPromise("ORDER", "%s starts %s early", name, dueAt.Sub(dy.now))
+	}
 	for _, earlier := range sj.job.Steps[name.Step].After {
 		for index := range sj.job.Steps[earlier].Count {
-			before := modeller.TaskName{Job: name.Job, Step: earlier, Index: index}
+			before := modeller.TaskName{Job: name.Job, Occurrence: name.Occurrence, Step: earlier, Index: index}
 			if len(dy.done[before]) == 0 && !sj.job.Steps[earlier].IsGang {
 				dy.breakPromise("ORDER", "%s starts before %s is done", name, before)
 			}
@@ -88,7 +91,7 @@
 	}
 	perWorker := 0
 	for other := range nd.ex.Runs() {
-		if other.Job == name.Job && other.Step == name.Step {
+		if other.Job == name.Job && other.Occurrence == name.Occurrence && other.Step == name.Step {
 			perWorker++
 		}
 	}
@@ -254,10 +257,16 @@
 }
 
 func (dy *Day) checkCompleted(sj *submitted) {
+	for number := range max(sj.job.Occurrences, 1) {
+		dy.checkOccurrence(sj, number)
+	}
+}
+
+func (dy *Day) checkOccurrence(sj *submitted, number int) {
 	for stepNumber, st := range sj.job.Steps {
 		isAnyDone := false
 		for index := range st.Count {
-			name := modeller.TaskName{Job: sj.job.ID, Step: stepNumber, Index: index}
+			name := modeller.TaskName{Job: sj.job.ID, Occurrence: number, Step: stepNumber, Index: index}
 			if len(dy.done[name]) > 0 {
 				isAnyDone = true
 			} else if !st.IsGang {
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -37,6 +37,8 @@
 	// awayNotice is from when a task that isn't at work counts as away.
 	awayNotice = 4500 * time.Millisecond
 	waveBound  = 2
+	// maxSkew is how far a holder's time of day may be off.
+	maxSkew = 2 * time.Second
 )
 
 // bounds are the bounds of the standard deployments.
@@ -113,6 +115,8 @@
 	// endsAt is when it stops at the latest; zero while its lease holds.
 	endsAt time.Time
 	isOver bool
+	// skew is how far its time of day is ahead of the true time.
+	skew time.Duration
 	// isDeaf is true if it no longer hears of what is in the store.
 	isDeaf bool
 	// cutFrom are the nodes that it doesn't reach, until a time.
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -44,7 +44,7 @@
 		if tm.endsAt.IsZero() && !dy.store.isDown {
 			tm.al.ConfirmDuty(dy.now)
 		}
-		for _, od := range tm.al.Plan(dy.now, dy.now) {
+		for _, od := range tm.al.Plan(dy.now, dy.now.Add(tm.skew)) {
 			dy.send(tm, od)
 		}
 		for _, fi := range tm.al.Findings() {
--- a/standin/internal/emulator/store.go
+++ b/standin/internal/emulator/store.go
@@ -66,6 +66,7 @@
 		al:      allocator.New(dy.now, bounds),
 		fence:   dy.fence,
 		cutFrom: dy.nextCut,
+		skew:    time.Duration(dy.random.Int64N(2*int64(maxSkew))) - maxSkew,
 	}
 	dy.nextCut = nil
 	dy.terms = append(dy.terms, tm)
