--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -252,7 +252,7 @@
 	case BatchStored:
 		al.batchStored(now, ev.Batch)
 	case VMsListed:
-		al.listVMs(ev)
+		al.listVMs(now, ev)
 	case WaveRecorded:
 		al.recordWave(now, ev.Wave)
 	case WaveProgressLoaded:
--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -29,7 +29,7 @@
 	}
 }
 
-func (al *Allocator) listVMs(ev VMsListed) {
+func (al *Allocator) listVMs(now time.Time, ev VMsListed) {
 	fl := al.fleet
 	fl.isAsking = false
 	if ev.VMs == nil {
@@ -40,6 +40,40 @@
 	for _, vm := range ev.VMs {
 		fl.vms[vm.Name] = vm
 	}
+	al.endReplaced(now)
+}
+
+// endReplaced ends the lives of an earlier holder's workers that haven't
+// reported and whose VMs have been taken down since, so that nothing waits for
+// their leases. A VM has one worker at a time.
+func (al *Allocator) endReplaced(now time.Time) {
+	for _, wk := range al.inOrder() {
+		if !wk.mayHoldOldRuns || wk.isSynced || wk.info.VM == "" {
+			continue
+		}
+		if reason := al.replacement(wk); reason != "" {
+			al.endLife(now, wk, reason)
+		}
+	}
+}
+
+// replacement says what shows that a worker's VM has been taken down, or nothing.
+func (al *Allocator) replacement(wk *worker) string {
+	vm, isKnown := al.fleet.vms[wk.info.VM]
+	if isKnown && al.fleet.listedAt.After(al.startedAt) {
+		switch {
+		case vm.State == modeller.VMMoving || vm.State == modeller.VMMaintenance:
+			return "its VM is away"
+		case vm.Pool != wk.info.Pool:
+			return "its VM is in another pool"
+		}
+	}
+	for _, other := range al.workers {
+		if other != wk && other.isSynced && other.info.VM == wk.info.VM {
+			return "another worker reports from its VM"
+		}
+	}
+	return ""
 }
 
 // planFleet empties VMs that are due for maintenance and orders their maintenance.
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -27,8 +27,9 @@
 	}
 	if !wk.isSynced {
 		wk.pollAt = now
+		wk.isSynced = true
+		al.endReplaced(now)
 	}
-	wk.isSynced = true
 	wk.mayHoldOldRuns = false
 	wk.bornMS = ev.Report.BornMS
 	wk.reportedAt = ev.ReceivedAt
