--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -100,6 +100,8 @@
 		progressAt:  now,
 		progress:    -1,
 	}
+	// An earlier holder may have changed the run's pace.
+	rn.pacing.reduction = paceUnknown
 	// What a run of an unknown job holds is unknown as well.
 	rn.occupies = wk.info.Capacity
 	tk := al.reportedTask(now, reported.Task)
