--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -66,6 +66,10 @@
 	stallTimeout = 2500 * time.Millisecond
 	// avoidTime is how long a task stays away from a worker that failed it.
 	avoidTime = 10 * time.Second
+	// lastingAvoidTime is for how long a long-running task does so if no other
+	// worker has room. Such tasks may fail at any time, and have to be back at
+	// work 6 s after they ended.
+	lastingAvoidTime = 2 * time.Second
 	// quarantineTime is how long a worker that fails what it runs gets no work.
 	quarantineTime = 5 * time.Second
 	// quarantineFailures is how many failures in a row of different jobs put a
--- a/shared/jobs/allocator/suit.go
+++ b/shared/jobs/allocator/suit.go
@@ -23,6 +23,15 @@
 // near their data, filling tasks away from serving ones, and all others to the
 // fullest worker that has room.
 func (al *Allocator) choose(now time.Time, tk *task, open []*worker, rack string) *worker {
+	wk := al.chooseFrom(now, tk, open, rack, avoidTime)
+	if wk == nil && tk.step.spec.IsLongRunning && len(tk.avoided) > 0 {
+		wk = al.chooseFrom(now, tk, open, rack, lastingAvoidTime)
+	}
+	return wk
+}
+
+// chooseFrom returns the best worker that the task hasn't avoided for a time.
+func (al *Allocator) chooseFrom(now time.Time, tk *task, open []*worker, rack string, avoidance time.Duration) *worker {
 	st := tk.step
 	demand := st.spec.Occupies()
 	var best *worker
@@ -37,7 +46,7 @@
 		if st.spec.MaxPerWorker > 0 && st.perWorker[wk.info.ID] >= st.spec.MaxPerWorker {
 			continue
 		}
-		if now.Before(tk.avoided[wk.info.ID]) || wk.runs[tk.name] != nil {
+		if tk.avoids(now, wk, avoidance) || wk.runs[tk.name] != nil {
 			continue
 		}
 		if st.tickets != nil && !st.tickets[wk.info.ID].isValid(now) {
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -21,7 +21,8 @@
 	checkpoint   string
 	// notBefore is until when it isn't placed.
 	notBefore time.Time
-	avoided   map[modeller.WorkerID]time.Time
+	// avoided is by worker that failed it: since when it keeps away.
+	avoided map[modeller.WorkerID]time.Time
 }
 
 // step is one step of an occurrence.
@@ -61,7 +62,13 @@
 	if tk.avoided == nil {
 		tk.avoided = map[modeller.WorkerID]time.Time{}
 	}
-	tk.avoided[wk.info.ID] = now.Add(avoidTime)
+	tk.avoided[wk.info.ID] = now
+}
+
+// avoids reports whether the task still keeps away from a worker, for a time.
+func (tk *task) avoids(now time.Time, wk *worker, duration time.Duration) bool {
+	since, ok := tk.avoided[wk.info.ID]
+	return ok && now.Before(since.Add(duration))
 }
 
 // findTask returns a task, or nil.
