storer: send copies of a write that has no answer yet

Change: copies 100 ms apart or twice the last answer's time, then doubling, up to the wait as before; one takes effect, by the transaction's conditions. A refusal beside a copy without an answer stays in doubt. TestCopiesOfATransaction has the cases.

--- /dev/null
+++ b/shared/store/storer/hedge_test.go
@@ -0,0 +1,98 @@
+package storer_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/storer"
+)
+
+// copyAnswer is how the service treats one copy of a transaction.
+type copyAnswer struct {
+	// after is when the answer comes; zero stands for never.
+	after time.Duration
+	err   error
+}
+
+// copies is a service that treats the copies of a transaction in turn.
+type copies struct {
+	storer.TransactionStore
+	answers []copyAnswer
+	sent    []time.Duration
+	begin   time.Time
+}
+
+func (cs *copies) Commit(ctx context.Context, _ storer.Transaction) (storer.Revision, error) {
+	number := len(cs.sent)
+	cs.sent = append(cs.sent, time.Since(cs.begin))
+	var an copyAnswer
+	if number < len(cs.answers) {
+		an = cs.answers[number]
+	}
+	if an.after > 0 {
+		select {
+		case <-time.After(an.after):
+			return storer.Revision(number + 1), an.err
+		case <-ctx.Done():
+		}
+	}
+	<-ctx.Done()
+	return 0, classifier.New(classifier.PlatformAmbiguous, "no answer")
+}
+
+func TestCopiesOfATransaction(t *testing.T) {
+	const answerTime = 4 * time.Millisecond
+	refusal := classifier.New(classifier.PlatformUnavailable, "busy")
+	conflict := classifier.New(classifier.PlatformConflict, "there already")
+	for _, row := range []struct {
+		name    string
+		answers []copyAnswer
+		code    classifier.Code
+		copies  int
+		elapsed time.Duration
+	}{
+		{"answered", []copyAnswer{{after: answerTime}}, classifier.OK, 1, answerTime},
+		{"refused", []copyAnswer{{after: answerTime, err: refusal}}, classifier.PlatformUnavailable, 1, answerTime},
+		{"one answer lost", []copyAnswer{{}, {after: answerTime, err: conflict}}, classifier.PlatformConflict, 2, 104 * time.Millisecond},
+		{"two lost", []copyAnswer{{}, {}, {after: answerTime}}, classifier.OK, 3, 304 * time.Millisecond},
+		{"slow", []copyAnswer{{after: 240 * time.Millisecond}, {after: 240 * time.Millisecond, err: conflict}}, classifier.OK, 2, 240 * time.Millisecond},
+		{"a refusal beside a lost answer says nothing", []copyAnswer{{}, {after: answerTime, err: refusal}}, classifier.PlatformAmbiguous, 3, 600 * time.Millisecond},
+		{"all lost", nil, classifier.PlatformAmbiguous, 3, 600 * time.Millisecond},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cs := &copies{
+					answers: row.answers,
+					begin:   time.Now(),
+				}
+				var pa storer.Patience
+				_, err := storer.CommitPatiently(t.Context(), cs, storer.Transaction{}, &pa)
+				must.Eq(t, row.code, classifier.CodeOf(err))
+				must.Eq(t, row.elapsed, time.Since(cs.begin))
+				must.Len(t, row.copies, cs.sent)
+			})
+		})
+	}
+}
+
+func TestSlowServiceGetsFewCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var pa storer.Patience
+		for round := range 3 {
+			cs := &copies{
+				answers: []copyAnswer{{after: 240 * time.Millisecond}},
+				begin:   time.Now(),
+			}
+			_, err := storer.CommitPatiently(t.Context(), cs, storer.Transaction{}, &pa)
+			must.NoError(t, err)
+			if round > 0 {
+				must.Len(t, 1, cs.sent, must.Sprint("the last answer took as long"))
+			}
+		}
+	})
+}
--- a/shared/store/storer/patience.go
+++ b/shared/store/storer/patience.go
@@ -15,6 +15,11 @@
 	// patienceFactor is how many times as long as the last answer took the next
 	// is waited for.
 	patienceFactor = 4
+	// minPause is above the time of most answers, 4 ms, and of what delays one.
+	minPause = 100 * time.Millisecond
+	// pauseFactor is how many times as long as the last answer took a further
+	// copy is put off.
+	pauseFactor = 2
 )
 
 // Patience tells how long an answer to a write is worth waiting for, where the
@@ -24,6 +29,8 @@
 type Patience struct {
 	mu   sync.Mutex
 	wait time.Duration
+	// pause is from one copy of a write to the next.
+	pause time.Duration
 }
 
 // Wait returns how long the next answer is waited for.
@@ -33,11 +40,19 @@
 	return max(pa.wait, minPatience)
 }
 
+// Pause returns after what time a write without an answer is sent once more.
+func (pa *Patience) Pause() time.Duration {
+	pa.mu.Lock()
+	defer pa.mu.Unlock()
+	return max(pa.pause, minPause)
+}
+
 // Answered tells that an answer took a time.
 func (pa *Patience) Answered(latency time.Duration) {
 	pa.mu.Lock()
 	defer pa.mu.Unlock()
 	pa.wait = min(max(patienceFactor*latency, minPatience), maxPatience)
+	pa.pause = pauseFactor * latency
 }
 
 // Unanswered tells that no answer came in time.
--- a/shared/store/storer/transaction.go
+++ b/shared/store/storer/transaction.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 )
 
 // Expectation is a condition of a Transaction.
@@ -71,18 +70,3 @@
 	ot.observe("commit", err)
 	return revision, err
 }
-
-// CommitPatiently carries out a transaction that may be sent again, and waits
-// for the answer as long as the patience says.
-func CommitPatiently(ctx context.Context, store TransactionStore, tx Transaction, pa *Patience) (Revision, error) {
-	limited, cancel := context.WithTimeout(ctx, pa.Wait())
-	defer cancel()
-	began := time.Now()
-	revision, err := store.Commit(limited, tx)
-	if limited.Err() != nil && ctx.Err() == nil {
-		pa.Unanswered()
-	} else if err == nil {
-		pa.Answered(time.Since(began))
-	}
-	return revision, err
-}
