--- /dev/null
+++ b/shared/jobs/allocator/move_test.go
@@ -0,0 +1,56 @@
+package allocator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+func TestVMWhoseMoveIsInDoubtGetsNoWork(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(Configured{
+		Configuration: modeller.Configuration{
+			Version: 2,
+			Queues:  map[string]modeller.Queue{"q": {Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 1.6}},
+			Pools:   map[string]modeller.Pool{"p": {Name: "p"}, "off": {Name: "off", IsStandby: true}},
+		},
+	})
+	ids := []string{"a", "b", "c", "d"}
+	fx.ready(ids...)
+	idle := func(duration time.Duration) {
+		for range int(duration / (100 * time.Millisecond)) {
+			fx.pass(100 * time.Millisecond)
+			var vms []modeller.VM
+			for _, id := range ids {
+				fx.report(id, nil)
+				vms = append(vms, vmOf(id, modeller.VMUp))
+			}
+			fx.list(vms...)
+		}
+	}
+	idle(2 * time.Second)
+	moves := ordersOf[VMOrder](fx)
+	must.Len(t, 2, moves, must.Sprint("a pool without demand keeps two VMs"))
+	for _, vo := range moves {
+		fx.apply(VMOrderEnded{Order: vo, Outcome: Unanswered})
+	}
+	idle(8 * time.Second)
+	again := ordersOf[VMOrder](fx)
+	must.Len(t, 2, again, must.Sprint("they are sent again"))
+	for _, vo := range again {
+		fx.apply(VMOrderEnded{Order: vo, Outcome: NotSent})
+	}
+	st := oneTask()
+	st.Count = 16
+	st.Demand.MilliCores = 1000
+	fx.submit("j", st)
+	idle(200 * time.Millisecond)
+	workers := map[modeller.WorkerID]bool{}
+	for _, so := range ordersOf[StartOrder](fx) {
+		workers[so.Worker.ID] = true
+	}
+	must.MapLen(t, 2, workers, must.Sprint("the VMs in doubt get none"))
+}
