--- a/shared/store/storer/hedge_test.go
+++ b/shared/store/storer/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,21 +24,29 @@
 type copies struct {
 	storer.TransactionStore
 	answers []copyAnswer
-	sent    []time.Duration
 	begin   time.Time
+	mu      sync.Mutex
+	sent    []time.Duration
 }
 
-func (cs *copies) Commit(ctx context.Context, _ storer.Transaction) (storer.Revision, error) {
+// next returns how the next copy is treated.
+func (cs *copies) next() copyAnswer {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
 	number := len(cs.sent)
 	cs.sent = append(cs.sent, time.Since(cs.begin))
-	var an copyAnswer
-	if number < len(cs.answers) {
-		an = cs.answers[number]
+	if number >= len(cs.answers) {
+		return copyAnswer{}
 	}
+	return cs.answers[number]
+}
+
+func (cs *copies) Commit(ctx context.Context, _ storer.Transaction) (storer.Revision, error) {
+	an := cs.next()
 	if an.after > 0 {
 		select {
 		case <-time.After(an.after):
-			return storer.Revision(number + 1), an.err
+			return 1, an.err
 		case <-ctx.Done():
 		}
 	}
