storer: read the test's count of copies under its lock

Cause: the check after the answer read the count while a copy that goes on could write it (race detector, case slow). go test -race -count=5 ./shared/store/... passes.

--- a/shared/store/storer/hedge_test.go
+++ b/shared/store/storer/hedge_test.go
@@ -26,19 +26,25 @@
 	answers []copyAnswer
 	begin   time.Time
 	mu      sync.Mutex
-	sent    []time.Duration
+	sent    int
 }
 
 // next returns how the next copy is treated.
 func (cs *copies) next() copyAnswer {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	number := len(cs.sent)
-	cs.sent = append(cs.sent, time.Since(cs.begin))
-	if number >= len(cs.answers) {
+	cs.sent++
+	if cs.sent > len(cs.answers) {
 		return copyAnswer{}
 	}
-	return cs.answers[number]
+	return cs.answers[cs.sent-1]
+}
+
+// count returns how many copies were sent.
+func (cs *copies) count() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.sent
 }
 
 func (cs *copies) Commit(ctx context.Context, _ storer.Transaction) (storer.Revision, error) {
@@ -83,7 +89,7 @@
 				_, err := storer.CommitPatiently(t.Context(), cs, storer.Transaction{}, &pa)
 				must.Eq(t, row.code, classifier.CodeOf(err))
 				must.Eq(t, row.elapsed, time.Since(cs.begin))
-				must.Len(t, row.copies, cs.sent)
+				must.Eq(t, row.copies, cs.count())
 			})
 		})
 	}
@@ -100,7 +106,7 @@
 			_, err := storer.CommitPatiently(t.Context(), cs, storer.Transaction{}, &pa)
 			must.NoError(t, err)
 			if round > 0 {
-				must.Len(t, 1, cs.sent, must.Sprint("the last answer took as long"))
+				must.Eq(t, 1, cs.count(), must.Sprint("the last answer took as long"))
 			}
 		}
 	})
