--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -131,13 +131,14 @@
 func (al *Allocator) planWave(now time.Time, wv *wave) {
 	al.noteReturned(now, wv)
 	wv.noteAbsent(al.fleet)
-	if wv.pending(al.fleet) == 0 && len(wv.down) == 0 {
+	pending := wv.pending(al.fleet)
+	if pending == 0 && len(wv.down) == 0 {
 		wv.isAllDone = true
 		wv.isDirty = true
 		al.note(Finding{Message: "wave completed", Reason: "all VMs have been maintained"})
 		return
 	}
-	al.cordon(now, wv)
+	al.cordon(now, wv, wv.mustHurry(now, pending, al.bounds.MaintenanceTime))
 	al.orderMaintenances(now, wv)
 }
 
@@ -208,13 +209,13 @@
 }
 
 // cordon chooses the VMs that are emptied next: those with the least to lose.
-func (al *Allocator) cordon(now time.Time, wv *wave) {
+// Unless the wave has to hurry, they are VMs that their pools can do without.
+func (al *Allocator) cordon(now time.Time, wv *wave, isHurried bool) {
 	type candidate struct {
 		name string
 		cost float64
 	}
 	var candidates []candidate
-	isHurried := wv.mustHurry(now, wv.pending(al.fleet), al.bounds.MaintenanceTime)
 	for _, name := range wv.info.VMs {
 		vm, ok := al.fleet.vms[name]
 		if _, isDone := wv.maintained[name]; isDone || !ok || vm.State != modeller.VMUp {
--- a/shared/store/storer/transaction.go
+++ b/shared/store/storer/transaction.go
@@ -1,8 +1,6 @@
 package storer
 
-import (
-	"context"
-)
+import "context"
 
 // Expectation is a condition of a Transaction.
 type Expectation struct {
