allocator: end a worker whose VM has left; one check of absence for waves and workers

Ruled out: workers that are cut off, whose VMs stay listed as up. Change: waves kept the absence of VMs to themselves; it moves to the fleet, and both ask there. The new test fails without the change; the emulator's list leaves out VMs that are gone.

--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -6,13 +6,19 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
+// absenceTime is for how long the lists must have lacked a VM before it counts
+// as gone: a list may be older than the VM, and its pages are no snapshot.
+const absenceTime = 3 * time.Second
+
 // fleet is the state of VMs and waves.
 type fleet struct {
-	vms      map[string]modeller.VM
-	waves    map[int64]*wave
-	listedAt time.Time
-	askedAt  time.Time
-	isAsking bool
+	vms map[string]modeller.VM
+	// absentSince is by VM that was asked for: since when the lists have lacked it.
+	absentSince map[string]time.Time
+	waves       map[int64]*wave
+	listedAt    time.Time
+	askedAt     time.Time
+	isAsking    bool
 	// moves are the VMs on their way to another pool.
 	moves          map[string]*move
 	movesPlannedAt time.Time
@@ -22,10 +28,11 @@
 
 func newFleet() *fleet {
 	return &fleet{
-		vms:     map[string]modeller.VM{},
-		waves:   map[int64]*wave{},
-		moves:   map[string]*move{},
-		history: map[string]needHistory{},
+		vms:         map[string]modeller.VM{},
+		absentSince: map[string]time.Time{},
+		waves:       map[int64]*wave{},
+		moves:       map[string]*move{},
+		history:     map[string]needHistory{},
 	}
 }
 
@@ -39,10 +46,25 @@
 	clear(fl.vms)
 	for _, vm := range ev.VMs {
 		fl.vms[vm.Name] = vm
+		delete(fl.absentSince, vm.Name)
 	}
 	al.endReplaced(now)
 }
 
+// hasLeft reports whether the lists have lacked a VM for some time, which counts
+// from the first call that finds it absent.
+func (fl *fleet) hasLeft(vm string) bool {
+	if _, isListed := fl.vms[vm]; isListed {
+		return false
+	}
+	since, ok := fl.absentSince[vm]
+	if !ok {
+		fl.absentSince[vm] = fl.listedAt
+		return false
+	}
+	return fl.listedAt.Sub(since) >= absenceTime
+}
+
 // endReplaced ends the lives of an earlier holder's workers that haven't
 // reported and whose VMs have been taken down since, so that nothing waits for
 // their leases. A VM has one worker at a time.
@@ -59,9 +81,12 @@
 
 // replacement says what shows that a worker's VM has been taken down, or nothing.
 func (al *Allocator) replacement(wk *worker) string {
-	vm, isKnown := al.fleet.vms[wk.info.VM]
-	if isKnown && al.fleet.listedAt.After(al.startedAt) {
+	if al.fleet.listedAt.After(al.startedAt) {
+		vm, isListed := al.fleet.vms[wk.info.VM]
 		switch {
+		case al.fleet.hasLeft(wk.info.VM):
+			return "its VM has left"
+		case !isListed:
 		case vm.State == modeller.VMMoving || vm.State == modeller.VMMaintenance:
 			return "its VM is away"
 		case vm.Pool != wk.info.Pool:
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -20,9 +20,6 @@
 	maxListAge = 2 * time.Second
 	// vmOrderRepeat is after what time a refused or unanswered order is sent again.
 	vmOrderRepeat = 400 * time.Millisecond
-	// absenceTime is for how long the lists must have lacked a VM before it counts
-	// as gone: a list may be older than the VM, and its pages are no snapshot.
-	absenceTime = 3 * time.Second
 	// emptyingTime is how long a VM takes to run out of tasks, and hurryFactor
 	// and hurryMargin are what a wave keeps in hand.
 	emptyingTime = 3 * time.Second
@@ -37,8 +34,6 @@
 type wave struct {
 	info       modeller.Wave
 	maintained map[string]struct{}
-	// absentSince is by VM: since when the lists have lacked it.
-	absentSince map[string]time.Time
 	// down are the VMs that maintenance was ordered for and that aren't back.
 	down map[string]*downVM
 	// emptying are the VMs that get no work until their maintenance.
@@ -65,10 +60,9 @@
 	wv := fl.waves[number]
 	if wv == nil {
 		wv = &wave{
-			maintained:  map[string]struct{}{},
-			absentSince: map[string]time.Time{},
-			down:        map[string]*downVM{},
-			emptying:    map[string]time.Time{},
+			maintained: map[string]struct{}{},
+			down:       map[string]*downVM{},
+			emptying:   map[string]time.Time{},
 		}
 		fl.waves[number] = wv
 	}
@@ -130,7 +124,6 @@
 
 func (al *Allocator) planWave(now time.Time, wv *wave) {
 	al.noteReturned(now, wv)
-	wv.noteAbsent(al.fleet)
 	pending := wv.pending(al.fleet)
 	if pending == 0 && len(wv.down) == 0 {
 		wv.isAllDone = true
@@ -142,27 +135,13 @@
 	al.orderMaintenances(now, wv)
 }
 
-// noteAbsent notes which VMs the latest list lacks.
-func (wv *wave) noteAbsent(fl *fleet) {
-	for _, vm := range wv.info.VMs {
-		if _, isListed := fl.vms[vm]; isListed {
-			delete(wv.absentSince, vm)
-		} else if _, ok := wv.absentSince[vm]; !ok {
-			wv.absentSince[vm] = fl.listedAt
-		}
-	}
-}
-
-// pending counts the VMs that are still to be maintained. Those that the lists
-// have lacked for some time have left for good.
+// pending counts the VMs that are still to be maintained.
 func (wv *wave) pending(fl *fleet) int {
 	pending := 0
 	for _, vm := range wv.info.VMs {
-		since, isAbsent := wv.absentSince[vm]
-		if _, isMaintained := wv.maintained[vm]; isMaintained || isAbsent && fl.listedAt.Sub(since) >= absenceTime {
-			continue
+		if _, isMaintained := wv.maintained[vm]; !isMaintained && !fl.hasLeft(vm) {
+			pending++
 		}
-		pending++
 	}
 	return pending
 }
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+func TestSilentWorkerIsNotWaitedForOnceItsVMHasLeft(t *testing.T) {
+	old := vmOf("old", modeller.VMUp)
+	for _, row := range []struct {
+		name   string
+		lists  [][]modeller.VM
+		starts int
+	}{
+		{"one list lacks the VM", [][]modeller.VM{nil}, 0},
+		{"a list has it again", [][]modeller.VM{nil, nil, {old}, nil}, 0},
+		{"all lists lack it for 3 s", [][]modeller.VM{nil, nil, nil, nil}, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			fx := takeOver(t)
+			for _, vms := range row.lists {
+				fx.pass(time.Second)
+				fx.report("a", nil)
+				fx.list(append(vms, vmOf("a", modeller.VMUp))...)
+			}
+			must.Len(t, row.starts, ordersOf[StartOrder](fx))
+		})
+	}
+}
+
 func TestSilentWorkerIsNotWaitedForOnceAnotherReportsFromItsVM(t *testing.T) {
 	fx := takeOver(t)
 	later := fx.al.workers["a"].info
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -212,6 +212,9 @@
 	var vms []modeller.VM
 	for _, id := range slices.Sorted(maps.Keys(dy.nodes)) {
 		nd := dy.nodes[id]
+		if hasLeft := !nd.isUp && nd.backAt.IsZero(); hasLeft {
+			continue
+		}
 		vms = append(vms, modeller.VM{
 			Name:   nd.info.VM,
 			Pool:   nd.info.Pool,
