--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -110,6 +110,7 @@
 	batches     chan *allocator.Batch
 	failures    chan error
 	lastBatchAt time.Time
+	monitor     *loadMonitor
 }
 
 // Serve runs the scheduler until the context is done or the duty is lost.
@@ -125,6 +126,7 @@
 		events:    make(chan allocator.Event, eventQueueSize),
 		batches:   make(chan *allocator.Batch, 1),
 		failures:  make(chan error, 1),
+		monitor:   newLoadMonitor(timekeeper.Now(), cd.logger),
 	}
 	tm.dispatcher = dispatcher.New(cd.platform, cd.node, hd.Epoch(), func() bool { return hd.Check() == nil }, func(ev allocator.Event) { tm.enqueue(ctx, ev) }, cd.logger)
 	tm.dispatcher.Start(ctx)
@@ -171,9 +173,13 @@
 		now := timekeeper.Now()
 		tm.allocator.ConfirmDuty(tm.heldDuty.ConfirmedAt())
 		orders := tm.allocator.Plan(now, tm.wallClock())
+		tm.monitor.recordPlan(timekeeper.Now().Sub(now), orders)
 		tm.logFindings()
 		tm.dispatcher.Dispatch(ctx, now, orders)
 		tm.submitBatch(now)
+		if tm.monitor.isDue(now) {
+			tm.monitor.log(now, tm.allocator.Load(), len(tm.events))
+		}
 	}
 }
 
--- a/coltsfootwick-manager/internal/conductor/store.go
+++ b/coltsfootwick-manager/internal/conductor/store.go
@@ -8,6 +8,7 @@
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/timekeeper"
 )
 
 // storeBatches stores the submitted batches one after the other until the
@@ -16,9 +17,11 @@
 	for {
 		select {
 		case bt := <-tm.batches:
+			sentAt := timekeeper.Now()
 			if err := tm.retry(ctx, "storing records", func(ctx context.Context) error { return tm.storeBatch(ctx, bt) }); err != nil {
 				return
 			}
+			tm.monitor.recordBatch(timekeeper.Now().Sub(sentAt))
 			tm.enqueue(ctx, allocator.BatchStored{
 				Batch: bt,
 			})
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -122,6 +122,8 @@
 	periodicAt time.Time
 	orders     []Order
 	logEntries []LogEntry
+	// reports and repeatedEnds are the counts of Load.
+	reports, repeatedEnds int
 }
 
 // retainedJob is the final state of an ended job, which can still be queried.
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -13,6 +13,7 @@
 	if wk == nil {
 		return
 	}
+	al.reports++
 	wk.isPollInFlight = false
 	wk.pollAt = now.Add(minPollInterval)
 	if wk.isSynced && ev.Report.StartedAtMS != wk.startedAtMS {
@@ -141,6 +142,7 @@
 // handleEnd handles the end of a run that a worker reports.
 func (al *Allocator) handleEnd(now time.Time, wk *worker, end modeller.End) {
 	if end.Number <= wk.lastProcessedEnd {
+		al.repeatedEnds++
 		return
 	}
 	wk.lastProcessedEnd = end.Number
