--- /dev/null
+++ b/shared/jobs/allocator/acknowledge_test.go
@@ -0,0 +1,79 @@
+package allocator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+func doneEnd(number int64, so StartOrder) modeller.End {
+	return modeller.End{
+		Number:  number,
+		Task:    so.Task,
+		Attempt: so.Attempt,
+		Kind:    modeller.EndDone,
+	}
+}
+
+// changeJobs changes jobs that need no worker, more than one batch can hold.
+func (fx *fixture) changeJobs(round int) {
+	for number := range 2 * maxBatchJobs {
+		fx.apply(JobRecorded{
+			Record: modeller.JobRecord{
+				Job: modeller.Job{
+					ID:    modeller.JobID(fmt.Sprintf("busy-%02d-%03d", round, number)),
+					Queue: "q",
+					Steps: []modeller.Step{{Count: 1, Demand: modeller.Resources{MilliCores: 1_000_000}, Estimate: time.Second}},
+				},
+			},
+		})
+	}
+}
+
+func TestEndsAreAcknowledgedWhileMoreJobsChangeThanABatchHolds(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("w1")
+	so := fx.startOneTaskJob("zz")
+	fx.report("w1", nil, doneEnd(1, so))
+	const rounds = 10
+	for round := range rounds {
+		fx.changeJobs(round)
+		fx.advance(50 * time.Millisecond)
+		fx.storeBatch()
+	}
+	var acknowledged int64
+	for range 2 {
+		fx.advance(2 * time.Second)
+		for _, po := range takeOrders[PollOrder](fx) {
+			acknowledged = max(acknowledged, po.AcknowledgedEnds)
+		}
+		fx.report("w1", nil, doneEnd(1, so))
+	}
+	must.Eq(t, 1, acknowledged, must.Sprintf("last end that a poll acknowledges after %d stored batches", rounds))
+}
+
+func TestWorkerIsNotPolledInALoopWhileItsEndsAreNotStored(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("w1")
+	so := fx.startOneTaskJob("j")
+	fx.report("w1", nil, doneEnd(1, so))
+	polls := 0
+	for end := fx.now.Add(3 * time.Second); fx.now.Before(end); {
+		if len(takeOrders[PollOrder](fx)) == 0 {
+			continue
+		}
+		polls++
+		fx.report("w1", nil, doneEnd(1, so))
+	}
+	must.Between(t, 3, polls, 8, must.Sprint("polls in 3 s that can only repeat an end"))
+
+	fx.storeBatch()
+	fx.advance(50 * time.Millisecond)
+	acknowledging := takeOrders[PollOrder](fx)
+	must.Len(t, 1, acknowledging, must.Sprint("polls as soon as the end is stored"))
+	must.Eq(t, 1, acknowledging[0].AcknowledgedEnds)
+}
