allocator: acknowledge an end once its own job is stored

Jobs were also taken in the order of their IDs, so those with high IDs waited while lower ones changed again. Now each end remembers its job and that job's version, and is acknowledged when the version is stored; changed jobs are stored in the order in which they changed.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -114,7 +114,9 @@
 	confirmedAt time.Time
 	// dirtyJobs are the jobs whose progress has changed since it was last
 	// stored.
-	dirtyJobs        map[modeller.JobID]*job
+	dirtyJobs map[modeller.JobID]*job
+	// dirtyQueue holds the dirty jobs in the order in which they are stored.
+	dirtyQueue       []*job
 	isRosterDirty    bool
 	isBatchInFlight  bool
 	isAdviceInFlight bool
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -28,8 +27,13 @@
 	// changed.
 	Roster []modeller.Worker
 
-	versions     map[modeller.JobID]int
-	endPositions map[modeller.WorkerID]endPosition
+	versions []jobVersion
+}
+
+// jobVersion is the version of a job that a batch contains.
+type jobVersion struct {
+	job     *job
+	version int
 }
 
 // EndedJob is a job that has ended.
@@ -53,10 +57,18 @@
 	Elapsed time.Duration
 }
 
-// endPosition identifies the last processed end of a worker's incarnation.
-type endPosition struct {
-	startedAtMS int64
-	number      int64
+// unstoredEnd is an end whose job has not been stored since it was processed.
+type unstoredEnd struct {
+	number int64
+	// job is nil if the end belongs to no known job. The end is stored once
+	// the job is stored with at least the given version.
+	job     *job
+	version int
+}
+
+// isStored reports whether the records contain the end.
+func (ue unstoredEnd) isStored() bool {
+	return ue.job == nil || ue.job.storedVersion >= ue.version
 }
 
 // IsEmpty reports whether there is nothing to store.
@@ -72,22 +84,17 @@
 		return nil
 	}
 	bt := &Batch{
-		versions:     map[modeller.JobID]int{},
-		endPositions: map[modeller.WorkerID]endPosition{},
-		Waves:        al.fleet.changedWaves(now),
-		Expired:      al.expiredJobs(now),
+		Waves:   al.fleet.changedWaves(now),
+		Expired: al.expiredJobs(now),
 	}
-	isComplete := true
-	for _, id := range slices.Sorted(maps.Keys(al.dirtyJobs)) {
-		jb := al.dirtyJobs[id]
-		if len(bt.versions) >= maxBatchJobs {
-			isComplete = false
-			break
-		}
-		bt.versions[id] = jb.version
+	for _, jb := range al.dirtyQueue[:min(len(al.dirtyQueue), maxBatchJobs)] {
+		bt.versions = append(bt.versions, jobVersion{
+			job:     jb,
+			version: jb.version,
+		})
 		if jb.outcome != "" {
 			bt.Ended = append(bt.Ended, EndedJob{
-				ID:    id,
+				ID:    jb.info.ID,
 				Queue: jb.info.Queue,
 				State: jb.outcome,
 			})
@@ -95,22 +102,12 @@
 		}
 		bt.Progress = append(bt.Progress, jb.progress())
 	}
-	if isComplete {
-		for id, wk := range al.workers {
-			if wk.lastProcessedEnd > wk.lastStoredEnd {
-				bt.endPositions[id] = endPosition{
-					startedAtMS: wk.startedAtMS,
-					number:      wk.lastProcessedEnd,
-				}
-			}
-		}
-	}
 	if al.isRosterDirty {
 		bt.Roster = al.Roster()
 		al.isRosterDirty = false
 	}
 	if bt.IsEmpty() {
-		al.acknowledgeEnds(bt)
+		al.acknowledgeEnds()
 		return nil
 	}
 	al.isBatchInFlight = true
@@ -183,23 +180,29 @@
 			wk.isRostered = true
 		}
 	}
-	for id, version := range bt.versions {
-		if jb := al.jobs[id]; jb != nil {
-			jb.hasStoredProgress = true
-		}
-		if jb := al.dirtyJobs[id]; jb != nil && (jb.version == version || jb.outcome != "" && al.jobs[id] == nil) {
-			delete(al.dirtyJobs, id)
+	al.dirtyQueue = al.dirtyQueue[len(bt.versions):]
+	for _, jv := range bt.versions {
+		jb := jv.job
+		jb.hasStoredProgress = true
+		jb.storedVersion = jv.version
+		if jb.version == jv.version || jb.outcome != "" && al.jobs[jb.info.ID] == nil {
+			jb.storedVersion = jb.version
+			delete(al.dirtyJobs, jb.info.ID)
+			continue
 		}
+		al.dirtyQueue = append(al.dirtyQueue, jb)
 	}
-	al.acknowledgeEnds(bt)
+	al.acknowledgeEnds()
 }
 
-// acknowledgeEnds marks the ends of a batch as stored, so that the next polls
-// acknowledge them and the workers discard them.
-func (al *Allocator) acknowledgeEnds(bt *Batch) {
-	for id, position := range bt.endPositions {
-		if wk := al.workers[id]; wk != nil && wk.startedAtMS == position.startedAtMS {
-			wk.lastStoredEnd = max(wk.lastStoredEnd, position.number)
+// acknowledgeEnds marks ends as stored, so that the next polls acknowledge them
+// and the workers discard them. A poll acknowledges all ends up to a number, so
+// a worker's ends are marked in order.
+func (al *Allocator) acknowledgeEnds() {
+	for _, wk := range al.workers {
+		for len(wk.unstoredEnds) > 0 && wk.unstoredEnds[0].isStored() {
+			wk.lastStoredEnd = wk.unstoredEnds[0].number
+			wk.unstoredEnds = wk.unstoredEnds[1:]
 		}
 	}
 }
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -31,6 +31,8 @@
 	// version counts changes. Storing a batch marks the job as clean only if
 	// the version is still that of the batch.
 	version int
+	// storedVersion is the version that was last stored.
+	storedVersion int
 	// loadedProgress is the progress that earlier holders have stored, by task.
 	loadedProgress map[modeller.TaskName]modeller.TaskProgress
 }
@@ -222,6 +224,9 @@
 // markDirty marks a job's progress as changed since it was last stored.
 func (al *Allocator) markDirty(jb *job) {
 	jb.version++
+	if _, ok := al.dirtyJobs[jb.info.ID]; !ok {
+		al.dirtyQueue = append(al.dirtyQueue, jb)
+	}
 	al.dirtyJobs[jb.info.ID] = jb
 }
 
--- a/shared/jobs/allocator/load.go
+++ b/shared/jobs/allocator/load.go
@@ -27,7 +27,7 @@
 		}
 	}
 	for _, wk := range al.workers {
-		if wk.lastProcessedEnd > wk.lastStoredEnd {
+		if len(wk.unstoredEnds) > 0 {
 			ld.UnstoredEnds++
 		}
 	}
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -151,6 +151,9 @@
 	}
 	tk := al.taskForReport(now, end.Task)
 	if tk == nil {
+		wk.unstoredEnds = append(wk.unstoredEnds, unstoredEnd{
+			number: end.Number,
+		})
 		return
 	}
 	tk.attempt = max(tk.attempt, end.Attempt)
@@ -175,6 +178,11 @@
 	}
 	al.markDirty(jb)
 	al.updateOutcome(now, jb)
+	wk.unstoredEnds = append(wk.unstoredEnds, unstoredEnd{
+		number:  end.Number,
+		job:     jb,
+		version: jb.version,
+	})
 }
 
 // finishTask completes a task. The end of one member completes all tasks of a
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -53,6 +53,8 @@
 	// lastProcessedEnd and lastStoredEnd are the numbers of the last end that
 	// was processed and of the last that was stored.
 	lastProcessedEnd, lastStoredEnd int64
+	// unstoredEnds are the ends after lastStoredEnd, in order.
+	unstoredEnds []unstoredEnd
 	// failedJobs are the jobs that have failed on this worker since its last
 	// success.
 	failedJobs       map[modeller.JobID]struct{}
@@ -170,6 +172,7 @@
 	wk.mayHoldOldRuns = false
 	wk.lastProcessedEnd = 0
 	wk.lastStoredEnd = 0
+	wk.unstoredEnds = nil
 	wk.leaseEnd = 0
 	wk.startedAtMS = 0
 	wk.unresolvedStarts = map[modeller.TaskName]int{}
