allocator: poll a worker with unstored ends only once they are stored

Cause: a worker answers a poll at once while it has ends that no poll has acknowledged, and repeats its runs and those ends. It was polled again 30 ms after each answer, so while a batch was being stored each worker with a new end was polled in a loop; the answers filled the holder's link (1,150 KB/s of 1,250) and its processor, which made batches slower. Now the next poll waits until the ends are stored, at most 200 ms and doubling up to the length of a poll, so that new ends are still seen and leases renewed while the store is away.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -60,6 +60,10 @@
 	// minPollInterval is the minimum time between two polls of a worker, so
 	// that one report carries several ends.
 	minPollInterval = 30 * time.Millisecond
+	// unstoredPollInterval is the initial interval between polls of a worker with
+	// unstored ends, which each answer repeats. It doubles with each poll, up to
+	// PollWait.
+	unstoredPollInterval = 200 * time.Millisecond
 	// pollBackoff is the initial backoff after a poll without an answer. It
 	// doubles with each further failure, up to maxPollBackoff.
 	pollBackoff      = 150 * time.Millisecond
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -37,6 +37,11 @@
 	wk.isUnresponsive = false
 	wk.failedPolls = 0
 	wk.suspectUntil = time.Time{}
+	if len(wk.unstoredEnds) == 0 {
+		wk.repeatInterval = unstoredPollInterval
+	} else {
+		wk.repeatInterval = min(2*wk.repeatInterval, al.bounds.PollWait)
+	}
 	for _, end := range ev.Report.Ended {
 		al.handleEnd(now, wk, end)
 	}
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -42,6 +42,9 @@
 	// pollAt.
 	isPollInFlight bool
 	pollAt         time.Time
+	// repeatInterval is the time from a report with unstored ends to the next
+	// poll if the ends are not stored earlier.
+	repeatInterval time.Duration
 	// runs are all runs that hold capacity, and used is the sum of what they
 	// hold.
 	runs map[modeller.TaskName]*run
@@ -218,7 +221,7 @@
 	}
 	for _, wk := range al.sortedWorkers() {
 		isGone := !wk.isListed && !wk.isSynced && !wk.mayHoldOldRuns && len(wk.runs) == 0
-		if wk.isPollInFlight || now.Before(wk.pollAt) || isGone {
+		if wk.isPollInFlight || now.Before(wk.pollAt) || isGone || wk.awaitsStorage(now) {
 			continue
 		}
 		po := PollOrder{
@@ -239,6 +242,12 @@
 	}
 }
 
+// awaitsStorage reports whether a poll of the worker is better sent after ends
+// are stored: until then a worker answers at once and repeats its unstored ends.
+func (wk *worker) awaitsStorage(now time.Time) bool {
+	return len(wk.unstoredEnds) > 0 && now.Before(wk.reportedAt.Add(wk.repeatInterval))
+}
+
 // stopUnresolvedStarts orders stops of starts that a worker, now that it
 // reports again, may still carry out.
 func (al *Allocator) stopUnresolvedStarts(now time.Time) {
