--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -25,7 +25,7 @@
 // fixture is an allocator in virtual time. Workers report only when a test
 // makes them report.
 type fixture struct {
-	t   *testing.T
+	t   testing.TB
 	al  *Allocator
 	now time.Time
 	// confirmsDuty is true while the duty is confirmed whenever time advances.
@@ -33,7 +33,7 @@
 	orders       []Order
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	begin := time.Unix(1_700_000_000, 0)
 	fx := &fixture{
 		t:            t,
