--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -120,6 +120,7 @@
 	isAdviceInFlight bool
 	// periodicAt is when the time-driven decisions were last made.
 	periodicAt time.Time
+	effort     effort
 	orders     []Order
 	logEntries []LogEntry
 }
--- a/shared/jobs/allocator/rank.go
+++ b/shared/jobs/allocator/rank.go
@@ -42,6 +42,7 @@
 func (al *Allocator) rankJobs(now time.Time) []rankedJob {
 	var ranked []rankedJob
 	for _, jb := range al.jobs {
+		al.effort.jobs++
 		if jb.outcome != "" || jb.isCancelled || !jb.hasWaitingTasks() {
 			continue
 		}
--- a/shared/jobs/allocator/suit.go
+++ b/shared/jobs/allocator/suit.go
@@ -39,6 +39,7 @@
 	var best *worker
 	var bestScore float64
 	for _, wk := range eligible {
+		al.effort.workers++
 		if rack != "" && rackOf(wk.info) != rack {
 			continue
 		}
