allocator: keep the waiting jobs of each pool in ranked lists

Each plan collected and sorted all jobs, and looked for a worker for each waiting task although no worker had room. Now each pool has a list of its jobs with waiting tasks. A plan leaves out a pool in which no worker has room for the smallest waiting demand, remembers per pool the demands that fit nowhere, and stops where the last room is taken. A list is ranked again when it is used, at most every 20 ms, so a service class may be 20 ms old. The order of service across pools is as before.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -103,6 +103,8 @@
 	sorted   []*worker
 	jobs     map[modeller.JobID]*job
 	retained map[modeller.JobID]retainedJob
+	// waiting are the waiting lists by pool.
+	waiting map[string]*waitingList
 	// scheduledJobs counts all jobs with occurrences recorded so far.
 	scheduledJobs int
 	fleet         *fleet
@@ -139,6 +141,7 @@
 		workers:     map[modeller.WorkerID]*worker{},
 		jobs:        map[modeller.JobID]*job{},
 		retained:    map[modeller.JobID]retainedJob{},
+		waiting:     map[string]*waitingList{},
 		fleet:       newFleet(),
 		startedAt:   now,
 		confirmedAt: now,
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -173,7 +173,7 @@
 			endedAt: now,
 		}
 		al.log(LogEntry{Message: "job end stored", Job: ended.ID, Reason: string(ended.State)})
-		delete(al.jobs, ended.ID)
+		al.deleteJob(ended.ID)
 	}
 	for _, ended := range bt.Expired {
 		delete(al.retained, ended.ID)
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -227,7 +227,7 @@
 func (al *Allocator) Apply(now time.Time, ev Event) {
 	switch ev := ev.(type) {
 	case ConfigurationLoaded:
-		al.setConfiguration(ev.Configuration)
+		al.setConfiguration(now, ev.Configuration)
 	case WorkerListed:
 		al.updateWorker(now, ev.Worker)
 	case WorkerUnlisted:
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -33,20 +33,17 @@
 	version int
 	// loadedProgress is the progress that earlier holders have stored, by task.
 	loadedProgress map[modeller.TaskName]modeller.TaskProgress
+	// list is the waiting list that contains the job, or nil.
+	list *waitingList
 }
 
-func (al *Allocator) setConfiguration(cf modeller.Configuration) {
+func (al *Allocator) setConfiguration(now time.Time, cf modeller.Configuration) {
 	if cf.Version >= al.configuration.Version {
 		al.configuration = cf
+		al.enlistAll(now)
 	}
 }
 
-// poolOf returns the pool of a job's queue, or an empty name if the queue is
-// not configured.
-func (al *Allocator) poolOf(jb *job) string {
-	return al.configuration.Queues[jb.info.Queue].Pool
-}
-
 func (al *Allocator) loadProgress(pg modeller.Progress) {
 	jb := al.jobs[pg.ID]
 	if jb == nil {
@@ -82,7 +79,7 @@
 				endedAt: now,
 			}
 		}
-		delete(al.jobs, id)
+		al.deleteJob(id)
 		return
 	}
 	if _, ok := al.retained[id]; ok {
@@ -113,6 +110,13 @@
 	}
 }
 
+func (al *Allocator) deleteJob(id modeller.JobID) {
+	if jb := al.jobs[id]; jb != nil {
+		jb.withdraw()
+		delete(al.jobs, id)
+	}
+}
+
 // beginOccurrencesThrough begins the occurrences up to and including a number.
 // An earlier holder may have begun them by a clock that was ahead of this
 // holder's.
@@ -174,6 +178,7 @@
 	}
 	jb.occurrences = append(jb.occurrences, oc)
 	oc.updateDone()
+	al.enlist(now, jb)
 	al.updateOutcome(now, jb)
 }
 
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -9,32 +9,35 @@
 	if !al.isLoaded {
 		return
 	}
-	eligible := al.eligibleWorkers(now)
-	oldRunsByPool := map[string]bool{}
-	for _, ranked := range al.rankJobs(now) {
-		jb := ranked.job
-		pool := al.poolOf(jb)
-		if len(eligible[pool]) == 0 {
-			continue
+	pl := al.newPlacement(now)
+	for jb, pp := pl.next(); jb != nil; jb, pp = pl.next() {
+		al.effort.jobs++
+		orderCount := len(al.orders)
+		al.placeJob(now, jb, pp)
+		if len(al.orders) > orderCount && !al.hasRoom(pp) {
+			pp.position = len(pp.list.ranked)
 		}
-		if !jb.hasStoredProgress || !al.mayStart(now, jb) {
-			continue
+	}
+}
+
+// placeJob starts a job's waiting tasks.
+func (al *Allocator) placeJob(now time.Time, jb *job, pp *poolPlacement) {
+	if !jb.mayWait() || !jb.hasStoredProgress || !al.mayStart(now, jb) {
+		return
+	}
+	if jb.isInherited {
+		if !pp.hasCheckedOldRuns {
+			pp.mayHaveOldRuns = al.mayHaveOldRuns(pp.name)
+			pp.hasCheckedOldRuns = true
 		}
-		if jb.isInherited {
-			mayHaveOldRuns, ok := oldRunsByPool[pool]
-			if !ok {
-				mayHaveOldRuns = al.mayHaveOldRuns(pool)
-				oldRunsByPool[pool] = mayHaveOldRuns
-			}
-			if mayHaveOldRuns {
-				continue
-			}
+		if pp.mayHaveOldRuns {
+			return
 		}
-		for _, oc := range jb.occurrences {
-			for _, st := range oc.steps {
-				if !oc.isDone && st.waitingCount > 0 && oc.areDependenciesDone(st) {
-					al.placeStep(now, st, eligible[pool])
-				}
+	}
+	for _, oc := range jb.occurrences {
+		for _, st := range oc.steps {
+			if !oc.isDone && st.waitingCount > 0 && oc.areDependenciesDone(st) {
+				al.placeStep(now, st, pp)
 			}
 		}
 	}
@@ -60,10 +63,17 @@
 }
 
 // placeStep starts a step's waiting tasks.
-func (al *Allocator) placeStep(now time.Time, st *step, eligible []*worker) {
+func (al *Allocator) placeStep(now time.Time, st *step, pp *poolPlacement) {
+	eligible := pp.eligible
 	if qu := al.configuration.Queues[st.job.info.Queue]; qu.Advice != nil && !al.ensureTickets(now, st, qu, eligible) {
 		return
 	}
+	if !al.hasRoomFor(pp, labelledDemand{
+		resources: st.spec.ReservedResources(),
+		label:     st.spec.RequiredLabel,
+	}) {
+		return
+	}
 	if st.spec.IsGang {
 		al.placeGang(now, st, eligible)
 		return
--- /dev/null
+++ b/shared/jobs/allocator/placement.go
@@ -0,0 +1,101 @@
+package allocator
+
+import (
+	"time"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+// placement is one round of placing tasks.
+type placement struct {
+	now   time.Time
+	pools []*poolPlacement
+}
+
+// poolPlacement is the part of a placement in one pool.
+type poolPlacement struct {
+	name     string
+	list     *waitingList
+	position int
+	eligible []*worker
+	// full are the demands for which no worker has room. They stay so during a
+	// placement.
+	full map[labelledDemand]struct{}
+	// mayHaveOldRuns is valid once hasCheckedOldRuns is true.
+	mayHaveOldRuns, hasCheckedOldRuns bool
+}
+
+// labelledDemand is what a task requires of a worker, apart from constraints
+// that depend on the worker's other runs.
+type labelledDemand struct {
+	resources modeller.Resources
+	label     string
+}
+
+// newPlacement returns a placement in the pools with waiting tasks and room.
+func (al *Allocator) newPlacement(now time.Time) *placement {
+	pl := &placement{
+		now: now,
+	}
+	for pool, eligible := range al.eligibleWorkers(now) {
+		wl := al.waiting[pool]
+		if wl == nil || len(wl.ranked) == 0 {
+			continue
+		}
+		pp := &poolPlacement{
+			name:     pool,
+			list:     wl,
+			eligible: eligible,
+		}
+		if !al.hasRoom(pp) {
+			continue
+		}
+		al.rank(now, wl)
+		pl.pools = append(pl.pools, pp)
+	}
+	return pl
+}
+
+// next returns the next job of all pools in the order of service, and its pool.
+// After the last job it returns nil.
+func (pl *placement) next() (*job, *poolPlacement) {
+	var best *poolPlacement
+	for _, pp := range pl.pools {
+		if pp.position >= len(pp.list.ranked) {
+			continue
+		}
+		if best == nil || pp.list.ranked[pp.position].compare(best.list.ranked[best.position]) < 0 {
+			best = pp
+		}
+	}
+	if best == nil {
+		return nil, nil
+	}
+	best.position++
+	return best.list.ranked[best.position-1].job, best
+}
+
+// hasRoom reports whether placing tasks in a pool can have any effect.
+func (al *Allocator) hasRoom(pp *poolPlacement) bool {
+	return pp.list.hasAdvice || al.hasRoomFor(pp, labelledDemand{
+		resources: pp.list.smallest,
+	})
+}
+
+// hasRoomFor reports whether an eligible worker of a pool has room for a demand.
+func (al *Allocator) hasRoomFor(pp *poolPlacement, ld labelledDemand) bool {
+	if _, isFull := pp.full[ld]; isFull {
+		return false
+	}
+	for _, wk := range pp.eligible {
+		al.effort.workers++
+		if wk.info.HasLabel(ld.label) && wk.used.Plus(ld.resources).FitsIn(wk.info.Capacity) {
+			return true
+		}
+	}
+	if pp.full == nil {
+		pp.full = map[labelledDemand]struct{}{}
+	}
+	pp.full[ld] = struct{}{}
+	return false
+}
--- a/shared/jobs/allocator/rank.go
+++ b/shared/jobs/allocator/rank.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"coltsfootwick.example/shared/jobs/modeller"
@@ -35,40 +34,29 @@
 // value.
 const maxLateFactor = 3
 
-// rankJobs returns the jobs with waiting tasks in the order of service: by
-// service class, then by queue priority. Among the jobs that can still meet
-// their objective, small ones come first, since they have the most value for
-// their work.
-func (al *Allocator) rankJobs(now time.Time) []rankedJob {
-	var ranked []rankedJob
-	for _, jb := range al.jobs {
-		al.effort.jobs++
-		if jb.outcome != "" || jb.isCancelled || !jb.hasWaitingTasks() {
-			continue
-		}
-		qu, ok := al.configuration.Queues[jb.info.Queue]
-		if !ok {
-			continue
-		}
-		ranked = append(ranked, rankedJob{
-			job:      jb,
-			class:    jb.serviceClass(now, qu),
-			priority: qu.Priority,
-			coreTime: jb.coreTime,
-		})
+// newRankedJob returns a job with its present keys.
+func newRankedJob(now time.Time, jb *job, qu modeller.Queue) rankedJob {
+	return rankedJob{
+		job:      jb,
+		class:    jb.serviceClass(now, qu),
+		priority: qu.Priority,
+		coreTime: jb.coreTime,
+	}
+}
+
+// compare orders jobs for service: by service class, then by queue priority.
+// Among the jobs that can still meet their objective, small ones come first,
+// since they have the most value for their work.
+func (rj rankedJob) compare(other rankedJob) int {
+	if order := cmp.Or(cmp.Compare(rj.class, other.class), cmp.Compare(rj.priority, other.priority)); order != 0 {
+		return order
 	}
-	slices.SortFunc(ranked, func(a, b rankedJob) int {
-		if order := cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority)); order != 0 {
+	if rj.class == classOnTime {
+		if order := cmp.Compare(rj.coreTime, other.coreTime); order != 0 {
 			return order
 		}
-		if a.class == classOnTime {
-			if order := cmp.Compare(a.coreTime, b.coreTime); order != 0 {
-				return order
-			}
-		}
-		return cmp.Or(a.job.acceptedAt.Compare(b.job.acceptedAt), cmp.Compare(a.job.info.ID, b.job.info.ID))
-	})
-	return ranked
+	}
+	return cmp.Or(rj.job.acceptedAt.Compare(other.job.acceptedAt), cmp.Compare(rj.job.info.ID, other.job.info.ID))
 }
 
 // serviceClass returns the service class of the job.
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -122,6 +122,7 @@
 		return
 	}
 	tk.step.waitingCount++
+	al.enlist(now, tk.step.job)
 	al.log(LogEntry{Message: "task requeued", Task: tk.name.String(), Worker: rn.worker.info.ID, Attempt: rn.attempt, Reason: reason})
 	al.updateOutcome(now, tk.step.job)
 }
