--- a/shared/jobs/allocator/pace.go
+++ b/shared/jobs/allocator/pace.go
@@ -35,11 +35,12 @@
 		if !wk.isSynced || now.Sub(wk.reportedAt) >= maxReportAge {
 			continue
 		}
+		filling := wk.sortedRunsWith(isPaced)
+		if len(filling) == 0 {
+			continue
+		}
 		pressure := wk.latencyPressure()
-		for _, rn := range wk.sortedRuns() {
-			if rn.task == nil || !rn.task.step.spec.IsFilling || rn.state != runRunning || rn.isStopping {
-				continue
-			}
+		for _, rn := range filling {
 			if reduction := rn.pacing.nextReduction(pressure); reduction != rn.pacing.reduction && now.Sub(rn.pacing.changedAt) >= paceInterval {
 				rn.pacing.reduction = reduction
 				rn.pacing.changedAt = now
@@ -54,6 +55,11 @@
 	}
 }
 
+// isPaced reports whether the pace of a run may be changed.
+func isPaced(rn *run) bool {
+	return rn.task != nil && rn.task.step.spec.IsFilling && rn.state == runRunning && !rn.isStopping
+}
+
 // handlePaceResult marks the pace of a run as unknown if the change may not
 // have taken effect, so that it is ordered again.
 func (al *Allocator) handlePaceResult(ev PaceResult) {
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -44,11 +44,15 @@
 		reportedAttempts[reported.Task] = reported.Attempt
 		al.reconcileRun(now, wk, reported)
 	}
-	isComplete := len(ev.Report.Ended) < modeller.EndsPerReport
-	for _, rn := range wk.sortedRuns() {
-		if attempt, ok := reportedAttempts[rn.name]; (!ok || attempt != rn.attempt) && isComplete {
-			al.reconcileMissingRun(now, rn, ev.SentAt)
-		}
+	if len(ev.Report.Ended) >= modeller.EndsPerReport {
+		return
+	}
+	isMissing := func(rn *run) bool {
+		attempt, ok := reportedAttempts[rn.name]
+		return !ok || attempt != rn.attempt
+	}
+	for _, rn := range wk.sortedRunsWith(isMissing) {
+		al.reconcileMissingRun(now, rn, ev.SentAt)
 	}
 }
 
@@ -317,11 +321,10 @@
 
 // retryStops repeats stop orders of runs that have not ended.
 func (al *Allocator) retryStops(now time.Time) {
+	isDue := func(rn *run) bool { return rn.isStopping && now.Sub(rn.stopSentAt) >= orderRetryInterval }
 	for _, wk := range al.sortedWorkers() {
-		for _, rn := range wk.sortedRuns() {
-			if rn.isStopping && now.Sub(rn.stopSentAt) >= orderRetryInterval {
-				al.stopRun(now, rn)
-			}
+		for _, rn := range wk.sortedRunsWith(isDue) {
+			al.stopRun(now, rn)
 		}
 	}
 }
--- a/shared/jobs/allocator/run.go
+++ b/shared/jobs/allocator/run.go
@@ -74,3 +74,16 @@
 func (wk *worker) sortedRuns() []*run {
 	return slices.SortedFunc(maps.Values(wk.runs), func(a, b *run) int { return a.name.Compare(b.name) })
 }
+
+// sortedRunsWith returns those of the worker's runs that have a property,
+// ordered by task name. Mostly there are none, and then nothing is sorted.
+func (wk *worker) sortedRunsWith(hasProperty func(rn *run) bool) []*run {
+	var found []*run
+	for _, rn := range wk.runs {
+		if hasProperty(rn) {
+			found = append(found, rn)
+		}
+	}
+	slices.SortFunc(found, func(a, b *run) int { return a.name.Compare(b.name) })
+	return found
+}
