allocator: place tasks only in pools that have changed

Each plan looked at all workers for room. Now the handlers of events note the pools in which room was freed, a worker became eligible or a task became ready; other rare events and the round of every 20 ms note all pools, so a change that comes with time is found at most 20 ms late.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -100,11 +100,15 @@
 	workers       map[modeller.WorkerID]*worker
 	// sorted caches the workers in the order of their IDs; it is nil after a
 	// change. Decisions must not depend on the iteration order of a map.
-	sorted   []*worker
-	jobs     map[modeller.JobID]*job
-	retained map[modeller.JobID]retainedJob
+	sorted []*worker
+	// sortedByPool holds the same workers by pool.
+	sortedByPool map[string][]*worker
+	jobs         map[modeller.JobID]*job
+	retained     map[modeller.JobID]retainedJob
 	// waiting are the waiting lists by pool.
 	waiting map[string]*waitingList
+	// changes are those since tasks were last placed.
+	changes changes
 	// scheduledJobs counts all jobs with occurrences recorded so far.
 	scheduledJobs int
 	fleet         *fleet
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -181,10 +181,12 @@
 	for _, info := range bt.Roster {
 		if wk := al.workers[info.ID]; wk != nil && wk.hasSameLocation(info) {
 			wk.isRostered = true
+			al.changes.note(info.Pool)
 		}
 	}
 	for id, version := range bt.versions {
-		if jb := al.jobs[id]; jb != nil {
+		if jb := al.jobs[id]; jb != nil && !jb.hasStoredProgress {
+			al.noteJob(jb)
 			jb.hasStoredProgress = true
 		}
 		if jb := al.dirtyJobs[id]; jb != nil && (jb.version == version || jb.outcome != "" && al.jobs[id] == nil) {
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -225,6 +225,7 @@
 
 // Apply applies an event to the state.
 func (al *Allocator) Apply(now time.Time, ev Event) {
+	al.noteEvent(ev)
 	switch ev := ev.(type) {
 	case ConfigurationLoaded:
 		al.setConfiguration(now, ev.Configuration)
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -51,12 +51,12 @@
 	return now.Sub(al.confirmedAt) < al.bounds.DutyLease || !jb.acceptedAt.After(al.confirmedAt)
 }
 
-// eligibleWorkers returns the workers that may get starts, by pool.
-func (al *Allocator) eligibleWorkers(now time.Time) map[string][]*worker {
-	eligible := map[string][]*worker{}
-	for _, wk := range al.sortedWorkers() {
+// eligibleWorkers returns the workers of a pool that may get starts.
+func (al *Allocator) eligibleWorkers(now time.Time, pool string) []*worker {
+	var eligible []*worker
+	for _, wk := range al.workersOf(pool) {
 		if al.isEligible(now, wk) {
-			eligible[wk.info.Pool] = append(eligible[wk.info.Pool], wk)
+			eligible = append(eligible, wk)
 		}
 	}
 	return eligible
--- a/shared/jobs/allocator/placement.go
+++ b/shared/jobs/allocator/placement.go
@@ -32,27 +32,28 @@
 	label     string
 }
 
-// newPlacement returns a placement in the pools with waiting tasks and room.
+// newPlacement returns a placement in the pools that have changed since the
+// last one and have waiting tasks and room.
 func (al *Allocator) newPlacement(now time.Time) *placement {
 	pl := &placement{
 		now: now,
 	}
-	for pool, eligible := range al.eligibleWorkers(now) {
-		wl := al.waiting[pool]
-		if wl == nil || len(wl.ranked) == 0 {
+	for pool, wl := range al.waiting {
+		if _, isChanged := al.changes.pools[pool]; !isChanged && !al.changes.isEveryPool || len(wl.ranked) == 0 {
 			continue
 		}
 		pp := &poolPlacement{
 			name:     pool,
 			list:     wl,
-			eligible: eligible,
+			eligible: al.eligibleWorkers(now, pool),
 		}
-		if !al.hasRoom(pp) {
-			continue
+		if len(pp.eligible) > 0 && al.hasRoom(pp) {
+			al.rank(now, wl)
+			pl.pools = append(pl.pools, pp)
 		}
-		al.rank(now, wl)
-		pl.pools = append(pl.pools, pp)
 	}
+	clear(al.changes.pools)
+	al.changes.isEveryPool = false
 	return pl
 }
 
--- a/shared/jobs/allocator/plan.go
+++ b/shared/jobs/allocator/plan.go
@@ -13,6 +13,7 @@
 func (al *Allocator) Plan(now, wallTime time.Time) []Order {
 	if now.Sub(al.periodicAt) >= periodicInterval {
 		al.periodicAt = now
+		al.changes.isEveryPool = true
 		al.expireLeases(now)
 		al.beginDueOccurrences(now, wallTime)
 		al.retryStops(now)
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -13,6 +13,9 @@
 	if wk == nil {
 		return
 	}
+	if !al.isEligible(now, wk) {
+		al.changes.note(wk.info.Pool)
+	}
 	wk.isPollInFlight = false
 	wk.pollAt = now.Add(minPollInterval)
 	if wk.isSynced && ev.Report.StartedAtMS != wk.startedAtMS {
@@ -150,6 +153,7 @@
 	wk.lastProcessedEnd = end.Number
 	if rn := wk.runs[end.Task]; rn != nil && rn.attempt == end.Attempt {
 		wk.removeRun(rn)
+		al.changes.note(wk.info.Pool)
 	}
 	tk := al.taskForReport(now, end.Task)
 	if tk == nil {
--- a/shared/jobs/allocator/run.go
+++ b/shared/jobs/allocator/run.go
@@ -65,6 +65,7 @@
 // task.
 func (al *Allocator) dropRun(now time.Time, rn *run, reason string) {
 	rn.worker.removeRun(rn)
+	al.changes.note(rn.worker.info.Pool)
 	if rn.task != nil && rn.task.run == rn {
 		al.requeue(now, rn.task, reason)
 	}
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -148,6 +148,7 @@
 		st.waitingCount--
 	}
 	jb := st.job
+	al.noteJob(jb)
 	jb.occurrences[tk.name.Occurrence].updateDone()
 	al.updateOutcome(now, jb)
 }
--- a/shared/jobs/allocator/waiting.go
+++ b/shared/jobs/allocator/waiting.go
@@ -27,6 +27,7 @@
 	if !ok || !jb.mayWait() {
 		return
 	}
+	al.changes.note(qu.Pool)
 	wl := al.waiting[qu.Pool]
 	if wl == nil {
 		wl = &waitingList{}
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -94,8 +94,12 @@
 		wk.isRostered = false
 		al.isRosterDirty = true
 	}
+	if wk.info.Pool != info.Pool {
+		al.sorted = nil
+	}
 	wk.info = info
 	wk.isListed = true
+	al.changes.note(info.Pool)
 }
 
 // hasSameLocation reports whether a directory entry has the worker's pool and
@@ -153,10 +157,20 @@
 func (al *Allocator) sortedWorkers() []*worker {
 	if al.sorted == nil {
 		al.sorted = slices.SortedFunc(maps.Values(al.workers), func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+		al.sortedByPool = map[string][]*worker{}
+		for _, wk := range al.sorted {
+			al.sortedByPool[wk.info.Pool] = append(al.sortedByPool[wk.info.Pool], wk)
+		}
 	}
 	return al.sorted
 }
 
+// workersOf returns the workers of a pool ordered by ID.
+func (al *Allocator) workersOf(pool string) []*worker {
+	al.sortedWorkers()
+	return al.sortedByPool[pool]
+}
+
 // endIncarnation drops the running runs of a worker whose incarnation is over
 // and resets the worker's state. Starts that are in flight or unconfirmed keep
 // their runs.
@@ -226,6 +240,9 @@
 			// A poll without an answer may still extend the lease, so the lease
 			// of an unresponsive worker is left to expire.
 			if !wk.isUnresponsive && len(wk.unresolvedStarts) == 0 {
+				if wk.leaseEnd == 0 {
+					al.changes.note(wk.info.Pool)
+				}
 				wk.leaseEnd = max(wk.leaseEnd, al.estimateClock(now, wk)+al.bounds.RunLease)
 				po.Wait = al.bounds.PollWait
 			}
