--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -104,9 +104,15 @@
 	workers       map[modeller.WorkerID]*worker
 	// sorted caches the workers in the order of their IDs; it is nil after a
 	// change. Decisions must not depend on the iteration order of a map.
-	sorted   []*worker
-	jobs     map[modeller.JobID]*job
-	retained map[modeller.JobID]retainedJob
+	sorted []*worker
+	// sortedByPool holds the same workers by pool.
+	sortedByPool map[string][]*worker
+	jobs         map[modeller.JobID]*job
+	retained     map[modeller.JobID]retainedJob
+	// waiting are the waiting lists by pool.
+	waiting map[string]*waitingList
+	// changes are those since tasks were last placed.
+	changes changes
 	// scheduledJobs counts all jobs with occurrences recorded so far.
 	scheduledJobs int
 	fleet         *fleet
@@ -126,6 +132,7 @@
 	isAdviceInFlight bool
 	// periodicAt is when the time-driven decisions were last made.
 	periodicAt time.Time
+	effort     effort
 	orders     []Order
 	logEntries []LogEntry
 	// reports and repeatedEnds are the counts of Load.
@@ -146,6 +153,7 @@
 		workers:     map[modeller.WorkerID]*worker{},
 		jobs:        map[modeller.JobID]*job{},
 		retained:    map[modeller.JobID]retainedJob{},
+		waiting:     map[string]*waitingList{},
 		fleet:       newFleet(),
 		startedAt:   now,
 		confirmedAt: now,
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -170,7 +170,7 @@
 			endedAt: now,
 		}
 		al.log(LogEntry{Message: "job end stored", Job: ended.ID, Reason: string(ended.State)})
-		delete(al.jobs, ended.ID)
+		al.deleteJob(ended.ID)
 	}
 	for _, ended := range bt.Expired {
 		delete(al.retained, ended.ID)
@@ -178,12 +178,16 @@
 	for _, info := range bt.Roster {
 		if wk := al.workers[info.ID]; wk != nil && wk.hasSameLocation(info) {
 			wk.isRostered = true
+			al.changes.note(info.Pool)
 		}
 	}
 	al.dirtyQueue = al.dirtyQueue[len(bt.versions):]
 	for _, jv := range bt.versions {
 		jb := jv.job
-		jb.hasStoredProgress = true
+		if !jb.hasStoredProgress {
+			jb.hasStoredProgress = true
+			al.noteJob(jb)
+		}
 		jb.storedVersion = jv.version
 		if jb.version == jv.version || jb.outcome != "" && al.jobs[jb.info.ID] == nil {
 			jb.storedVersion = jb.version
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -225,9 +225,10 @@
 
 // Apply applies an event to the state.
 func (al *Allocator) Apply(now time.Time, ev Event) {
+	al.noteEvent(ev)
 	switch ev := ev.(type) {
 	case ConfigurationLoaded:
-		al.setConfiguration(ev.Configuration)
+		al.setConfiguration(now, ev.Configuration)
 	case WorkerListed:
 		al.updateWorker(now, ev.Worker)
 	case WorkerUnlisted:
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -14,6 +14,9 @@
 		return
 	}
 	al.reports++
+	if !al.isEligible(now, wk) {
+		al.changes.note(wk.info.Pool)
+	}
 	wk.isPollInFlight = false
 	wk.pollAt = now.Add(minPollInterval)
 	if wk.isSynced && ev.Report.StartedAtMS != wk.startedAtMS {
@@ -50,11 +53,15 @@
 		reportedAttempts[reported.Task] = reported.Attempt
 		al.reconcileRun(now, wk, reported)
 	}
-	isComplete := len(ev.Report.Ended) < modeller.EndsPerReport
-	for _, rn := range wk.sortedRuns() {
-		if attempt, ok := reportedAttempts[rn.name]; (!ok || attempt != rn.attempt) && isComplete {
-			al.reconcileMissingRun(now, rn, ev.SentAt)
-		}
+	if len(ev.Report.Ended) >= modeller.EndsPerReport {
+		return
+	}
+	isMissing := func(rn *run) bool {
+		attempt, ok := reportedAttempts[rn.name]
+		return !ok || attempt != rn.attempt
+	}
+	for _, rn := range wk.sortedRunsWith(isMissing) {
+		al.reconcileMissingRun(now, rn, ev.SentAt)
 	}
 }
 
@@ -153,6 +160,7 @@
 	wk.lastProcessedEnd = end.Number
 	if rn := wk.runs[end.Task]; rn != nil && rn.attempt == end.Attempt {
 		wk.removeRun(rn)
+		al.changes.note(wk.info.Pool)
 	}
 	tk := al.taskForReport(now, end.Task)
 	if tk == nil {
@@ -332,11 +340,10 @@
 
 // retryStops repeats stop orders of runs that have not ended.
 func (al *Allocator) retryStops(now time.Time) {
+	isDue := func(rn *run) bool { return rn.isStopping && now.Sub(rn.stopSentAt) >= orderRetryInterval }
 	for _, wk := range al.sortedWorkers() {
-		for _, rn := range wk.sortedRuns() {
-			if rn.isStopping && now.Sub(rn.stopSentAt) >= orderRetryInterval {
-				al.stopRun(now, rn)
-			}
+		for _, rn := range wk.sortedRunsWith(isDue) {
+			al.stopRun(now, rn)
 		}
 	}
 }
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -122,6 +122,7 @@
 		return
 	}
 	tk.step.waitingCount++
+	al.enlist(now, tk.step.job)
 	al.log(LogEntry{Message: "task requeued", Task: tk.name.String(), Worker: rn.worker.info.ID, Attempt: rn.attempt, Reason: reason})
 	al.updateOutcome(now, tk.step.job)
 }
@@ -147,6 +148,7 @@
 		st.waitingCount--
 	}
 	jb := st.job
+	al.noteJob(jb)
 	jb.occurrences[tk.name.Occurrence].updateDone()
 	al.updateOutcome(now, jb)
 }
