Prefer managers with more capacity as holders of the scheduler's duty

Cause: every manager competes at once. Now each manager registers its capacity in the store (a lease of two minutes), waits 200 ms for each level of capacity above its own before it competes, and asks a holder with less capacity to yield; a holder yields after five seconds at the earliest. Any manager still takes the duty when no larger one does, 0.4 s later at the most. The records are advice: the lease and the fence decide as before. TestSmallManagerLeavesTheFreeDutyToALargeOne fails without the delay (the small one holds the duty).

--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/coltsfootwick-manager/internal/dispatcher"
@@ -39,6 +40,13 @@
 // is stale.
 var errFenced = classifier.New(classifier.OrderFenced, "a worker or the VM interface has seen a newer fencing token")
 
+// minTenure is how long a holder keeps the duty before it yields, so that the
+// duty doesn't change hands more often than a takeover takes.
+const minTenure = 5 * time.Second
+
+// errYielded ends a term in favour of a manager with more capacity.
+var errYielded = errors.New("the duty is yielded to a manager with more capacity")
+
 // Conductor runs the scheduler while the duty is held. State, Announce and
 // Pending may be called at any time.
 type Conductor struct {
@@ -51,6 +59,7 @@
 	waveStatus archiver.EncodeStatusFunc
 	logger     *zap.Logger
 	requests   chan request
+	yields     chan struct{}
 	wallClock  func() time.Time
 	// jobsSyncedAt is the time at which the watch on the jobs was last up to
 	// date, in Unix nanoseconds.
@@ -95,6 +104,7 @@
 		waveStatus: st.WaveStatus,
 		logger:     st.Logger,
 		requests:   make(chan request),
+		yields:     make(chan struct{}, 1),
 		wallClock:  time.Now,
 	}
 }
@@ -149,6 +159,7 @@
 func (tm *term) run(ctx context.Context) error {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
+	startedAt := timekeeper.Now()
 	for {
 		select {
 		case ev := <-tm.events:
@@ -161,6 +172,10 @@
 			if !rq.needsPlan {
 				continue
 			}
+		case <-tm.yields:
+			if timekeeper.Now().Sub(startedAt) >= minTenure {
+				return errYielded
+			}
 		case err := <-tm.failures:
 			return err
 		case <-ticker.C:
@@ -253,6 +268,14 @@
 	}
 }
 
+// Yield ends the term of a holder that has held the duty for minTenure.
+func (cd *Conductor) Yield() {
+	select {
+	case cd.yields <- struct{}{}:
+	default:
+	}
+}
+
 // query runs a read-only function on the allocator's goroutine. The error is
 // JobUnavailable if the duty is not held here.
 func (cd *Conductor) query(ctx context.Context, read func(al *allocator.Allocator)) error {
--- a/coltsfootwick-manager/internal/peer/client.go
+++ b/coltsfootwick-manager/internal/peer/client.go
@@ -75,6 +75,15 @@
 	return err
 }
 
+// RequestYield asks the holder of the scheduler's duty to yield it.
+func (cl *Client) RequestYield(ctx context.Context, holder netip.AddrPort) error {
+	_, err := cl.call(ctx, http.MethodPost, holder, yieldPath, nil)
+	return err
+}
+
+// yieldPath is the path of requests to yield the duty.
+const yieldPath = "/duty/yield"
+
 // announcePath is the path of job announcements.
 const announcePath = "/jobs"
 
--- a/coltsfootwick-manager/internal/peer/handler.go
+++ b/coltsfootwick-manager/internal/peer/handler.go
@@ -21,6 +21,8 @@
 	Pending(ctx context.Context, queue string) (int, error)
 	// Announce adds a stored job.
 	Announce(ctx context.Context, jr modeller.JobRecord) error
+	// Yield ends the term of a holder that has held the duty for some time.
+	Yield()
 }
 
 // NewHandler returns the handler of requests from other managers.
@@ -37,6 +39,10 @@
 	mux.HandleFunc("POST "+announcePath, func(rw http.ResponseWriter, rq *http.Request) {
 		writeResponse(rw, logger, handleAnnouncement(scheduler, rq), struct{}{})
 	})
+	mux.HandleFunc("POST "+yieldPath, func(rw http.ResponseWriter, _ *http.Request) {
+		scheduler.Yield()
+		rw.WriteHeader(http.StatusNoContent)
+	})
 	return mux
 }
 
--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -17,6 +17,7 @@
 
 	"coltsfootwick.example/coltsfootwick-manager/internal/conductor"
 	"coltsfootwick.example/coltsfootwick-manager/internal/dispatcher"
+	"coltsfootwick.example/coltsfootwick-manager/internal/elector"
 	"coltsfootwick.example/coltsfootwick-manager/internal/peer"
 	"coltsfootwick.example/coltsfootwick-manager/internal/router"
 	"coltsfootwick.example/coltsfootwick-manager/internal/submitter"
@@ -101,6 +102,7 @@
 	storeHealth    *storeHealth
 	router         *router.Router
 	locator        *peer.Locator
+	elector        *elector.Elector
 	submitter      *submitter.Submitter
 	conductor      *conductor.Conductor
 	leaser         *leaser.Leaser
@@ -114,18 +116,32 @@
 	}
 	store := storer.ObserveTransactions(adapter.NewStore(settings.Store), health.observe)
 	ttl := max(dutyTTL, settings.Bounds.MinLeaseTTL)
+	var mg *manager
 	duty := leaser.New(store, settings.Region, dutyName, settings.Internal.String(),
 		leaser.WithTTL(ttl), leaser.WithWait(dutyWatchTimeout), leaser.WithOverrun(dutyOverrun),
-		leaser.WithClock(timekeeper.Now), leaser.WithNotify(func(nt leaser.Notice) { logDutyNotice(log, nt) }))
+		leaser.WithClock(timekeeper.Now), leaser.WithNotify(func(nt leaser.Notice) { logDutyNotice(log, nt) }),
+		leaser.WithPrecedence(func(ctx context.Context) time.Duration { return mg.elector.Delay(ctx) }))
 	locator := peer.NewLocator(store, duty.Key(), log)
-	mg := &manager{
+	client := peer.NewClient()
+	mg = &manager{
 		settings:    settings,
 		logger:      log,
 		storeHealth: health,
 		router:      router.New(store, log),
 		locator:     locator,
-		submitter:   submitter.New(store, peer.NewClient(), locator, health, log),
+		submitter:   submitter.New(store, client, locator, health, log),
 		leaser:      duty,
+		elector: elector.New(elector.Settings{
+			Store:      store,
+			Region:     settings.Region,
+			Node:       settings.Node,
+			Address:    settings.Internal,
+			Capacity:   elector.NewCapacity(settings.Cores, settings.LinkMbps),
+			Locator:    locator,
+			Peer:       client,
+			IsEligible: func() bool { return !mg.isShuttingDown.Load() && !health.IsUnavailable() },
+			Logger:     log,
+		}),
 		conductor: conductor.New(conductor.Settings{
 			Store:   store,
 			DutyKey: duty.Key(),
@@ -208,7 +224,7 @@
 	// The duty is released as soon as a signal arrives; all other components
 	// continue while requests may still arrive.
 	dutyContext, releaseDuty := context.WithCancel(context.Background())
-	for _, actor := range []func(ctx context.Context) error{mg.router.Run, mg.locator.Run, mg.submitter.Run} {
+	for _, actor := range []func(ctx context.Context) error{mg.router.Run, mg.locator.Run, mg.submitter.Run, mg.elector.Run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return actor(ctx) }, func(error) { cancel() })
 	}
--- a/shared/store/leaser/acquire.go
+++ b/shared/store/leaser/acquire.go
@@ -14,6 +14,9 @@
 	if err := lr.awaitRelease(ctx); err != nil {
 		return nil, err
 	}
+	if err := storer.Pause(ctx, lr.delay(ctx)); err != nil {
+		return nil, err
+	}
 	sentAt := lr.now()
 	lease, err := lr.store.Grant(ctx, lr.ttl)
 	if err != nil {
--- a/shared/store/leaser/leaser.go
+++ b/shared/store/leaser/leaser.go
@@ -68,6 +68,13 @@
 	return func(lr *Leaser) { lr.overrun = overrun }
 }
 
+// WithPrecedence sets a function that returns how long this candidate waits
+// before it competes for a duty that has become free, so that preferable
+// candidates can acquire it first.
+func WithPrecedence(delay func(ctx context.Context) time.Duration) Option {
+	return func(lr *Leaser) { lr.delay = delay }
+}
+
 // Leaser is a candidate for one duty.
 type Leaser struct {
 	store  storer.Store
@@ -79,6 +86,7 @@
 	overrun time.Duration
 	notify  func(nt Notice)
 	now     func() time.Time
+	delay   func(ctx context.Context) time.Duration
 }
 
 // New returns a Leaser for a duty of an availability zone. The holder's name is
@@ -92,6 +100,7 @@
 		wait:   defaultWait,
 		notify: func(Notice) {},
 		now:    time.Now,
+		delay:  func(context.Context) time.Duration { return 0 },
 	}
 	for _, opt := range opts {
 		opt(lr)
--- a/shared/store/storer/store.go
+++ b/shared/store/storer/store.go
@@ -95,6 +95,8 @@
 	// MemberPrefix holds the member records of the nodes, with their addresses,
 	// under leases.
 	MemberPrefix = "members/"
+	// ManagerPrefix holds the capacities of the managers, by region and node.
+	ManagerPrefix = "managers/"
 	// WavePrefix holds the maintenance waves.
 	WavePrefix = "waves/"
 	// JobPrefix holds the jobs by queue and ID. A further key below a job's key
