allocator tests: show that a done task is restarted when its worker's lease expires before the report

The test fails on the present code: the task is started again on the other worker, although the answer to the first poll after the lease's end lists the run as done.

--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -35,6 +35,33 @@
 	must.Eq(t, 2, starts[0].Attempt)
 }
 
+func TestDoneTaskIsNotRestartedWhenLeaseExpiresBeforeReport(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a", "b")
+	start := fx.startOneTaskJob("j")
+	worker := start.Worker.ID
+	other := map[modeller.WorkerID]string{"a": "b", "b": "a"}[worker]
+	fx.apply(PollFailed{Worker: worker, Outcome: Unanswered})
+	lastFailureAt := fx.al.leaseExpiry(fx.al.workers[worker]).Add(-200 * time.Millisecond)
+	for range 60 {
+		if fx.now.Before(lastFailureAt) {
+			fx.failPendingPolls(worker)
+		}
+		fx.report(other, nil)
+		fx.advance(100 * time.Millisecond)
+	}
+	// The poll that was in flight when the lease expired fails, the next doesn't.
+	fx.apply(PollFailed{Worker: worker, Outcome: Unanswered})
+	fx.report(other, nil)
+	fx.advance(100 * time.Millisecond)
+	fx.report(string(worker), nil, modeller.End{Number: 1, Task: start.Task, Attempt: 1, Kind: modeller.EndDone})
+	fx.report(other, nil)
+	must.Len(t, 0, takeOrders[StartOrder](fx))
+	fx.storeBatch()
+	state, _ := fx.al.State("j")
+	must.Eq(t, modeller.JobCompleted, state)
+}
+
 func TestRunsAreKeptWhileDutyIsUnconfirmed(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a", "b")
