allocator: keep runs until a poll after their lease's expiry has failed

Cause: an overloaded holder gets no answers to its polls in time, although the worker is up. A run that ends as done meanwhile is not known to the holder. When the lease expired, expireLeases dropped the run at once, even if the last failed poll dated from before the expiry or a poll was still in flight; the task was started again, and the next answer listed the first run as done. No end was acknowledged before it was applied.

Change: a worker with runs is polled at once when its lease expires, and its runs are dropped only after a poll that was ordered since then has failed. After the lease has expired no run continues, so the answer to such a poll is final. The wait costs one poll timeout.

--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -217,6 +217,7 @@
 		return
 	}
 	wk.isPollInFlight = false
+	wk.failedPollAt = wk.polledAt
 	wk.isUnresponsive = true
 	wk.pollAt = now.Add(min(pollBackoff<<wk.failedPolls, maxPollBackoff))
 	wk.failedPolls = min(wk.failedPolls+1, maxPollDoublings)
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -39,9 +39,10 @@
 	isUnresponsive bool
 	failedPolls    int
 	// isPollInFlight is true while a poll is in flight. The next poll is due at
-	// pollAt.
-	isPollInFlight bool
-	pollAt         time.Time
+	// pollAt. polledAt is when the last poll was ordered, and failedPollAt when
+	// the last of those was ordered that got no report.
+	isPollInFlight                 bool
+	pollAt, polledAt, failedPollAt time.Time
 	// runs are all runs that hold capacity, and used is the sum of what they
 	// hold.
 	runs map[modeller.TaskName]*run
@@ -180,11 +181,20 @@
 
 // expireLeases drops the runs of unresponsive workers whose leases have
 // certainly expired. The duty has to have been confirmed since then: a later
-// holder may reach a worker that this one can't, and extend its lease.
+// holder may reach a worker that this one can't, and extend its lease. A poll
+// has to have failed since then, too: the worker may still report that a run
+// was done before the lease expired.
 func (al *Allocator) expireLeases(now time.Time) {
 	for _, wk := range al.sortedWorkers() {
 		id := wk.info.ID
-		if now.Sub(wk.reportedAt) < maxReportAge || !al.confirmedAt.After(al.leaseExpiry(wk)) {
+		expiry := al.leaseExpiry(wk)
+		if now.Sub(wk.reportedAt) < maxReportAge || !now.After(expiry) {
+			continue
+		}
+		if len(wk.runs) > 0 && !wk.polledAt.After(expiry) {
+			wk.pollAt = now
+		}
+		if !al.confirmedAt.After(expiry) || len(wk.runs) > 0 && !wk.failedPollAt.After(expiry) {
 			continue
 		}
 		if len(wk.runs) > 0 || wk.isSynced {
@@ -232,6 +242,7 @@
 			po.LeaseEnd = wk.leaseEnd
 		}
 		wk.isPollInFlight = true
+		wk.polledAt = now
 		al.orders = append(al.orders, po)
 	}
 }
