allocator: keep the service order of waiting jobs up to date job by job

Now a heap holds the times at which service classes change, and only those jobs and the ones whose steps end change places, so the order is also exact at any time. Jobs without waiting tasks leave the list when they are considered.

--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -33,8 +33,10 @@
 	version int
 	// loadedProgress is the progress that earlier holders have stored, by task.
 	loadedProgress map[modeller.TaskName]modeller.TaskProgress
-	// list is the waiting list that contains the job, or nil.
+	// list is the waiting list that contains the job, with the keys of rank, or
+	// nil.
 	list *waitingList
+	rank rankedJob
 }
 
 func (al *Allocator) setConfiguration(now time.Time, cf modeller.Configuration) {
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -254,7 +254,8 @@
 		if !ok || jb.outcome != "" || jb.isCancelled {
 			continue
 		}
-		isOnTime := jb.serviceClass(now, qu) <= classOnTime
+		class, _ := jb.serviceClass(now, qu)
+		isOnTime := class <= classOnTime
 		dm := demands[qu.Pool]
 		for _, oc := range jb.occurrences {
 			for _, st := range oc.steps {
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -14,10 +14,12 @@
 		al.effort.jobs++
 		orderCount := len(al.orders)
 		al.placeJob(now, jb, pp)
+		pp.consider(jb)
 		if len(al.orders) > orderCount && !al.hasRoom(pp) {
-			pp.position = len(pp.list.ranked)
+			pp.isFull = true
 		}
 	}
+	pl.finish()
 }
 
 // placeJob starts a job's waiting tasks.
--- a/shared/jobs/allocator/placement.go
+++ b/shared/jobs/allocator/placement.go
@@ -18,6 +18,12 @@
 	list     *waitingList
 	position int
 	eligible []*worker
+	// isFull is true once no worker has room for any waiting task.
+	isFull bool
+	// smallest is the smallest demand of the jobs considered so far that still
+	// wait, and waitingCount the number of these jobs.
+	smallest     modeller.Resources
+	waitingCount int
 	// full are the demands for which no worker has room. They stay so during a
 	// placement.
 	full map[labelledDemand]struct{}
@@ -48,7 +54,7 @@
 			eligible: al.eligibleWorkers(now, pool),
 		}
 		if len(pp.eligible) > 0 && al.hasRoom(pp) {
-			al.rank(now, wl)
+			al.rerankDue(now, wl)
 			pl.pools = append(pl.pools, pp)
 		}
 	}
@@ -62,7 +68,7 @@
 func (pl *placement) next() (*job, *poolPlacement) {
 	var best *poolPlacement
 	for _, pp := range pl.pools {
-		if pp.position >= len(pp.list.ranked) {
+		if pp.isFull || pp.position >= len(pp.list.ranked) {
 			continue
 		}
 		if best == nil || pp.list.ranked[pp.position].compare(best.list.ranked[best.position]) < 0 {
@@ -76,6 +82,28 @@
 	return best.list.ranked[best.position-1].job, best
 }
 
+// consider notes a job that has been considered. A job without waiting tasks
+// leaves the list.
+func (pp *poolPlacement) consider(jb *job) {
+	if !jb.mayWait() {
+		jb.withdraw()
+		pp.position--
+		return
+	}
+	pp.smallest = smallestDemand(jb, pp.smallest, pp.waitingCount == 0)
+	pp.waitingCount++
+}
+
+// finish updates the smallest demands of the lists that were considered to the
+// end.
+func (pl *placement) finish() {
+	for _, pp := range pl.pools {
+		if !pp.isFull && pp.waitingCount > 0 {
+			pp.list.smallest = pp.smallest
+		}
+	}
+}
+
 // hasRoom reports whether placing tasks in a pool can have any effect.
 func (al *Allocator) hasRoom(pp *poolPlacement) bool {
 	return pp.list.hasAdvice || al.hasRoomFor(pp, labelledDemand{
--- a/shared/jobs/allocator/rank.go
+++ b/shared/jobs/allocator/rank.go
@@ -13,6 +13,10 @@
 	class    serviceClass
 	priority int
 	coreTime time.Duration
+	// until is the time until which the class stays, or zero.
+	until time.Time
+	// insertion is the number of the job's insertion into its list.
+	insertion int
 }
 
 // serviceClass groups jobs by the value that they still have.
@@ -36,11 +40,13 @@
 
 // newRankedJob returns a job with its present keys.
 func newRankedJob(now time.Time, jb *job, qu modeller.Queue) rankedJob {
+	class, until := jb.serviceClass(now, qu)
 	return rankedJob{
 		job:      jb,
-		class:    jb.serviceClass(now, qu),
+		class:    class,
 		priority: qu.Priority,
 		coreTime: jb.coreTime,
+		until:    until,
 	}
 }
 
@@ -59,25 +65,26 @@
 	return cmp.Or(rj.job.acceptedAt.Compare(other.job.acceptedAt), cmp.Compare(rj.job.info.ID, other.job.info.ID))
 }
 
-// serviceClass returns the service class of the job.
-func (jb *job) serviceClass(now time.Time, qu modeller.Queue) serviceClass {
+// serviceClass returns the service class of the job, and the time until which
+// the class stays unless a step ends, or zero.
+func (jb *job) serviceClass(now time.Time, qu modeller.Queue) (class serviceClass, until time.Time) {
 	for _, st := range jb.info.Steps {
 		if st.IsLongRunning {
-			return classLongRunning
+			return classLongRunning, time.Time{}
 		}
 	}
 	if jb.info.Occurrences > 0 {
-		return classOnTime
+		return classOnTime, time.Time{}
 	}
 	objective := time.Duration(qu.Stretch*float64(jb.criticalPath)) + qu.Slack
-	age := now.Sub(jb.acceptedAt)
-	switch remaining := jb.remainingCriticalPath(); {
-	case age+remaining <= objective:
-		return classOnTime
-	case age+remaining <= maxLateFactor*objective:
-		return classLate
+	remaining := jb.remainingCriticalPath()
+	if until := jb.acceptedAt.Add(objective - remaining); !now.After(until) {
+		return classOnTime, until
 	}
-	return classExpired
+	if until := jb.acceptedAt.Add(maxLateFactor*objective - remaining); !now.After(until) {
+		return classLate, until
+	}
+	return classExpired, time.Time{}
 }
 
 func (jb *job) hasWaitingTasks() bool {
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -149,6 +149,9 @@
 	}
 	jb := st.job
 	al.noteJob(jb)
+	if st.doneCount == len(st.tasks) {
+		al.rerank(now, jb)
+	}
 	jb.occurrences[tk.name.Occurrence].updateDone()
 	al.updateOutcome(now, jb)
 }
--- a/shared/jobs/allocator/waiting.go
+++ b/shared/jobs/allocator/waiting.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"container/heap"
 	"slices"
 	"time"
 
@@ -9,10 +10,12 @@
 
 // waitingList holds the jobs of a pool that may have waiting tasks.
 type waitingList struct {
-	// ranked are the jobs in the order of service, as of rankedAt. Jobs that
-	// have no waiting tasks any more stay until the list is ranked again.
-	ranked   []rankedJob
-	rankedAt time.Time
+	// ranked are the jobs in the order of service. Jobs that have no waiting
+	// tasks any more stay until they are considered for placement.
+	ranked []rankedJob
+	due    dueChanges
+	// insertions counts the insertions.
+	insertions int
 	// smallest is at most the demand of any waiting task, in each resource.
 	smallest modeller.Resources
 	// hasAdvice is true if a queue of the pool has an advice service, which is
@@ -34,26 +37,64 @@
 		al.waiting[qu.Pool] = wl
 	}
 	wl.hasAdvice = wl.hasAdvice || qu.Advice != nil
-	wl.include(jb, len(wl.ranked) == 0)
-	if jb.list == wl {
-		return
+	wl.smallest = smallestDemand(jb, wl.smallest, len(wl.ranked) == 0)
+	if jb.list == nil {
+		wl.insert(newRankedJob(now, jb, qu))
+		al.effort.jobs++
 	}
-	jb.list = wl
-	al.effort.jobs++
-	rj := newRankedJob(now, jb, qu)
+}
+
+// minDueChanges is the number of due changes up to which void ones are kept.
+const minDueChanges = 64
+
+// insert adds a job at its place in the order of service.
+func (wl *waitingList) insert(rj rankedJob) {
+	wl.insertions++
+	rj.insertion = wl.insertions
+	rj.job.list = wl
+	rj.job.rank = rj
 	position, _ := slices.BinarySearchFunc(wl.ranked, rj, rankedJob.compare)
 	wl.ranked = slices.Insert(wl.ranked, position, rj)
+	wl.due.discardVoid(2*len(wl.ranked) + minDueChanges)
+	if !rj.until.IsZero() {
+		heap.Push(&wl.due, dueChange{
+			at:        rj.until,
+			job:       rj.job,
+			insertion: rj.insertion,
+		})
+	}
 }
 
-// withdraw removes a job that is no longer known from its waiting list.
+// withdraw removes a job from its waiting list.
 func (jb *job) withdraw() {
 	if jb.list == nil {
 		return
 	}
-	jb.list.ranked = slices.DeleteFunc(jb.list.ranked, func(rj rankedJob) bool { return rj.job == jb })
+	if position, ok := slices.BinarySearchFunc(jb.list.ranked, jb.rank, rankedJob.compare); ok {
+		jb.list.ranked = slices.Delete(jb.list.ranked, position, position+1)
+	}
 	jb.list = nil
 }
 
+// rerank updates a job's place in its waiting list.
+func (al *Allocator) rerank(now time.Time, jb *job) {
+	wl := jb.list
+	if wl == nil {
+		return
+	}
+	al.effort.jobs++
+	jb.withdraw()
+	wl.insert(newRankedJob(now, jb, al.configuration.Queues[jb.info.Queue]))
+}
+
+// rerankDue updates the places of the jobs whose service class has changed with
+// time.
+func (al *Allocator) rerankDue(now time.Time, wl *waitingList) {
+	for jb := wl.due.takeDue(now); jb != nil; jb = wl.due.takeDue(now) {
+		al.rerank(now, jb)
+	}
+}
+
 // enlistAll builds the waiting lists anew.
 func (al *Allocator) enlistAll(now time.Time) {
 	clear(al.waiting)
@@ -63,31 +104,9 @@
 	}
 }
 
-// rank updates the order of service, at most once per periodicInterval.
-func (al *Allocator) rank(now time.Time, wl *waitingList) {
-	if now.Sub(wl.rankedAt) < periodicInterval {
-		return
-	}
-	wl.rankedAt = now
-	kept := wl.ranked[:0]
-	for _, rj := range wl.ranked {
-		al.effort.jobs++
-		jb := rj.job
-		if !jb.mayWait() {
-			jb.list = nil
-			continue
-		}
-		wl.include(jb, len(kept) == 0)
-		kept = append(kept, newRankedJob(now, jb, al.configuration.Queues[jb.info.Queue]))
-	}
-	clear(wl.ranked[len(kept):])
-	wl.ranked = kept
-	slices.SortFunc(wl.ranked, rankedJob.compare)
-}
-
-// include lowers the smallest demand to that of a job's waiting tasks. For the
-// first job of a list it replaces the smallest demand.
-func (wl *waitingList) include(jb *job, isFirst bool) {
+// smallestDemand returns the smaller of a demand and those of a job's waiting
+// tasks, in each resource. It ignores the given demand if isFirst is true.
+func smallestDemand(jb *job, smallest modeller.Resources, isFirst bool) modeller.Resources {
 	for _, oc := range jb.occurrences {
 		for _, st := range oc.steps {
 			if st.waitingCount == 0 {
@@ -95,17 +114,18 @@
 			}
 			demand := st.spec.ReservedResources()
 			if isFirst {
-				wl.smallest = demand
+				smallest = demand
 				isFirst = false
 				continue
 			}
-			wl.smallest = modeller.Resources{
-				MilliCores:   min(wl.smallest.MilliCores, demand.MilliCores),
-				MemoryMB:     min(wl.smallest.MemoryMB, demand.MemoryMB),
-				Accelerators: min(wl.smallest.Accelerators, demand.Accelerators),
+			smallest = modeller.Resources{
+				MilliCores:   min(smallest.MilliCores, demand.MilliCores),
+				MemoryMB:     min(smallest.MemoryMB, demand.MemoryMB),
+				Accelerators: min(smallest.Accelerators, demand.Accelerators),
 			}
 		}
 	}
+	return smallest
 }
 
 // mayWait reports whether the job has tasks that wait for a start.
