dispatcher: report a poll that was not sent as failed

A poll that came up while the duty's lease could not be checked was dropped without an event; the allocator then took it for in flight and polled the worker no more in that term, and since runs are only dropped after a failed poll, its tasks would have waited for ever (LOST). TestPollThatIsNotSentIsReportedAsFailed timed out before.

--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -66,6 +66,7 @@
 
 func (di *Dispatcher) poll(ctx context.Context, po allocator.PollOrder) {
 	if !di.isHeld() {
+		di.emitNotSent(po)
 		return
 	}
 	sentAt := timekeeper.Now()
--- a/coltsfootwick-manager/internal/dispatcher/outcome.go
+++ b/coltsfootwick-manager/internal/dispatcher/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/timekeeper"
 )
 
 // outcomeOf returns the order outcome for an error's code.
@@ -59,6 +60,12 @@
 			Percent: od.Percent,
 			Outcome: allocator.NotSent,
 		})
+	case allocator.PollOrder:
+		di.emit(allocator.PollFailed{
+			Worker:  od.Worker.ID,
+			SentAt:  timekeeper.Now(),
+			Outcome: allocator.NotSent,
+		})
 	case allocator.VMOrder:
 		di.emit(allocator.VMOrderResult{
 			Order:   od,
