--- a/shared/jobs/allocator/acknowledge_test.go
+++ b/shared/jobs/allocator/acknowledge_test.go
@@ -77,3 +77,17 @@
 	must.Len(t, 1, acknowledging, must.Sprint("polls as soon as the end is stored"))
 	must.Eq(t, 1, acknowledging[0].AcknowledgedEnds)
 }
+
+func TestFirstLeaseAfterATakeoverDoesNotWaitForStorage(t *testing.T) {
+	fx := newFixture(t)
+	fx.listWorker("w1")
+	fx.apply(RecordsLoaded{})
+	fx.storeBatch()
+	must.Len(t, 1, takeOrders[PollOrder](fx))
+	fx.report("w1", nil, modeller.End{Number: 7, Task: taskName("unknown", 0), Attempt: 1, Kind: modeller.EndDone})
+	fx.submitJob("j", oneTaskStep())
+	fx.al.workers["w1"].unstoredEnds = []unstoredEnd{{number: 7, job: fx.al.jobs["j"], version: 100}}
+	polls := takeOrders[PollOrder](fx)
+	must.Len(t, 1, polls)
+	must.Greater(t, 0, polls[0].LeaseEnd)
+}
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -273,7 +273,7 @@
 // awaitsStorage reports whether a poll of the worker is better sent after ends
 // are stored: until then a worker answers at once and repeats its unstored ends.
 func (wk *worker) awaitsStorage(now time.Time) bool {
-	return len(wk.unstoredEnds) > 0 && now.Before(wk.reportedAt.Add(wk.repeatInterval))
+	return wk.leaseEnd > 0 && len(wk.unstoredEnds) > 0 && now.Before(wk.reportedAt.Add(wk.repeatInterval))
 }
 
 // stopUnresolvedStarts orders stops of starts that a worker, now that it
