allocator: search for expired jobs once a second

Found by the review: each plan without changed records went through all ended jobs whose states are retained, some 8,000 at 60 jobs a second, so that the work per event grew with the jobs of the last two minutes. No figure was measured for it alone.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -94,6 +94,8 @@
 	// expiryMargin is added to StatusRetention before the record of an ended
 	// job is removed.
 	expiryMargin = 10 * time.Second
+	// expiryInterval is the interval between searches for expired jobs.
+	expiryInterval = time.Second
 )
 
 // Allocator holds the scheduler's state of all jobs and workers and makes its
@@ -127,6 +129,8 @@
 	dirtyJobs map[modeller.JobID]*job
 	// dirtyQueue holds the dirty jobs in the order in which they are stored.
 	dirtyQueue       []*job
+	// expiryCheckedAt is when expired jobs were last searched for.
+	expiryCheckedAt  time.Time
 	isRosterDirty    bool
 	isBatchInFlight  bool
 	isAdviceInFlight bool
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -147,6 +147,10 @@
 // expiredJobs returns the ended jobs whose states no longer need to be
 // available.
 func (al *Allocator) expiredJobs(now time.Time) []EndedJob {
+	if now.Sub(al.expiryCheckedAt) < expiryInterval {
+		return nil
+	}
+	al.expiryCheckedAt = now
 	var expired []EndedJob
 	for id, ended := range al.retained {
 		if now.Sub(ended.endedAt) > al.bounds.StatusRetention+expiryMargin {
