--- a/coltsfootwick-manager/internal/elector/capacity.go
+++ b/coltsfootwick-manager/internal/elector/capacity.go
@@ -1,6 +1,7 @@
 package elector
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 )
@@ -15,14 +16,20 @@
 	megabitsPerTask    = 0.02
 )
 
+// maxCapacity is the capacity of a node whose limits are not known.
+const maxCapacity = 1e6
+
 // NewCapacity returns the capacity of a node with a share of the processor, in
 // cores, and a network link. Zero means that a limit is not known.
 func NewCapacity(cores, linkMbps float64) Capacity {
-	capacity := cores / coreSecondsPerTask
+	capacity := math.Inf(1)
+	if cores > 0 {
+		capacity = cores / coreSecondsPerTask
+	}
 	if linkMbps > 0 {
 		capacity = min(capacity, linkMbps/megabitsPerTask)
 	}
-	return Capacity(capacity)
+	return Capacity(min(capacity, maxCapacity))
 }
 
 // isLarger reports whether the capacity is a level above another.
--- a/coltsfootwick-manager/internal/elector/capacity_test.go
+++ b/coltsfootwick-manager/internal/elector/capacity_test.go
@@ -11,6 +11,8 @@
 	must.Eq(t, 400, NewCapacity(0.4, 1000))
 	must.Eq(t, 500, NewCapacity(0.8, 10))
 	must.Eq(t, 800, NewCapacity(0.8, 0), must.Sprint("unknown link"))
+	must.Eq(t, 500, NewCapacity(0, 10), must.Sprint("unknown processor"))
+	must.Eq(t, maxCapacity, NewCapacity(0, 0), must.Sprint("nothing known"))
 }
 
 func TestRankCountsTheLevelsAbove(t *testing.T) {
--- a/coltsfootwick-manager/internal/elector/elector.go
+++ b/coltsfootwick-manager/internal/elector/elector.go
@@ -157,6 +157,11 @@
 		Apply: func(storer.Entry) ([]byte, error) { return value, nil },
 		Lease: lease,
 	})
+	if err != nil {
+		if revokeErr := el.store.Revoke(ctx, lease); revokeErr != nil {
+			el.logger.Debug("cannot revoke the lease of a failed registration", zap.Error(revokeErr))
+		}
+	}
 	return lease, err
 }
 
