--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -128,7 +128,7 @@
 	// stored.
 	dirtyJobs map[modeller.JobID]*job
 	// dirtyQueue holds the dirty jobs in the order in which they are stored.
-	dirtyQueue       []*job
+	dirtyQueue []*job
 	// expiryCheckedAt is when expired jobs were last searched for.
 	expiryCheckedAt  time.Time
 	isRosterDirty    bool
