allocator: let moves at once grow with the fleet

Cause: at most 24 VMs moved at once, whatever the fleet's size; that is half of 48 VMs and a fifteenth of 349, so a turn of some seconds was over before its VMs had come. Now half of the fleet may move at once, and new moves are paced by the rate of orders that the VM interface accepts (a setting; three quarters of it, the rest is for maintenance). TestMovesAtOnceGrowWithTheFleetWithinTheInterfacesRate fails with the constant (24 moves of 90 expected). Nothing changes for fleets of 48 VMs but the pace of bursts.

--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -155,6 +155,7 @@
 				StopGrace:       settings.Bounds.StopGrace,
 				StatusRetention: settings.Bounds.StatusRetention,
 				MaintenanceTime: settings.Bounds.MaintenanceTime,
+				VMOrderRate:     settings.Bounds.VMOrderRate,
 			},
 			Platform: dispatcher.Platform{
 				Workers: adapter.NewWorkers(),
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -41,6 +41,8 @@
 	DutyLease time.Duration
 	// MaintenanceTime is how long a VM is down for maintenance.
 	MaintenanceTime time.Duration
+	// VMOrderRate is how many orders per second the VM interface accepts.
+	VMOrderRate float64
 }
 
 // Durations and limits of scheduling decisions.
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -20,6 +20,7 @@
 	StopGrace:       900 * time.Millisecond,
 	StatusRetention: time.Minute,
 	MaintenanceTime: 2 * time.Second,
+	VMOrderRate:     64,
 }
 
 // fixture is an allocator in virtual time. Workers report only when a test
--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -24,6 +24,8 @@
 	// moves are the moves in progress, by VM.
 	moves          map[string]*move
 	movesPlannedAt time.Time
+	// moveBudget is how many moves may be ordered now.
+	moveBudget float64
 	// surplus is the surplus history of each pool.
 	surplus map[string]surplusHistory
 }
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -30,9 +30,14 @@
 	maxDirectoryLag = 4 * time.Second
 	// arrivalTimeout is how long the arrival of a moved VM is awaited.
 	arrivalTimeout = 5 * time.Second
-	// maxMovesAtOnce limits the moves in progress, so that a wrong estimate of
-	// demand moves few VMs.
-	maxMovesAtOnce = 24
+	// maxMovingShare limits the share of all VMs that move at once, so that a
+	// wrong estimate of demand leaves the others in place.
+	maxMovingShare = 0.5
+	// moveRateShare is the share of the VM interface's rate of orders that moves
+	// may use, and moveBurst the time for which unused orders are kept. The rest
+	// is for maintenance and repeated orders.
+	moveRateShare = 0.75
+	moveBurst     = 500 * time.Millisecond
 )
 
 // move is a move of a VM to another pool that is in progress.
@@ -69,6 +74,7 @@
 	if now.Sub(fl.movesPlannedAt) < moveInterval || fl.listedAt.IsZero() || !al.isLoaded {
 		return
 	}
+	fl.addMoveBudget(now.Sub(fl.movesPlannedAt), al.bounds.VMOrderRate)
 	fl.movesPlannedAt = now
 	al.updateMoves(now)
 	needs := al.poolNeeds(now)
@@ -84,7 +90,7 @@
 	for _, pn := range needs {
 		for range pn.required - pn.available {
 			switch {
-			case len(fl.moves) >= maxMovesAtOnce:
+			case !fl.canMove():
 				return
 			case len(free) > 0:
 				al.orderMove(now, free[0], "", pn.name)
@@ -96,12 +102,24 @@
 		}
 	}
 	for _, wk := range al.donors(now, needs, standbyDelay) {
-		if len(fl.moves) < maxMovesAtOnce && !wk.isCordoned {
+		if fl.canMove() && !wk.isCordoned {
 			al.orderMove(now, wk.info.VM, wk.info.ID, standby)
 		}
 	}
 }
 
+// addMoveBudget adds the orders that moves may use in the given time, at a rate
+// per second of the VM interface.
+func (fl *fleet) addMoveBudget(elapsed time.Duration, rate float64) {
+	rate *= moveRateShare
+	fl.moveBudget = min(fl.moveBudget+rate*elapsed.Seconds(), rate*moveBurst.Seconds())
+}
+
+// canMove reports whether another move may begin.
+func (fl *fleet) canMove() bool {
+	return fl.moveBudget >= 1 && float64(len(fl.moves)+1) <= maxMovingShare*float64(len(fl.vms))
+}
+
 // isDirectoryBehind reports whether, soon after the duty was won, the directory
 // lists workers for less than half of the VMs that are up.
 func (al *Allocator) isDirectoryBehind(now time.Time, standby string) bool {
@@ -332,6 +350,7 @@
 }
 
 func (al *Allocator) orderMove(now time.Time, vm string, worker modeller.WorkerID, pool string) {
+	al.fleet.moveBudget--
 	al.fleet.moves[vm] = &move{
 		pool:      pool,
 		worker:    worker,
--- a/shared/jobs/allocator/move_test.go
+++ b/shared/jobs/allocator/move_test.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -54,3 +55,30 @@
 	}
 	must.MapLen(t, 2, workers, must.Sprint("VMs with an unconfirmed move get no work"))
 }
+
+// orderedMoves returns how many moves to a pool with demand are ordered in a time,
+// in a fleet with VMs on standby.
+func orderedMoves(t *testing.T, vmCount int, duration time.Duration) int {
+	fx := newFixture(t)
+	fx.apply(ConfigurationLoaded{
+		Configuration: modeller.Configuration{
+			Version: 2,
+			Queues:  map[string]modeller.Queue{"q": {Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 50}},
+			Pools:   map[string]modeller.Pool{"p": {Name: "p"}, "off": {Name: "off", IsStandby: true}},
+		},
+	})
+	fx.addReadyWorkers("a")
+	fx.submitJob("j", modeller.Step{Count: 4 * vmCount, Demand: modeller.Resources{MilliCores: 4000}, Estimate: time.Second})
+	vms := []modeller.VM{vmOf("a", modeller.VMUp)}
+	for number := range vmCount - 1 {
+		vms = append(vms, modeller.VM{Name: fmt.Sprintf("off-%03d", number), Pool: "off", State: modeller.VMUp})
+	}
+	fx.listVMs(vms...)
+	fx.advance(duration)
+	return len(takeOrders[VMOrder](fx))
+}
+
+func TestMovesAtOnceGrowWithTheFleetWithinTheInterfacesRate(t *testing.T) {
+	must.Eq(t, 24, orderedMoves(t, 48, time.Second))
+	must.Between(t, 90, orderedMoves(t, 400, 2*time.Second), 64*2)
+}
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -53,6 +53,7 @@
 	StopGrace:       900 * time.Millisecond,
 	StatusRetention: 120 * time.Second,
 	MaintenanceTime: 2 * time.Second,
+	VMOrderRate:     64,
 }
 
 // Simulation is one simulated run of a fleet.
