allocator: start no task while cancellations may be unknown

Each call that takes over a second more than its wait fails and is repeated, while the duty stays confirmed by renewals; and after a takeover a list in pages counts as up to date when it ends, though it holds the first pages as they were when it began.

Follow now reports how old its knowledge is, counted from the sending of the call. While the duty is confirmed, the allocator starts nothing once that is 2 s old: a start is sent within 1 s of its decision, and cancel_ms is 3 s. While the duty is unconfirmed, as when the store is down, starts go on as before.

Evidence: unit tests in virtual time. The test of Follow fails if the age is counted from a call's end.

--- a/coltsfootwick-manager/internal/conductor/load.go
+++ b/coltsfootwick-manager/internal/conductor/load.go
@@ -152,7 +152,11 @@
 			handle(ctx, nt.Event)
 		case storer.Synced:
 			if prefix == storer.JobPrefix {
-				tm.jobsSyncedAt.Store(timekeeper.Now().UnixNano())
+				now := timekeeper.Now()
+				tm.jobsSyncedAt.Store(now.UnixNano())
+				tm.enqueue(ctx, allocator.JobsSynced{
+					At: now.Add(-nt.Age),
+				})
 			}
 			onSynced()
 		case storer.Disconnected:
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -94,6 +94,10 @@
 	// expiryMargin is added to StatusRetention before the record of an ended
 	// job is removed.
 	expiryMargin = 10 * time.Second
+	// maxJobsAge is the age of the known cancellations at which starts cease.
+	// The dispatcher sends a start at most 1 s after its decision, and no task
+	// may start later than 3 s after its job's cancellation.
+	maxJobsAge = 2 * time.Second
 )
 
 // Allocator holds the scheduler's state of all jobs and workers and makes its
@@ -122,6 +126,9 @@
 	isLoaded  bool
 	// confirmedAt is the latest time at which the duty was confirmed.
 	confirmedAt time.Time
+	// jobsSyncedAt is a time up to which all cancellations are known, or zero
+	// if there is no watch on the jobs.
+	jobsSyncedAt time.Time
 	// dirtyJobs are the jobs whose progress has changed since it was last
 	// stored.
 	dirtyJobs map[modeller.JobID]*job
--- a/shared/jobs/allocator/change.go
+++ b/shared/jobs/allocator/change.go
@@ -27,7 +27,7 @@
 // found every periodicInterval.
 func (al *Allocator) noteEvent(ev Event) {
 	switch ev.(type) {
-	case JobRecorded, JobRemoved, WorkerListed, ReportReceived, PollFailed, StartResult, StopResult, PaceResult, BatchStored:
+	case JobRecorded, JobsSynced, JobRemoved, WorkerListed, ReportReceived, PollFailed, StartResult, StopResult, PaceResult, BatchStored:
 	default:
 		al.changes.isEveryPool = true
 	}
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -42,6 +42,13 @@
 	Record modeller.JobRecord
 }
 
+// JobsSynced reports that all jobs and cancellations that were recorded by a
+// time have been applied.
+type JobsSynced struct {
+	// At is the time.
+	At time.Time
+}
+
 // JobRemoved reports that a job's record has been removed.
 type JobRemoved struct {
 	// Job is the ID of the job.
@@ -173,6 +180,7 @@
 func (WorkerUnlisted) event()      {}
 func (RosterLoaded) event()        {}
 func (JobRecorded) event()         {}
+func (JobsSynced) event()          {}
 func (JobRemoved) event()          {}
 func (ProgressLoaded) event()      {}
 func (CancelRecorded) event()      {}
@@ -237,6 +245,8 @@
 		al.loadRoster(now, ev.Workers)
 	case JobRecorded:
 		al.addJob(now, ev.Record)
+	case JobsSynced:
+		al.jobsSyncedAt = ev.At
 	case JobRemoved:
 		delete(al.retained, ev.Job)
 	case ProgressLoaded:
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -48,9 +48,13 @@
 // mayStart reports whether a job's tasks may be started. While the duty is not
 // confirmed, there may be a later holder. That holder takes precautions for
 // jobs from before its term, so these may still be started here; jobs accepted
-// later are left to it.
+// later are left to it. While the duty is confirmed, the store accepts
+// cancellations, so they have to be known.
 func (al *Allocator) mayStart(now time.Time, jb *job) bool {
-	return now.Sub(al.confirmedAt) < al.bounds.DutyLease || !jb.acceptedAt.After(al.confirmedAt)
+	if now.Sub(al.confirmedAt) < al.bounds.DutyLease {
+		return al.jobsSyncedAt.IsZero() || now.Sub(al.jobsSyncedAt) < maxJobsAge
+	}
+	return !jb.acceptedAt.After(al.confirmedAt)
 }
 
 // eligibleWorkers returns the workers of a pool that may get starts.
--- a/shared/store/storer/follow.go
+++ b/shared/store/storer/follow.go
@@ -68,6 +68,8 @@
 	known map[string]Revision
 	// position is the revision up to which all changes have been delivered.
 	position Revision
+	// currentAt is a time at which no change after the position existed.
+	currentAt time.Time
 	// isWatching is false while the keys have to be listed next.
 	isWatching bool
 	// isDisconnected is true after a failed call, until the next successful one.
@@ -93,6 +95,7 @@
 		fr.isDisconnected = false
 		fr.handle(Synced{
 			Revision: fr.position,
+			Age:      time.Since(fr.currentAt),
 		})
 	case isCompacted:
 		fr.isWatching = false
@@ -111,6 +114,7 @@
 
 // list lists the keys and delivers the differences from the known ones.
 func (fr *follower) list(ctx context.Context) error {
+	sentAt := time.Now()
 	entries, revision, err := fr.store.List(ctx, fr.prefix)
 	if err != nil {
 		return err
@@ -139,6 +143,7 @@
 		}
 	}
 	fr.position = revision
+	fr.currentAt = sentAt
 	fr.isWatching = true
 	return nil
 }
@@ -151,10 +156,15 @@
 	if fr.isDisconnected {
 		wait = min(wait, reconnectWait)
 	}
+	sentAt := time.Now()
 	events, revision, err := fr.store.Watch(ctx, fr.prefix, fr.position, wait)
 	if err != nil {
 		return err
 	}
+	fr.currentAt = sentAt
+	if len(events) == 0 && time.Since(sentAt) >= wait {
+		fr.currentAt = sentAt.Add(wait)
+	}
 	before := fr.position
 	for _, ev := range events {
 		// All keys of one transaction have the same revision, so events are
--- a/shared/store/storer/follow_test.go
+++ b/shared/store/storer/follow_test.go
@@ -266,3 +266,39 @@
 		must.Eq(t, map[string]string{"k/1": "one", "k/2": "two"}, vw.values)
 	})
 }
+
+// delayedStore delays the answers to lists.
+type delayedStore struct {
+	storer.Store
+	delay time.Duration
+}
+
+func (ds *delayedStore) List(ctx context.Context, prefix string) ([]storer.Entry, storer.Revision, error) {
+	entries, revision, err := ds.Store.List(ctx, prefix)
+	time.Sleep(ds.delay)
+	return entries, revision, err
+}
+
+func TestFollowCountsTheTimeOfAListAsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ages []time.Duration
+		store := &delayedStore{
+			Store: keeper.New().Zone("r"),
+			delay: 3 * time.Second,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			_ = storer.Follow(ctx, store, "k/", func(nt storer.Notice) {
+				if sd, ok := nt.(storer.Synced); ok {
+					ages = append(ages, sd.Age)
+				}
+			}, storer.WithWait(time.Second))
+		}()
+		time.Sleep(4500 * time.Millisecond)
+		synctest.Wait()
+		must.Eq(t, 2, len(ages))
+		must.Eq(t, 3*time.Second, ages[0])
+		must.Less(t, 100*time.Millisecond, ages[1], must.Sprint("a watch that has waited in vain"))
+	})
+}
--- a/shared/store/storer/notice.go
+++ b/shared/store/storer/notice.go
@@ -1,5 +1,9 @@
 package storer
 
+import (
+	"time"
+)
+
 // Notice is a notification from Follow to its handler: Changed, Synced or
 // Disconnected.
 type Notice interface {
@@ -19,6 +23,9 @@
 type Synced struct {
 	// Revision is the revision up to which all changes have been delivered.
 	Revision Revision
+	// Age is at least the time since the service had no changes but those
+	// delivered.
+	Age time.Duration
 }
 
 // Disconnected reports a failed call. It is sent once for each failed call; the
