--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -41,6 +41,8 @@
 	DutyLease time.Duration
 	// MaintenanceTime is how long a VM is down for maintenance.
 	MaintenanceTime time.Duration
+	// VMOrderRate is how many orders per second the VM interface accepts.
+	VMOrderRate float64
 }
 
 // Durations and limits of scheduling decisions.
@@ -98,6 +100,8 @@
 	// The dispatcher sends a start at most 1 s after its decision, and no task
 	// may start later than 3 s after its job's cancellation.
 	maxJobsAge = 2 * time.Second
+	// expiryInterval is the interval between searches for expired jobs.
+	expiryInterval = time.Second
 )
 
 // Allocator holds the scheduler's state of all jobs and workers and makes its
@@ -133,7 +137,9 @@
 	// stored.
 	dirtyJobs map[modeller.JobID]*job
 	// dirtyQueue holds the dirty jobs in the order in which they are stored.
-	dirtyQueue       []*job
+	dirtyQueue []*job
+	// expiryCheckedAt is when expired jobs were last searched for.
+	expiryCheckedAt  time.Time
 	isRosterDirty    bool
 	isBatchInFlight  bool
 	isAdviceInFlight bool
