allocator: don't move or maintain a VM by a list older than its arrival

Trace: worker i-624a50f245 had just arrived, got starts at 3.87 s, and from 4.70 s refused connections, right after a VM order. Cause: a move is forgotten once its worker is listed, but the list of VMs may still be from before and show the VM on standby; then it is moved, or maintained, again, as if nothing ran there. The list waits behind the moves in one queue, so the more VMs move at once the longer it is old: the window was there before, the growth of moves made it wide. Now a VM whose listed worker is not the one in the list of VMs is left alone until the list has caught up. TestVMThatHasArrivedIsNotMovedAgainByAnOldList failed before (5 orders, none allowed).

--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -152,16 +152,35 @@
 
 // standbyVMs returns the VMs on standby that can be moved.
 func (al *Allocator) standbyVMs(standby string) []string {
+	listed := al.listedWorkers()
 	var free []string
 	for _, name := range slices.Sorted(maps.Keys(al.fleet.vms)) {
 		vm := al.fleet.vms[name]
-		if vm.Pool == standby && vm.State == modeller.VMUp && al.fleet.moves[name] == nil && !al.fleet.isReserved(name) {
+		if vm.Pool == standby && vm.State == modeller.VMUp && al.fleet.moves[name] == nil && !al.fleet.isReserved(name) && !isOutdated(vm, listed) {
 			free = append(free, name)
 		}
 	}
 	return free
 }
 
+// listedWorkers returns the listed worker of each VM.
+func (al *Allocator) listedWorkers() map[string]modeller.WorkerID {
+	listed := make(map[string]modeller.WorkerID, len(al.workers))
+	for id, wk := range al.workers {
+		if wk.isListed && wk.info.VM != "" {
+			listed[wk.info.VM] = id
+		}
+	}
+	return listed
+}
+
+// isOutdated reports whether the directory lists a worker of a VM that the list
+// of VMs doesn't know yet: the VM has arrived in another pool since.
+func isOutdated(vm modeller.VM, listed map[string]modeller.WorkerID) bool {
+	id, ok := listed[vm.Name]
+	return ok && id != vm.Worker
+}
+
 // isReserved reports whether a wave is evacuating or maintaining a VM.
 func (fl *fleet) isReserved(vm string) bool {
 	for _, wv := range fl.waves {
--- a/shared/jobs/allocator/move_test.go
+++ b/shared/jobs/allocator/move_test.go
@@ -82,3 +82,26 @@
 	must.Eq(t, 24, orderedMoves(t, 48, time.Second))
 	must.Between(t, 90, orderedMoves(t, 400, 2*time.Second), 64*2)
 }
+
+func TestVMThatHasArrivedIsNotMovedAgainByAnOldList(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(ConfigurationLoaded{
+		Configuration: modeller.Configuration{
+			Version: 2,
+			Queues:  map[string]modeller.Queue{"q": {Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 50}},
+			Pools:   map[string]modeller.Pool{"p": {Name: "p"}, "off": {Name: "off", IsStandby: true}},
+		},
+	})
+	fx.addReadyWorkers("a")
+	fx.submitJob("j", modeller.Step{Count: 40, Demand: modeller.Resources{MilliCores: 4000}, Estimate: time.Second})
+	oldList := []modeller.VM{vmOf("a", modeller.VMUp), vmOf("c", modeller.VMUp), vmOf("d", modeller.VMUp),
+		{Name: "vm-b", Pool: "off", State: modeller.VMUp}}
+	fx.listVMs(oldList...)
+	fx.advance(200 * time.Millisecond)
+	moves := takeOrders[VMOrder](fx)
+	must.Len(t, 1, moves)
+	fx.apply(VMOrderResult{Order: moves[0], Outcome: Accepted})
+	fx.listWorker("b")
+	fx.advance(500 * time.Millisecond)
+	must.Len(t, 0, takeOrders[VMOrder](fx), must.Sprint("orders that end the work on the VM that has arrived"))
+}
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -205,6 +205,7 @@
 		name string
 		cost float64
 	}
+	listed := al.listedWorkers()
 	var candidates []candidate
 	for _, name := range wv.info.VMs {
 		vm, ok := al.fleet.vms[name]
@@ -214,7 +215,7 @@
 		if _, isEvacuating := wv.evacuating[name]; isEvacuating {
 			continue
 		}
-		if al.fleet.moves[name] != nil {
+		if al.fleet.moves[name] != nil || isOutdated(vm, listed) {
 			continue
 		}
 		if !isBehindSchedule && !al.isSpare(vm) {
@@ -272,10 +273,11 @@
 		return cmp.Or(wv.evacuating[a].Compare(wv.evacuating[b]), cmp.Compare(a, b))
 	})
 	isUrgent := now.Sub(wv.startedAt) > time.Duration(urgentTimeShare*float64(wv.info.Duration))
+	listed := al.listedWorkers()
 	for _, name := range names {
 		vm, ok := al.fleet.vms[name]
 		wk := al.workers[vm.Worker]
-		if !ok || vm.State != modeller.VMUp || wv.down[name] != nil {
+		if !ok || vm.State != modeller.VMUp || wv.down[name] != nil || isOutdated(vm, listed) {
 			continue
 		}
 		if wk != nil && !wk.isCordoned {
