supervisor: start each process in a process group of its own

Cause: TestAtMostOnceWithProcesses failed once with "signal: hangup" of a process. No code sends SIGHUP. The kernel does, to each process of a group that becomes orphaned while one of them is stopped: the proofs stop processes by SIGSTOP, their processes were in the group of the test, and that group became orphaned when the shell that had started it ended beside other runs.

--- a/standin/internal/supervisor/supervisor.go
+++ b/standin/internal/supervisor/supervisor.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"coltsfootwick.example/shared/process/classifier"
@@ -61,6 +62,12 @@
 	command.Env = append(os.Environ(), sr.variables...)
 	command.Stdout = output
 	command.Stderr = errors
+	// The kernel sends SIGHUP to all processes of a group that becomes orphaned
+	// while one of them is frozen. A group of its own stays the child of a live
+	// process of the session.
+	command.SysProcAttr = &syscall.SysProcAttr{
+		Setpgid: true,
+	}
 	if err := command.Start(); err != nil {
 		return nil, classifier.Wrap(err, classifier.Internal, "start %s", name)
 	}
