Store batches in lanes, so that a slow store doesn't hold up later changes

Cause: the holder stores one batch at a time, of up to three transactions; with answers of 300 ms a job waits for the batch in flight before its own, so its tasks start late, and workers with unstored ends are polled late. Ruled out: the processor, the duty, the workers.

Change: up to eight batches in flight, each lane fenced by its own sequence key; a job is in one of them at a time, roster and waves in lane 0. A store that answers within 100 ms gets as many calls as before.

--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -115,9 +115,9 @@
 	heldDuty    leaser.HeldDuty
 	allocator   *allocator.Allocator
 	dispatcher  *dispatcher.Dispatcher
-	committer   *archiver.Committer
+	committers  *archiver.Committers
 	events      chan allocator.Event
-	batches     chan *allocator.Batch
+	batches     [allocator.BatchLanes]chan *allocator.Batch
 	failures    chan error
 	lastBatchAt time.Time
 	monitor     *loadMonitor
@@ -129,18 +129,20 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	tm := &term{
-		Conductor: cd,
-		heldDuty:  hd,
-		allocator: allocator.New(timekeeper.Now(), cd.bounds),
-		committer: archiver.NewCommitter(cd.store, cd.dutyKey, storer.Revision(hd.Epoch()), cd.region),
-		events:    make(chan allocator.Event, eventQueueSize),
-		batches:   make(chan *allocator.Batch, 1),
-		failures:  make(chan error, 1),
-		monitor:   newLoadMonitor(timekeeper.Now(), cd.logger),
+		Conductor:  cd,
+		heldDuty:   hd,
+		allocator:  allocator.New(timekeeper.Now(), cd.bounds),
+		committers: archiver.NewCommitters(cd.store, cd.dutyKey, storer.Revision(hd.Epoch()), cd.region, allocator.BatchLanes),
+		events:     make(chan allocator.Event, eventQueueSize),
+		failures:   make(chan error, 1),
+		monitor:    newLoadMonitor(timekeeper.Now(), cd.logger),
 	}
 	tm.dispatcher = dispatcher.New(cd.platform, cd.node, hd.Epoch(), func() bool { return hd.Check() == nil }, func(ev allocator.Event) { tm.enqueue(ctx, ev) }, cd.logger)
 	tm.dispatcher.Start(ctx)
-	go tm.storeBatches(ctx)
+	for lane := range tm.batches {
+		tm.batches[lane] = make(chan *allocator.Batch, 1)
+		go tm.storeBatches(ctx, lane)
+	}
 	go tm.load(ctx)
 	return tm.run(ctx)
 }
@@ -256,15 +258,15 @@
 	}
 }
 
-// submitBatch sends the unstored changes to the storing goroutine, at most once
+// submitBatch sends the unstored changes to the storing goroutines, at most once
 // per batchInterval.
 func (tm *term) submitBatch(now time.Time) {
 	if now.Sub(tm.lastBatchAt) < batchInterval {
 		return
 	}
-	if bt := tm.allocator.Batch(now); bt != nil {
+	for bt := tm.allocator.Batch(now); bt != nil; bt = tm.allocator.Batch(now) {
 		tm.lastBatchAt = now
-		tm.batches <- bt
+		tm.batches[bt.Lane] <- bt
 	}
 }
 
--- a/coltsfootwick-manager/internal/conductor/load.go
+++ b/coltsfootwick-manager/internal/conductor/load.go
@@ -31,7 +31,7 @@
 // watches that deliver later changes. It first fences off the writes of previous
 // holders, so that none of them can change a record after it has been read.
 func (tm *term) load(ctx context.Context) {
-	for _, read := range []func(ctx context.Context) error{tm.committer.Begin, tm.loadProgress, tm.loadRoster, tm.loadWaves} {
+	for _, read := range []func(ctx context.Context) error{tm.committers.Begin, tm.loadProgress, tm.loadRoster, tm.loadWaves} {
 		if err := tm.retry(ctx, "reading the records of previous holders", read); err != nil {
 			return
 		}
--- a/coltsfootwick-manager/internal/conductor/store.go
+++ b/coltsfootwick-manager/internal/conductor/store.go
@@ -11,12 +11,12 @@
 	"coltsfootwick.example/shared/process/timekeeper"
 )
 
-// storeBatches stores the submitted batches one after the other until the
+// storeBatches stores the batches of a lane one after the other until the
 // context is done or the duty is lost.
-func (tm *term) storeBatches(ctx context.Context) {
+func (tm *term) storeBatches(ctx context.Context, lane int) {
 	for {
 		select {
-		case bt := <-tm.batches:
+		case bt := <-tm.batches[lane]:
 			sentAt := timekeeper.Now()
 			if err := tm.retry(ctx, "storing records", func(ctx context.Context) error { return tm.storeBatch(ctx, bt) }); err != nil {
 				return
@@ -43,7 +43,7 @@
 		return classifier.Wrap(err, classifier.StaleEpoch, "batch")
 	}
 	for _, tx := range transactions {
-		if err := tm.committer.Commit(ctx, tx); err != nil {
+		if err := tm.committers.Lane(bt.Lane).Commit(ctx, tx); err != nil {
 			return err
 		}
 	}
--- a/shared/jobs/allocator/acknowledge_test.go
+++ b/shared/jobs/allocator/acknowledge_test.go
@@ -21,7 +21,7 @@
 
 // changeJobs changes jobs that need no worker, more than one batch can hold.
 func (fx *fixture) changeJobs(round int) {
-	for number := range 2 * maxBatchJobs {
+	for number := range 2 * maxBatchEntries {
 		fx.apply(JobRecorded{
 			Record: modeller.JobRecord{
 				Job: modeller.Job{
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -136,13 +136,16 @@
 	// dirtyJobs are the jobs whose progress has changed since it was last
 	// stored.
 	dirtyJobs map[modeller.JobID]*job
-	// dirtyQueue holds the dirty jobs in the order in which they are stored.
+	// dirtyQueue holds the dirty jobs that are in no batch, in the order in which
+	// they are stored.
 	dirtyQueue []*job
 	// expiryCheckedAt is when expired jobs were last searched for.
 	expiryCheckedAt  time.Time
 	isRosterDirty    bool
-	isBatchInFlight  bool
 	isAdviceInFlight bool
+	// laneUsedSince holds, for each lane with a batch in flight, when the batch
+	// was submitted, and zero for the others.
+	laneUsedSince [BatchLanes]time.Time
 	// periodicAt is when the time-driven decisions were last made.
 	periodicAt time.Time
 	effort     effort
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -8,13 +8,34 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
-// maxBatchJobs limits the jobs of a batch, so that it is stored in few
-// transactions.
-const maxBatchJobs = 60
+// BatchLanes is the number of batches that may be in flight at once. Batches of
+// one lane are stored in order; those of different lanes have no job in common.
+const BatchLanes = 8
+
+// sharedLane is the lane of all records that aren't a job's.
+const sharedLane = 0
+
+// Limits of batches.
+const (
+	// maxBatchEntries limits the entries of the jobs of a batch, so that it is
+	// stored in one transaction.
+	maxBatchEntries = 28
+	// entriesPerEnd is the number of entries for the end of a job: its record
+	// and the removal of its progress and of its cancellation.
+	entriesPerEnd = 3
+	// laneDelay is the age of the batches in flight at which another lane is
+	// used, so that a slow store doesn't hold up later changes. The store
+	// usually answers earlier, and then changes are combined.
+	laneDelay = 100 * time.Millisecond
+	// maxExpiredJobs limits the records that a batch removes.
+	maxExpiredJobs = 28
+)
 
 // Batch is a set of records to be stored. Ends of runs are acknowledged to
 // their workers only once the batch that contains them is stored.
 type Batch struct {
+	// Lane is the number of the batch's lane.
+	Lane int
 	// Progress is the progress of jobs that have not ended.
 	Progress []modeller.Progress
 	// Ended are the jobs that have ended.
@@ -76,18 +97,67 @@
 	return len(bt.Progress)+len(bt.Ended)+len(bt.Expired)+len(bt.Waves) == 0 && bt.Roster == nil
 }
 
-// Batch returns the records to be stored, or nil if there are none or a batch
-// is in flight. Each batch has to be stored and then confirmed by a BatchStored
-// event.
+// Batch returns the records to be stored, or nil if there are none or the
+// batches in flight are to be awaited. Each batch has to be stored and then
+// confirmed by a BatchStored event.
 func (al *Allocator) Batch(now time.Time) *Batch {
-	if al.isBatchInFlight || !al.isLoaded {
+	lane, ok := al.freeLane(now)
+	if !ok || !al.isLoaded {
 		return nil
 	}
 	bt := &Batch{
-		Waves:   al.fleet.changedWaves(now),
-		Expired: al.expiredJobs(now),
+		Lane: lane,
 	}
-	for _, jb := range al.dirtyQueue[:min(len(al.dirtyQueue), maxBatchJobs)] {
+	if lane == sharedLane {
+		al.addSharedRecords(now, bt)
+	}
+	al.addChangedJobs(bt)
+	if bt.IsEmpty() {
+		al.acknowledgeEnds()
+		return nil
+	}
+	al.laneUsedSince[lane] = now
+	return bt
+}
+
+// freeLane returns the lane of the next batch. While there are batches in
+// flight, another lane is used only for as many changes as a batch holds, or
+// once the last batch is older than laneDelay.
+func (al *Allocator) freeLane(now time.Time) (lane int, ok bool) {
+	lane = -1
+	var latest time.Time
+	for number, since := range al.laneUsedSince {
+		if since.IsZero() && lane < 0 {
+			lane = number
+		}
+		if since.After(latest) {
+			latest = since
+		}
+	}
+	isUrgent := latest.IsZero() || now.Sub(latest) >= laneDelay || len(al.dirtyQueue) >= maxBatchEntries
+	return lane, lane >= 0 && isUrgent
+}
+
+// addSharedRecords adds the changed records that aren't a job's.
+func (al *Allocator) addSharedRecords(now time.Time, bt *Batch) {
+	bt.Waves = al.fleet.changedWaves(now)
+	bt.Expired = al.expiredJobs(now)
+	if al.isRosterDirty {
+		bt.Roster = al.Roster()
+		al.isRosterDirty = false
+	}
+}
+
+// addChangedJobs moves the jobs that have waited longest from the dirty queue to
+// a batch.
+func (al *Allocator) addChangedJobs(bt *Batch) {
+	entries, count := 0, 0
+	for _, jb := range al.dirtyQueue {
+		entries += jb.batchEntries()
+		if entries > maxBatchEntries {
+			break
+		}
+		count++
 		bt.versions = append(bt.versions, jobVersion{
 			job:     jb,
 			version: jb.version,
@@ -102,16 +172,15 @@
 		}
 		bt.Progress = append(bt.Progress, jb.progress())
 	}
-	if al.isRosterDirty {
-		bt.Roster = al.Roster()
-		al.isRosterDirty = false
-	}
-	if bt.IsEmpty() {
-		al.acknowledgeEnds()
-		return nil
+	al.dirtyQueue = al.dirtyQueue[count:]
+}
+
+// batchEntries returns the number of entries that a job takes up in a batch.
+func (jb *job) batchEntries() int {
+	if jb.outcome != "" {
+		return entriesPerEnd
 	}
-	al.isBatchInFlight = true
-	return bt
+	return 1
 }
 
 // progress returns the progress of a job's tasks.
@@ -162,11 +231,11 @@
 		}
 	}
 	slices.SortFunc(expired, func(a, b EndedJob) int { return cmp.Compare(a.ID, b.ID) })
-	return expired[:min(len(expired), maxBatchJobs)]
+	return expired[:min(len(expired), maxExpiredJobs)]
 }
 
 func (al *Allocator) handleBatchStored(now time.Time, bt *Batch) {
-	al.isBatchInFlight = false
+	al.laneUsedSince[bt.Lane] = time.Time{}
 	for _, ended := range bt.Ended {
 		al.retained[ended.ID] = retainedJob{
 			queue:   ended.Queue,
@@ -185,7 +254,6 @@
 			al.changes.note(info.Pool)
 		}
 	}
-	al.dirtyQueue = al.dirtyQueue[len(bt.versions):]
 	for _, jv := range bt.versions {
 		jb := jv.job
 		if !jb.hasStoredProgress {
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -156,6 +156,19 @@
 	fx.storeBatch()
 }
 
+// oneTaskJobRecorded returns the record of a job with one task.
+func oneTaskJobRecorded(id string) JobRecorded {
+	return JobRecorded{
+		Record: modeller.JobRecord{
+			Job: modeller.Job{
+				ID:    modeller.JobID(id),
+				Queue: "q",
+				Steps: []modeller.Step{oneTaskStep()},
+			},
+		},
+	}
+}
+
 // storeBatch stores the pending batch, if there is one.
 func (fx *fixture) storeBatch() {
 	if batch := fx.al.Batch(fx.now); batch != nil {
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -3,9 +3,10 @@
 // stored records for the next holder.
 //
 // Each transaction expects two revisions. That of the duty's key ensures that a
-// holder that has been replaced can't write. That of a sequence key, which each
-// transaction writes, ensures that a transaction whose answer was lost can't
-// take effect after a later one.
+// holder that has been replaced can't write. That of the sequence key of its
+// lane, which each transaction of the lane writes, ensures that a transaction
+// whose answer was lost can't take effect after a later one of the lane. A
+// record is never in two lanes at once.
 package archiver
 
 import (
@@ -39,9 +40,9 @@
 	return storer.ProgressPrefix + queue + "/" + string(id)
 }
 
-// SequenceKey returns the key that orders the transactions of a region's
-// holders.
-func SequenceKey(region string) string { return storer.SchedulerPrefix + region + "/sequence" }
+// SequencePrefix returns the prefix of the keys that order the transactions of
+// a region's holders, one key for each lane.
+func SequencePrefix(region string) string { return storer.SchedulerPrefix + region + "/sequence/" }
 
 // RosterKey returns the key of a region's roster of workers.
 func RosterKey(region string) string { return storer.SchedulerPrefix + region + "/roster" }
--- a/shared/jobs/archiver/archiver_test.go
+++ b/shared/jobs/archiver/archiver_test.go
@@ -17,9 +17,9 @@
 
 const dutyKey = storer.DutyPrefix + "r/scheduler"
 
-// acquireDuty replaces the duty's key and returns the Committer of the new
+// acquireDuty replaces the duty's key and returns the Committers of the new
 // holder.
-func acquireDuty(t *testing.T, store storer.TransactionStore) *Committer {
+func acquireDuty(t *testing.T, store storer.TransactionStore) *Committers {
 	t.Helper()
 	et, err := store.Get(t.Context(), dutyKey)
 	if err == nil {
@@ -27,9 +27,9 @@
 	}
 	epoch, err := store.Put(t.Context(), dutyKey, []byte("holder"), 0, 0)
 	must.NoError(t, err)
-	cm := NewCommitter(store, dutyKey, epoch, "r")
-	must.NoError(t, cm.Begin(t.Context()))
-	return cm
+	cs := NewCommitters(store, dutyKey, epoch, "r", 2)
+	must.NoError(t, cs.Begin(t.Context()))
+	return cs
 }
 
 func writeTransaction(key, value string) storer.Transaction {
@@ -48,18 +48,20 @@
 func TestReplacedHolderCannotWrite(t *testing.T) {
 	store := keeper.New().Zone("a")
 	first := acquireDuty(t, store)
-	must.NoError(t, first.Commit(t.Context(), writeTransaction("k", "first")))
+	must.NoError(t, first.Lane(0).Commit(t.Context(), writeTransaction("k", "first")))
 	second := acquireDuty(t, store)
-	err := first.Commit(t.Context(), writeTransaction("k", "late"))
-	must.Eq(t, classifier.StaleEpoch, classifier.CodeOf(err))
-	must.NoError(t, second.Commit(t.Context(), writeTransaction("k", "second")))
+	for lane := range 2 {
+		err := first.Lane(lane).Commit(t.Context(), writeTransaction("k", "late"))
+		must.Eq(t, classifier.StaleEpoch, classifier.CodeOf(err))
+	}
+	must.NoError(t, second.Lane(0).Commit(t.Context(), writeTransaction("k", "second")))
 	must.Eq(t, "second", storedValue(t, store, "k"))
 }
 
 func TestWriteWithLostAnswerIsRetriedSafely(t *testing.T) {
 	kr := keeper.New()
 	store := kr.Zone("a", keeper.WithCallTimeout(50*time.Millisecond))
-	cm := acquireDuty(t, store)
+	cm := acquireDuty(t, store).Lane(1)
 	must.NoError(t, kr.SetFaults(keeper.AnswerLost{Scope: keeper.Scope{Share: 1}}))
 	must.Eq(t, classifier.PlatformAmbiguous, classifier.CodeOf(cm.Commit(t.Context(), writeTransaction("k", "first"))))
 	must.NoError(t, kr.SetFaults())
@@ -68,6 +70,24 @@
 	must.Eq(t, "second", storedValue(t, store, "k"))
 }
 
+func TestLanesCommitIndependently(t *testing.T) {
+	kr := keeper.New()
+	store := kr.Zone("a", keeper.WithCallTimeout(50*time.Millisecond))
+	cs := acquireDuty(t, store)
+	must.NoError(t, kr.SetFaults(keeper.AnswerLost{Scope: keeper.Scope{Share: 1}}))
+	must.Eq(t, classifier.PlatformAmbiguous, classifier.CodeOf(cs.Lane(0).Commit(t.Context(), writeTransaction("k", "first"))))
+	must.NoError(t, kr.SetFaults())
+	must.NoError(t, cs.Lane(1).Commit(t.Context(), writeTransaction("l", "other lane")))
+	must.Eq(t, classifier.PlatformAmbiguous, classifier.CodeOf(cs.Lane(0).Commit(t.Context(), writeTransaction("k", "second"))))
+	must.NoError(t, cs.Lane(0).Commit(t.Context(), writeTransaction("k", "second")))
+	must.Eq(t, "second", storedValue(t, store, "k"))
+	must.Eq(t, "other lane", storedValue(t, store, "l"))
+}
+
+func TestBeginFitsInOneTransaction(t *testing.T) {
+	must.LessEq(t, storer.MaxTransactionEntries, 1+2*allocator.BatchLanes)
+}
+
 func TestTransactionsStayWithinStoreLimit(t *testing.T) {
 	batch := &allocator.Batch{}
 	for number := range 100 {
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -24,6 +24,8 @@
 	// commit a batch to the store.
 	messageDelay = 2 * time.Millisecond
 	storeDelay   = 6 * time.Millisecond
+	// slowStoreDelay is the longest further time while the store is slow.
+	slowStoreDelay = 600 * time.Millisecond
 	// orderTimeout is the time after which an order counts as unanswered.
 	orderTimeout = 500 * time.Millisecond
 	// takeoverTime is the time from the loss of a duty holder to the election
--- a/standin/internal/emulator/fault.go
+++ b/standin/internal/emulator/fault.go
@@ -42,6 +42,9 @@
 	faultWorkerDrain
 	// faultMaintenanceWave starts a maintenance wave.
 	faultMaintenanceWave
+	// faultStoreSlow slows the commits of batches down, so that those of
+	// different lanes overtake each other.
+	faultStoreSlow
 	faultKindCount
 )
 
@@ -105,6 +108,8 @@
 		sm.partitionFleet(sm.now.Add(ft.length))
 	case faultStoreOutage:
 		sm.store.isDown = true
+	case faultStoreSlow:
+		sm.store.isSlow = true
 	case faultMaintenanceWave:
 		sm.recordWave()
 	case faultWorkerLost:
@@ -150,6 +155,8 @@
 		for _, ev := range deferred {
 			sm.notifyHolders(ev)
 		}
+	case faultStoreSlow:
+		sm.store.isSlow = false
 	case faultWorkerDrain:
 		for _, nd := range ft.affected {
 			if nd.isUp {
--- a/standin/internal/emulator/store.go
+++ b/standin/internal/emulator/store.go
@@ -11,7 +11,9 @@
 
 // store models the records that survive a change of holder.
 type store struct {
-	isDown   bool
+	isDown bool
+	// isSlow is true while commits take up to slowStoreDelay.
+	isSlow   bool
 	jobs     map[modeller.JobID]modeller.JobRecord
 	cancels  map[modeller.JobID]bool
 	progress map[modeller.JobID]modeller.Progress
@@ -116,7 +118,11 @@
 // storeBatch commits a holder's batch. It retries until the batch is committed or
 // the holder has been replaced.
 func (sm *Simulation) storeBatch(tm *term, bt *allocator.Batch) {
-	sm.timers.add(sm.now.Add(storeDelay), func() {
+	delay := storeDelay
+	if sm.store.isSlow {
+		delay += time.Duration(sm.random.Int64N(int64(slowStoreDelay)))
+	}
+	sm.timers.add(sm.now.Add(delay), func() {
 		switch {
 		case tm.isOver:
 		case sm.store.isDown:
