allocator: find workers by VM through an index

Cause: after a takeover, the first report of each worker looked at all workers that had not reported, and for each of them at all workers for one with the same VM: cubic in the fleet.

Also: whether a moved VM has arrived is looked up by VM, and the lists of workers are updated in place rather than sorted anew after each change.

--- a/shared/jobs/allocator/acknowledge_test.go
+++ b/shared/jobs/allocator/acknowledge_test.go
@@ -86,7 +86,7 @@
 	must.Len(t, 1, takeOrders[PollOrder](fx))
 	fx.report("w1", nil, modeller.End{Number: 7, Task: taskName("unknown", 0), Attempt: 1, Kind: modeller.EndDone})
 	fx.submitJob("j", oneTaskStep())
-	fx.al.workers["w1"].unstoredEnds = []unstoredEnd{{number: 7, job: fx.al.jobs["j"], version: 100}}
+	fx.al.workers.byID["w1"].unstoredEnds = []unstoredEnd{{number: 7, job: fx.al.jobs["j"], version: 100}}
 	polls := takeOrders[PollOrder](fx)
 	must.Len(t, 1, polls)
 	must.Greater(t, 0, polls[0].LeaseEnd)
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -109,14 +109,9 @@
 type Allocator struct {
 	bounds        Bounds
 	configuration modeller.Configuration
-	workers       map[modeller.WorkerID]*worker
-	// sorted caches the workers in the order of their IDs; it is nil after a
-	// change. Decisions must not depend on the iteration order of a map.
-	sorted []*worker
-	// sortedByPool holds the same workers by pool.
-	sortedByPool map[string][]*worker
-	jobs         map[modeller.JobID]*job
-	retained     map[modeller.JobID]retainedJob
+	workers       workerIndex
+	jobs          map[modeller.JobID]*job
+	retained      map[modeller.JobID]retainedJob
 	// waiting are the waiting lists by pool.
 	waiting map[string]*waitingList
 	// changes are those since tasks were last placed.
@@ -166,7 +161,7 @@
 func New(now time.Time, bounds Bounds) *Allocator {
 	return &Allocator{
 		bounds:      bounds,
-		workers:     map[modeller.WorkerID]*worker{},
+		workers:     newWorkerIndex(),
 		jobs:        map[modeller.JobID]*job{},
 		retained:    map[modeller.JobID]retainedJob{},
 		waiting:     map[string]*waitingList{},
--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -42,7 +42,7 @@
 	worker := start.Worker.ID
 	other := map[modeller.WorkerID]string{"a": "b", "b": "a"}[worker]
 	fx.apply(PollFailed{Worker: worker, Outcome: Unanswered})
-	lastFailureAt := fx.al.leaseExpiry(fx.al.workers[worker]).Add(-200 * time.Millisecond)
+	lastFailureAt := fx.al.leaseExpiry(fx.al.workers.byID[worker]).Add(-200 * time.Millisecond)
 	for range 60 {
 		if fx.now.Before(lastFailureAt) {
 			fx.failPendingPolls(worker)
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -249,7 +249,7 @@
 		delete(al.retained, ended.ID)
 	}
 	for _, info := range bt.Roster {
-		if wk := al.workers[info.ID]; wk != nil && wk.hasSameLocation(info) {
+		if wk := al.workers.byID[info.ID]; wk != nil && wk.hasSameLocation(info) {
 			wk.isRostered = true
 			al.changes.note(info.Pool)
 		}
@@ -275,7 +275,7 @@
 // and the workers discard them. A poll acknowledges all ends up to a number, so
 // a worker's ends are marked in order.
 func (al *Allocator) acknowledgeEnds() {
-	for _, wk := range al.workers {
+	for _, wk := range al.workers.byID {
 		for len(wk.unstoredEnds) > 0 && wk.unstoredEnds[0].isStored() {
 			wk.lastStoredEnd = wk.unstoredEnds[0].number
 			wk.unstoredEnds = wk.unstoredEnds[1:]
--- a/shared/jobs/allocator/bench_test.go
+++ b/shared/jobs/allocator/bench_test.go
@@ -141,7 +141,7 @@
 		}
 	}
 	ff.orders = nil
-	for _, wk := range ff.al.workers {
+	for _, wk := range ff.al.workers.byID {
 		must.Eq(ff.t, wk.info.Capacity.MilliCores, wk.used.MilliCores)
 	}
 }
@@ -163,7 +163,7 @@
 // reportRuns applies a report of a worker with all its runs.
 func (ff *fullFleet) reportRuns(id modeller.WorkerID, ended ...modeller.End) {
 	var running []modeller.Run
-	for _, rn := range ff.al.workers[id].sortedRuns() {
+	for _, rn := range ff.al.workers.byID[id].sortedRuns() {
 		if len(ended) > 0 && rn.name == ended[0].Task {
 			continue
 		}
@@ -225,7 +225,7 @@
 func BenchmarkPlanAfterEnd(b *testing.B) {
 	benchmarkFullFleet(b, func(ff *fullFleet) {
 		id := ff.ids[0]
-		rn := ff.al.workers[id].sortedRuns()[0]
+		rn := ff.al.workers.byID[id].sortedRuns()[0]
 		ff.nextEnd++
 		ff.reportRuns(id, modeller.End{
 			Task:    rn.name,
@@ -241,7 +241,7 @@
 // BenchmarkReport measures the report of a worker with ten runs, without a plan.
 func BenchmarkReport(b *testing.B) {
 	ff := newFullFleet(b, 0)
-	wk := ff.al.workers[ff.ids[1]]
+	wk := ff.al.workers.byID[ff.ids[1]]
 	for len(wk.runs) > 10 {
 		wk.removeRun(wk.sortedRuns()[0])
 	}
--- a/shared/jobs/allocator/evict.go
+++ b/shared/jobs/allocator/evict.go
@@ -51,7 +51,7 @@
 // evictFromDraining stops long-running tasks on draining workers, so that they
 // restart on other workers.
 func (al *Allocator) evictFromDraining(now time.Time) {
-	for _, wk := range al.sortedWorkers() {
+	for _, wk := range al.workers.sorted {
 		if !wk.info.IsDraining {
 			continue
 		}
--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -52,7 +52,7 @@
 		fl.vms[vm.Name] = vm
 		delete(fl.absentSince, vm.Name)
 	}
-	al.endTakenDownWorkers(now)
+	al.endTakenDownWorkers(now, al.workers.sorted)
 }
 
 // isRemoved reports whether the lists have lacked a VM for minAbsence, counted
@@ -72,8 +72,8 @@
 // endTakenDownWorkers ends the incarnations of earlier holders' workers that
 // have not reported and whose VMs have been taken down since, so that their
 // tasks need not wait for the leases to expire. A VM has one worker at a time.
-func (al *Allocator) endTakenDownWorkers(now time.Time) {
-	for _, wk := range al.sortedWorkers() {
+func (al *Allocator) endTakenDownWorkers(now time.Time, workers []*worker) {
+	for _, wk := range workers {
 		if !wk.mayHoldOldRuns || wk.isSynced || wk.info.VM == "" {
 			continue
 		}
@@ -98,8 +98,8 @@
 			return "its VM is in another pool"
 		}
 	}
-	for _, other := range al.workers {
-		if other != wk && other.isSynced && other.info.VM == wk.info.VM {
+	for _, other := range al.workers.byVM[wk.info.VM] {
+		if other != wk && other.isSynced {
 			return "another worker reports from its VM"
 		}
 	}
@@ -163,7 +163,7 @@
 		wv.maintained[ev.Order.VM] = struct{}{}
 		delete(wv.evacuating, ev.Order.VM)
 		wv.isDirty = true
-		if wk := al.workers[dv.worker]; wk != nil {
+		if wk := al.workers.byID[dv.worker]; wk != nil {
 			al.handleTakedown(now, wk, "VM goes down for maintenance")
 		}
 	case Malformed:
--- a/shared/jobs/allocator/load.go
+++ b/shared/jobs/allocator/load.go
@@ -26,7 +26,7 @@
 			ld.WaitingJobs++
 		}
 	}
-	for _, wk := range al.workers {
+	for _, wk := range al.workers.byID {
 		if len(wk.unstoredEnds) > 0 {
 			ld.UnstoredEnds++
 		}
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -132,7 +132,7 @@
 			up++
 		}
 	}
-	for _, wk := range al.workers {
+	for _, wk := range al.workers.byID {
 		if wk.isListed {
 			listed++
 		}
@@ -165,8 +165,8 @@
 
 // listedWorkers returns the listed worker of each VM.
 func (al *Allocator) listedWorkers() map[string]modeller.WorkerID {
-	listed := make(map[string]modeller.WorkerID, len(al.workers))
-	for id, wk := range al.workers {
+	listed := make(map[string]modeller.WorkerID, len(al.workers.byID))
+	for id, wk := range al.workers.byID {
 		if wk.isListed && wk.info.VM != "" {
 			listed[wk.info.VM] = id
 		}
@@ -217,8 +217,8 @@
 
 // hasListedWorker reports whether a VM's worker is listed in a pool.
 func (al *Allocator) hasListedWorker(vm, pool string) bool {
-	for _, wk := range al.workers {
-		if wk.info.VM == vm && wk.info.Pool == pool && wk.isListed {
+	for _, wk := range al.workers.byVM[vm] {
+		if wk.info.Pool == pool && wk.isListed {
 			return true
 		}
 	}
@@ -237,7 +237,7 @@
 	}
 	capacity := al.averageMilliCores()
 	demand := al.demandByPool(now)
-	for _, wk := range al.sortedWorkers() {
+	for _, wk := range al.workers.sorted {
 		pn := byPool[wk.info.Pool]
 		if pn == nil || !wk.isListed || wk.info.IsDraining || wk.isCordoned {
 			continue
@@ -267,10 +267,10 @@
 // a core.
 func (al *Allocator) averageMilliCores() float64 {
 	sum := 0
-	for _, wk := range al.workers {
+	for _, wk := range al.workers.byID {
 		sum += wk.info.Capacity.MilliCores
 	}
-	return max(float64(sum)/float64(max(len(al.workers), 1)), 1)
+	return max(float64(sum)/float64(max(len(al.workers.byID), 1)), 1)
 }
 
 // demand is the present demand of a pool's jobs.
@@ -375,7 +375,7 @@
 		worker:    worker,
 		orderedAt: now,
 	}
-	if wk := al.workers[worker]; wk != nil {
+	if wk := al.workers.byID[worker]; wk != nil {
 		wk.isCordoned = true
 	}
 	al.log(LogEntry{Message: "VM move ordered", Worker: worker, VM: vm, Reason: "to pool " + pool})
@@ -401,7 +401,7 @@
 	switch {
 	case ev.Outcome == Accepted:
 		mv.isAccepted = true
-		if wk := al.workers[mv.worker]; wk != nil {
+		if wk := al.workers.byID[mv.worker]; wk != nil {
 			al.handleTakedown(now, wk, "VM moves to another pool")
 		}
 	case ev.Outcome == Unanswered:
--- a/shared/jobs/allocator/pace.go
+++ b/shared/jobs/allocator/pace.go
@@ -31,7 +31,7 @@
 // near its latency target, and speeds them up again when all serving runs are
 // well below their targets.
 func (al *Allocator) adjustPaces(now time.Time) {
-	for _, wk := range al.sortedWorkers() {
+	for _, wk := range al.workers.sorted {
 		if !wk.isSynced || now.Sub(wk.reportedAt) >= maxReportAge {
 			continue
 		}
@@ -63,7 +63,7 @@
 // handlePaceResult marks the pace of a run as unknown if the change may not
 // have taken effect, so that it is ordered again.
 func (al *Allocator) handlePaceResult(ev PaceResult) {
-	wk := al.workers[ev.Worker]
+	wk := al.workers.byID[ev.Worker]
 	if wk == nil || ev.Outcome == Accepted {
 		return
 	}
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -60,7 +60,7 @@
 // eligibleWorkers returns the workers of a pool that may get starts.
 func (al *Allocator) eligibleWorkers(now time.Time, pool string) []*worker {
 	var eligible []*worker
-	for _, wk := range al.workersOf(pool) {
+	for _, wk := range al.workers.byPool[pool] {
 		if al.isEligible(now, wk) {
 			eligible = append(eligible, wk)
 		}
--- a/shared/jobs/allocator/plan_test.go
+++ b/shared/jobs/allocator/plan_test.go
@@ -12,7 +12,7 @@
 // idleEvents are events that free no room and bring no job.
 var idleEvents = map[string]func(ff *fullFleet){
 	"start accepted": func(ff *fullFleet) {
-		rn := ff.al.workers[ff.ids[0]].sortedRuns()[0]
+		rn := ff.al.workers.byID[ff.ids[0]].sortedRuns()[0]
 		ff.apply(StartResult{
 			Worker:  rn.worker.info.ID,
 			Task:    rn.name,
@@ -23,7 +23,7 @@
 	"report without ends": func(ff *fullFleet) { ff.reportRuns(ff.ids[0]) },
 	"worker listed again": func(ff *fullFleet) {
 		ff.apply(WorkerListed{
-			Worker: ff.al.workers[ff.ids[0]].info,
+			Worker: ff.al.workers.byID[ff.ids[0]].info,
 		})
 	},
 }
@@ -54,7 +54,7 @@
 // room of one task leads to one start, and the jobs behind it aren't examined.
 func TestPlanAfterAnEndExaminesFewJobs(t *testing.T) {
 	ff := newFullFleet(t, 1000)
-	rn := ff.al.workers[ff.ids[0]].sortedRuns()[0]
+	rn := ff.al.workers.byID[ff.ids[0]].sortedRuns()[0]
 	ff.reportRuns(rn.worker.info.ID, modeller.End{
 		Task:    rn.name,
 		Attempt: rn.attempt,
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -9,7 +9,7 @@
 
 // handleReport handles a worker's answer to a poll.
 func (al *Allocator) handleReport(now time.Time, ev ReportReceived) {
-	wk := al.workers[ev.Worker]
+	wk := al.workers.byID[ev.Worker]
 	if wk == nil {
 		return
 	}
@@ -32,7 +32,7 @@
 	if !wk.isSynced {
 		wk.pollAt = now
 		wk.isSynced = true
-		al.endTakenDownWorkers(now)
+		al.endTakenDownWorkers(now, al.workers.byVM[wk.info.VM])
 	}
 	wk.mayHoldOldRuns = false
 	wk.startedAtMS = ev.Report.StartedAtMS
@@ -235,7 +235,7 @@
 }
 
 func (al *Allocator) handlePollFailed(now time.Time, ev PollFailed) {
-	wk := al.workers[ev.Worker]
+	wk := al.workers.byID[ev.Worker]
 	if wk == nil {
 		return
 	}
@@ -255,7 +255,7 @@
 
 // handleStartResult handles the result of a start order.
 func (al *Allocator) handleStartResult(now time.Time, ev StartResult) {
-	wk := al.workers[ev.Worker]
+	wk := al.workers.byID[ev.Worker]
 	if wk == nil {
 		return
 	}
@@ -307,7 +307,7 @@
 const outdatedAttemptStep = 4
 
 func (al *Allocator) handleStopResult(now time.Time, ev StopResult) {
-	wk := al.workers[ev.Worker]
+	wk := al.workers.byID[ev.Worker]
 	if wk == nil {
 		return
 	}
@@ -342,7 +342,7 @@
 // retryStops repeats stop orders of runs that have not ended.
 func (al *Allocator) retryStops(now time.Time) {
 	isDue := func(rn *run) bool { return rn.isStopping && now.Sub(rn.stopSentAt) >= orderRetryInterval }
-	for _, wk := range al.sortedWorkers() {
+	for _, wk := range al.workers.sorted {
 		for _, rn := range wk.sortedRunsWith(isDue) {
 			al.stopRun(now, rn)
 		}
--- a/shared/jobs/allocator/stall.go
+++ b/shared/jobs/allocator/stall.go
@@ -11,7 +11,7 @@
 		return rn.state == runRunning && !rn.isStopping && rn.task != nil && now.Sub(rn.progressAt) > stallTimeout &&
 			rn.progress < 100 && !rn.task.step.spec.IsFilling
 	}
-	for _, wk := range al.sortedWorkers() {
+	for _, wk := range al.workers.sorted {
 		if now.Sub(wk.reportedAt) >= maxReportAge {
 			continue
 		}
--- a/shared/jobs/allocator/waiting_test.go
+++ b/shared/jobs/allocator/waiting_test.go
@@ -57,7 +57,7 @@
 func (fx *fixture) endRun(id string, number int64, kind modeller.EndKind) {
 	var running []modeller.Run
 	var ended []modeller.End
-	for idx, rn := range fx.al.workers[modeller.WorkerID(id)].sortedRuns() {
+	for idx, rn := range fx.al.workers.byID[modeller.WorkerID(id)].sortedRuns() {
 		if idx == 0 {
 			ended = append(ended, modeller.End{
 				Task:    rn.name,
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -174,7 +174,7 @@
 }
 
 func (al *Allocator) uncordon(id modeller.WorkerID) {
-	if wk := al.workers[id]; wk != nil {
+	if wk := al.workers.byID[id]; wk != nil {
 		wk.isCordoned = false
 	}
 }
@@ -190,7 +190,7 @@
 
 // isSpare reports whether a VM has no runs and its pool does not require it.
 func (al *Allocator) isSpare(vm modeller.VM) bool {
-	wk := al.workers[vm.Worker]
+	wk := al.workers.byID[vm.Worker]
 	if wk == nil || al.configuration.Pools[vm.Pool].IsStandby {
 		return true
 	}
@@ -234,7 +234,7 @@
 			return
 		}
 		wv.evacuating[ca.name] = now
-		if wk := al.workers[al.fleet.vms[ca.name].Worker]; wk != nil {
+		if wk := al.workers.byID[al.fleet.vms[ca.name].Worker]; wk != nil {
 			wk.isCordoned = true
 			al.log(LogEntry{Message: "worker cordoned", Worker: wk.info.ID, Reason: "maintenance is due"})
 		}
@@ -247,7 +247,7 @@
 
 // evacuationCost returns the cost of evacuating a VM.
 func (al *Allocator) evacuationCost(vm modeller.VM) float64 {
-	wk := al.workers[vm.Worker]
+	wk := al.workers.byID[vm.Worker]
 	if wk == nil {
 		return 0
 	}
@@ -276,7 +276,7 @@
 	listed := al.listedWorkers()
 	for _, name := range names {
 		vm, ok := al.fleet.vms[name]
-		wk := al.workers[vm.Worker]
+		wk := al.workers.byID[vm.Worker]
 		if !ok || vm.State != modeller.VMUp || wv.down[name] != nil || isOutdated(vm, listed) {
 			continue
 		}
--- a/shared/jobs/allocator/wave_test.go
+++ b/shared/jobs/allocator/wave_test.go
@@ -107,9 +107,9 @@
 		fx.advance(50 * time.Millisecond)
 		fx.report("b", nil)
 	}
-	fx.al.handleTakedown(fx.now, fx.al.workers["a"], "VM goes down for maintenance")
+	fx.al.handleTakedown(fx.now, fx.al.workers.byID["a"], "VM goes down for maintenance")
 	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("the worker may have started after the maintenance"))
-	fx.al.endIncarnation(fx.now, fx.al.workers["a"], "report has a later start time")
+	fx.al.endIncarnation(fx.now, fx.al.workers.byID["a"], "report has a later start time")
 	must.Len(t, 1, takeOrders[StartOrder](fx))
 }
 
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -1,7 +1,6 @@
 package allocator
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -75,7 +74,7 @@
 }
 
 func (al *Allocator) updateWorker(now time.Time, info modeller.Worker) {
-	wk, ok := al.workers[info.ID]
+	wk, ok := al.workers.byID[info.ID]
 	if !ok {
 		wk = &worker{
 			runs:             map[modeller.TaskName]*run{},
@@ -83,14 +82,14 @@
 			unresolvedStarts: map[modeller.TaskName]int{},
 		}
 		wk.mayHoldOldRuns = !al.isLoaded
-		al.workers[info.ID] = wk
-		al.sorted = nil
+		wk.info = info
+		al.workers.add(wk)
 		al.isRosterDirty = true
 	}
 	if info.VM == "" {
 		info.VM = wk.info.VM
 	}
-	if !wk.info.IsDraining && info.IsDraining {
+	if info.IsDraining && (!ok || !wk.info.IsDraining) {
 		al.log(LogEntry{Message: "worker draining", Worker: info.ID, Reason: "directory"})
 	}
 	if wk.isSynced && info.StartedAtMS != 0 && wk.startedAtMS != 0 && info.StartedAtMS > wk.startedAtMS {
@@ -100,10 +99,7 @@
 		wk.isRostered = false
 		al.isRosterDirty = true
 	}
-	if wk.info.Pool != info.Pool {
-		al.sorted = nil
-	}
-	wk.info = info
+	al.workers.update(wk, info)
 	wk.isListed = true
 	al.changes.note(info.Pool)
 }
@@ -115,7 +111,7 @@
 }
 
 func (al *Allocator) markUnlisted(id modeller.WorkerID) {
-	wk, ok := al.workers[id]
+	wk, ok := al.workers.byID[id]
 	if !ok || !wk.isListed {
 		return
 	}
@@ -125,11 +121,11 @@
 
 func (al *Allocator) loadRoster(now time.Time, workers []modeller.Worker) {
 	for _, info := range workers {
-		if _, ok := al.workers[info.ID]; !ok {
+		if _, ok := al.workers.byID[info.ID]; !ok {
 			al.updateWorker(now, info)
-			al.workers[info.ID].isListed = false
-			al.workers[info.ID].mayHoldOldRuns = true
-			al.workers[info.ID].isRostered = true
+			al.workers.byID[info.ID].isListed = false
+			al.workers.byID[info.ID].mayHoldOldRuns = true
+			al.workers.byID[info.ID].isRostered = true
 		}
 	}
 }
@@ -159,24 +155,6 @@
 	return wk.clock + now.Sub(wk.clockAt)
 }
 
-// sortedWorkers returns the workers ordered by ID.
-func (al *Allocator) sortedWorkers() []*worker {
-	if al.sorted == nil {
-		al.sorted = slices.SortedFunc(maps.Values(al.workers), func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
-		al.sortedByPool = map[string][]*worker{}
-		for _, wk := range al.sorted {
-			al.sortedByPool[wk.info.Pool] = append(al.sortedByPool[wk.info.Pool], wk)
-		}
-	}
-	return al.sorted
-}
-
-// workersOf returns the workers of a pool ordered by ID.
-func (al *Allocator) workersOf(pool string) []*worker {
-	al.sortedWorkers()
-	return al.sortedByPool[pool]
-}
-
 // endIncarnation drops the running runs of a worker whose incarnation is over
 // and resets the worker's state. Starts that are in flight or unconfirmed keep
 // their runs.
@@ -205,8 +183,8 @@
 // has to have failed since then, too: the worker may still report that a run
 // was done before the lease expired.
 func (al *Allocator) expireLeases(now time.Time) {
-	for _, wk := range al.sortedWorkers() {
-		id := wk.info.ID
+	var gone []*worker
+	for _, wk := range al.workers.sorted {
 		expiry := al.leaseExpiry(wk)
 		if now.Sub(wk.reportedAt) < maxReportAge || !now.After(expiry) {
 			continue
@@ -230,11 +208,13 @@
 		}
 		wk.mayHoldOldRuns = false
 		if !wk.isListed && !wk.isPollInFlight && len(wk.unresolvedStarts) == 0 {
-			delete(al.workers, id)
-			al.sorted = nil
-			al.isRosterDirty = true
+			gone = append(gone, wk)
 		}
 	}
+	for _, wk := range gone {
+		al.workers.remove(wk)
+		al.isRosterDirty = true
+	}
 }
 
 // pollWorkers orders the polls that are due. It waits until all records are
@@ -243,7 +223,7 @@
 	if !al.isLoaded {
 		return
 	}
-	for _, wk := range al.sortedWorkers() {
+	for _, wk := range al.workers.sorted {
 		isGone := !wk.isListed && !wk.isSynced && !wk.mayHoldOldRuns && len(wk.runs) == 0
 		if wk.isPollInFlight || now.Before(wk.pollAt) || isGone || wk.awaitsStorage(now) {
 			continue
@@ -279,7 +259,7 @@
 // stopUnresolvedStarts orders stops of starts that a worker, now that it
 // reports again, may still carry out.
 func (al *Allocator) stopUnresolvedStarts(now time.Time) {
-	for _, wk := range al.sortedWorkers() {
+	for _, wk := range al.workers.sorted {
 		if len(wk.unresolvedStarts) == 0 || !wk.isSynced || now.Sub(wk.unresolvedStopsSentAt) < orderRetryInterval {
 			continue
 		}
@@ -303,8 +283,8 @@
 	if al.confirmedAt.After(al.oldRunsExpiry()) {
 		return false
 	}
-	for _, wk := range al.workers {
-		if wk.mayHoldOldRuns && wk.info.Pool == pool {
+	for _, wk := range al.workers.byPool[pool] {
+		if wk.mayHoldOldRuns {
 			return true
 		}
 	}
@@ -313,8 +293,8 @@
 
 // Roster returns the workers that may have runs.
 func (al *Allocator) Roster() []modeller.Worker {
-	roster := make([]modeller.Worker, 0, len(al.workers))
-	for _, wk := range al.sortedWorkers() {
+	roster := make([]modeller.Worker, 0, len(al.workers.sorted))
+	for _, wk := range al.workers.sorted {
 		roster = append(roster, wk.info)
 	}
 	return roster
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -27,16 +27,16 @@
 func TestMovedWorkerGetsNoWorkBeforeRosterIsStored(t *testing.T) {
 	fx := newFixture(t)
 	fx.listWorker("a")
-	moved := fx.al.workers["a"].info
+	moved := fx.al.workers.byID["a"].info
 	moved.Pool = "other"
 	fx.apply(WorkerListed{Worker: moved})
 	fx.apply(RecordsLoaded{})
 	fx.storeBatch()
-	must.True(t, fx.al.workers["a"].isRostered)
+	must.True(t, fx.al.workers.byID["a"].isRostered)
 	fx.listWorker("a")
-	must.False(t, fx.al.workers["a"].isRostered)
+	must.False(t, fx.al.workers.byID["a"].isRostered)
 	fx.storeBatch()
-	must.True(t, fx.al.workers["a"].isRostered)
+	must.True(t, fx.al.workers.byID["a"].isRostered)
 }
 
 func TestRosterStoredBeforeMoveIsStale(t *testing.T) {
@@ -44,13 +44,13 @@
 	fx.listWorker("a")
 	fx.apply(RecordsLoaded{})
 	batch := fx.al.Batch(fx.now)
-	moved := fx.al.workers["a"].info
+	moved := fx.al.workers.byID["a"].info
 	moved.Pool = "other"
 	fx.apply(WorkerListed{Worker: moved})
 	fx.apply(BatchStored{Batch: batch})
-	must.False(t, fx.al.workers["a"].isRostered)
+	must.False(t, fx.al.workers.byID["a"].isRostered)
 	fx.storeBatch()
-	must.True(t, fx.al.workers["a"].isRostered)
+	must.True(t, fx.al.workers.byID["a"].isRostered)
 }
 
 // newTakeoverFixture returns a fixture in which an earlier holder has begun a
@@ -111,7 +111,7 @@
 
 func TestUnresponsiveWorkerIsDroppedOnceAnotherReportsFromVM(t *testing.T) {
 	fx := newTakeoverFixture(t)
-	later := fx.al.workers["a"].info
+	later := fx.al.workers.byID["a"].info
 	later.ID, later.VM = "later", "vm-old"
 	fx.apply(WorkerListed{Worker: later})
 	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("the directory may be stale"))
