allocator: plans that don't search what hasn't changed; three faults of the emulator

Cause: every 20 ms all runs of all workers were searched three times (paces, stalls, stops to be repeated), each batch stored looked at all workers, each start scored all workers of the pool by walking over their runs, and each placement checked the eligibility of all. Change: workers count the runs that matter to neighbours; stops and unacknowledged ends are kept in sets; stalls are searched for every 250 ms; only the best candidate's eligibility is checked; a demand above what any worker has free is turned down at once; the tasks of a step that fit go to the same worker. By reading and by the test of effort there is no change in which worker is chosen.

--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -111,7 +111,7 @@
 	}
 	switch od := to.order.(type) {
 	case allocator.StartOrder:
-		err := di.platform.Workers.Start(ctx, endpointOf(od.Worker), adapter.StartOrder{
+		clock, err := di.platform.Workers.Start(ctx, endpointOf(od.Worker), adapter.StartOrder{
 			Task:         od.Task,
 			Attempt:      od.Attempt,
 			Payload:      od.Payload,
@@ -126,6 +126,7 @@
 			Task:    od.Task,
 			Attempt: od.Attempt,
 			Outcome: outcomeOf(err),
+			Clock:   clock,
 		})
 	case allocator.StopOrder:
 		err := di.platform.Workers.Stop(ctx, endpointOf(od.Worker), adapter.StopOrder{
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -110,8 +110,12 @@
 	bounds        Bounds
 	configuration modeller.Configuration
 	workers       workerIndex
-	jobs          map[modeller.JobID]*job
-	retained      map[modeller.JobID]retainedJob
+	// unacknowledged are the workers with unstored ends, and stopping the runs
+	// whose stop was ordered. Both may contain ones that have ended since.
+	unacknowledged map[*worker]struct{}
+	stopping       map[*run]struct{}
+	jobs           map[modeller.JobID]*job
+	retained       map[modeller.JobID]retainedJob
 	// waiting are the waiting lists by pool.
 	waiting map[string]*waitingList
 	// changes are those since tasks were last placed.
@@ -141,11 +145,12 @@
 	// laneUsedSince holds, for each lane with a batch in flight, when the batch
 	// was submitted, and zero for the others.
 	laneUsedSince [BatchLanes]time.Time
-	// periodicAt is when the time-driven decisions were last made.
-	periodicAt time.Time
-	effort     effort
-	orders     []Order
-	logEntries []LogEntry
+	// periodicAt is when the time-driven decisions were last made, and
+	// stallsCheckedAt when stalled runs were last searched for.
+	periodicAt, stallsCheckedAt time.Time
+	effort                      effort
+	orders                      []Order
+	logEntries                  []LogEntry
 	// reports and repeatedEnds are the counts of Load.
 	reports, repeatedEnds int
 }
@@ -160,15 +165,17 @@
 // New returns an Allocator for a holder that has won the duty at time now.
 func New(now time.Time, bounds Bounds) *Allocator {
 	return &Allocator{
-		bounds:      bounds,
-		workers:     newWorkerIndex(),
-		jobs:        map[modeller.JobID]*job{},
-		retained:    map[modeller.JobID]retainedJob{},
-		waiting:     map[string]*waitingList{},
-		fleet:       newFleet(),
-		startedAt:   now,
-		confirmedAt: now,
-		dirtyJobs:   map[modeller.JobID]*job{},
+		bounds:         bounds,
+		workers:        newWorkerIndex(),
+		unacknowledged: map[*worker]struct{}{},
+		stopping:       map[*run]struct{}{},
+		jobs:           map[modeller.JobID]*job{},
+		retained:       map[modeller.JobID]retainedJob{},
+		waiting:        map[string]*waitingList{},
+		fleet:          newFleet(),
+		startedAt:      now,
+		confirmedAt:    now,
+		dirtyJobs:      map[modeller.JobID]*job{},
 	}
 }
 
@@ -179,6 +186,12 @@
 	}
 }
 
+// isConfirmed reports whether the duty is certainly held now, so that there is
+// no later holder.
+func (al *Allocator) isConfirmed(now time.Time) bool {
+	return now.Sub(al.confirmedAt) < al.bounds.DutyLease
+}
+
 // LogEntry is a decision or state change to be logged.
 type LogEntry struct {
 	// Message is the log message.
--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -344,3 +344,48 @@
 	fx.submitJob("z", oneTaskStep())
 	must.Len(t, 0, takeOrders[StartOrder](fx))
 }
+
+// A later holder may have seen the end of a task before the VM was maintained,
+// and a new incarnation knows no fencing token.
+func TestUnconfirmedHolderDoesNotRestartTasksOfAnEndedIncarnation(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a", "b")
+	so := fx.startOneTaskJob("j")
+	other := map[modeller.WorkerID]string{"a": "b", "b": "a"}[so.Worker.ID]
+	fx.confirmsDuty = false
+	fx.advance(2 * time.Second)
+	fx.report(other, nil)
+	fx.apply(ReportReceived{
+		Worker:     so.Worker.ID,
+		SentAt:     fx.now.Add(-time.Millisecond),
+		ReceivedAt: fx.now,
+		Report:     modeller.Report{StartedAtMS: 2, Clock: time.Second},
+	})
+	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("starts while a later holder may exist"))
+	fx.confirmsDuty = true
+	must.Len(t, 1, takeOrders[StartOrder](fx), must.Sprint("starts once the duty is confirmed"))
+}
+
+// The same for a new incarnation on which the holder might start the task.
+func TestUnconfirmedHolderStartsNothingOnANewIncarnation(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a")
+	fx.startOneTaskJob("j")
+	fx.confirmsDuty = false
+	fx.advance(2 * time.Second)
+	for number := range 2 {
+		fx.apply(ReportReceived{
+			Worker:     "a",
+			SentAt:     fx.now.Add(-time.Millisecond),
+			ReceivedAt: fx.now,
+			Report: modeller.Report{
+				StartedAtMS: 2,
+				Clock:       time.Duration(number+1) * time.Second,
+			},
+		})
+		fx.advance(100 * time.Millisecond)
+	}
+	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("starts while a later holder may exist"))
+	fx.confirmsDuty = true
+	must.Len(t, 1, takeOrders[StartOrder](fx), must.Sprint("starts once the duty is confirmed"))
+}
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -275,10 +275,13 @@
 // and the workers discard them. A poll acknowledges all ends up to a number, so
 // a worker's ends are marked in order.
 func (al *Allocator) acknowledgeEnds() {
-	for _, wk := range al.workers.byID {
+	for wk := range al.unacknowledged {
 		for len(wk.unstoredEnds) > 0 && wk.unstoredEnds[0].isStored() {
 			wk.lastStoredEnd = wk.unstoredEnds[0].number
 			wk.unstoredEnds = wk.unstoredEnds[1:]
 		}
+		if len(wk.unstoredEnds) == 0 {
+			delete(al.unacknowledged, wk)
+		}
 	}
 }
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -101,6 +101,9 @@
 	Attempt int
 	// Outcome is the result of the order.
 	Outcome Outcome
+	// Clock is the worker's own clock when it accepted the order, or zero if it
+	// is not known.
+	Clock time.Duration
 }
 
 // StopResult carries the result of a stop order.
--- a/shared/jobs/allocator/gang.go
+++ b/shared/jobs/allocator/gang.go
@@ -18,7 +18,7 @@
 	attempt := 0
 	checkpoint := ""
 	for _, tk := range st.tasks {
-		if tk.isDone || now.Before(tk.notBefore) {
+		if tk.isDone || !al.isReady(now, tk) {
 			return
 		}
 		attempt = max(attempt, tk.nextAttempt())
@@ -59,7 +59,7 @@
 		}
 	}
 	for _, tk := range st.tasks {
-		if tk.run != nil || tk.isDone {
+		if tk.run != nil || tk.isDone || !al.isReady(now, tk) {
 			continue
 		}
 		if wk := al.chooseWorker(now, tk, eligible, ""); wk != nil {
@@ -87,7 +87,7 @@
 			rollback()
 			return false
 		}
-		demand := st.spec.ReservedResources()
+		demand := st.reserved
 		wk.used = wk.used.Plus(demand)
 		reserved[wk] = reserved[wk].Plus(demand)
 		st.runsPerWorker[wk.info.ID]++
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -157,6 +157,7 @@
 	for stepNumber, spec := range jb.info.Steps {
 		st := &step{
 			spec:          spec,
+			reserved:      spec.ReservedResources(),
 			job:           jb,
 			runsPerWorker: map[modeller.WorkerID]int{},
 		}
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -303,7 +303,7 @@
 				if isOnTime {
 					counted += st.waitingCount
 				}
-				dm.milliCores += counted * st.spec.ReservedResources().MilliCores
+				dm.milliCores += counted * st.reserved.MilliCores
 				if st.spec.IsLongRunning {
 					dm.minWorkers = max(dm.minWorkers, minWorkersOf(st.spec)+1)
 				}
--- a/shared/jobs/allocator/pace.go
+++ b/shared/jobs/allocator/pace.go
@@ -32,7 +32,7 @@
 // well below their targets.
 func (al *Allocator) adjustPaces(now time.Time) {
 	for _, wk := range al.workers.sorted {
-		if !wk.isSynced || now.Sub(wk.reportedAt) >= maxReportAge {
+		if wk.neighbours.filling == 0 || !wk.isSynced || now.Sub(wk.reportedAt) >= maxReportAge {
 			continue
 		}
 		filling := wk.sortedRunsWith(isPaced)
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -15,7 +15,7 @@
 		orderCount := len(al.orders)
 		al.placeJob(now, jb, pp)
 		pp.consider(jb)
-		if len(al.orders) > orderCount && !al.hasRoom(pp) {
+		if len(al.orders) > orderCount && !al.hasRoom(now, pp) {
 			pp.isFull = true
 		}
 	}
@@ -51,16 +51,16 @@
 // later are left to it. While the duty is confirmed, the store accepts
 // cancellations, so they have to be known.
 func (al *Allocator) mayStart(now time.Time, jb *job) bool {
-	if now.Sub(al.confirmedAt) < al.bounds.DutyLease {
+	if al.isConfirmed(now) {
 		return al.jobsSyncedAt.IsZero() || now.Sub(al.jobsSyncedAt) < maxJobsAge
 	}
 	return !jb.acceptedAt.After(al.confirmedAt)
 }
 
-// eligibleWorkers returns the workers of a pool that may get starts.
-func (al *Allocator) eligibleWorkers(now time.Time, pool string) []*worker {
+// eligibleWorkers returns those of the given workers that may get starts.
+func (al *Allocator) eligibleWorkers(now time.Time, workers []*worker) []*worker {
 	var eligible []*worker
-	for _, wk := range al.workers.byPool[pool] {
+	for _, wk := range workers {
 		if al.isEligible(now, wk) {
 			eligible = append(eligible, wk)
 		}
@@ -70,34 +70,45 @@
 
 // placeStep starts a step's waiting tasks.
 func (al *Allocator) placeStep(now time.Time, st *step, pp *poolPlacement) {
-	eligible := pp.eligible
-	if qu := al.configuration.Queues[st.job.info.Queue]; qu.Advice != nil && !al.ensureTickets(now, st, qu, eligible) {
+	if qu := al.configuration.Queues[st.job.info.Queue]; qu.Advice != nil && !al.ensureTickets(now, st, qu, al.eligibleWorkers(now, pp.workers)) {
 		return
 	}
-	if !al.hasRoomFor(pp, labelledDemand{
-		resources: st.spec.ReservedResources(),
+	if !al.hasRoomFor(now, pp, labelledDemand{
+		resources: st.reserved,
 		label:     st.spec.RequiredLabel,
 	}) {
 		return
 	}
 	if st.spec.IsGang {
-		al.placeGang(now, st, eligible)
+		al.placeGang(now, st, al.eligibleWorkers(now, pp.workers))
 		return
 	}
+	var last *worker
 	for _, tk := range st.tasks {
-		if tk.run != nil || tk.isDone || now.Before(tk.notBefore) {
+		if tk.run != nil || tk.isDone || !al.isReady(now, tk) {
 			continue
 		}
-		wk := al.chooseWorker(now, tk, eligible, "")
+		wk := last
+		if last == nil || !st.prefersSameWorker() || !al.suits(now, tk, last, avoidanceTime) {
+			wk = al.chooseWorker(now, tk, pp.workers, "")
+		}
 		if wk == nil && len(tk.avoidedSince) == 0 {
 			return
 		}
 		if wk != nil {
 			al.startTask(now, tk, wk, tk.nextAttempt())
+			last = wk
 		}
 	}
 }
 
+// prefersSameWorker reports whether the best worker for a task of the step is
+// also the best for the next task as long as it has capacity: its load makes it
+// score higher.
+func (st *step) prefersSameWorker() bool {
+	return !st.spec.IsLongRunning && !st.spec.IsFilling && st.spec.LatencyTarget == 0
+}
+
 // nextAttempt returns the attempt of a task's next start. It skips one attempt
 // for an inherited job, since an earlier holder may have started it without
 // having stored that.
@@ -111,17 +122,19 @@
 // startTask reserves capacity for a task on a worker and orders its start.
 func (al *Allocator) startTask(now time.Time, tk *task, wk *worker, attempt int) {
 	rn := &run{
-		name:       tk.name,
-		attempt:    attempt,
-		worker:     wk,
-		task:       tk,
-		reserved:   tk.step.spec.ReservedResources(),
-		state:      runStarting,
-		sentAt:     now,
-		progressAt: now,
-		progress:   -1,
+		name:        tk.name,
+		attempt:     attempt,
+		worker:      wk,
+		task:        tk,
+		reserved:    tk.step.reserved,
+		state:       runStarting,
+		sentAt:      now,
+		incarnation: wk.incarnation,
+		minClock:    wk.minClock(now),
+		progressAt:  now,
+		progress:    -1,
 	}
-	free := wk.info.Capacity.Minus(wk.used)
+	free := wk.free()
 	al.assignRun(tk, rn)
 	wk.addRun(rn)
 	al.markDirty(tk.step.job)
--- a/shared/jobs/allocator/placement.go
+++ b/shared/jobs/allocator/placement.go
@@ -17,13 +17,17 @@
 	name     string
 	list     *waitingList
 	position int
-	eligible []*worker
+	workers  []*worker
 	// isFull is true once no worker has room for any waiting task.
 	isFull bool
 	// smallest is the smallest demand of the jobs considered so far that still
 	// wait, and waitingCount the number of these jobs.
 	smallest     modeller.Resources
 	waitingCount int
+	// maxFree is, in each resource, at least what any eligible worker has free,
+	// once hasMaxFree is true. Free resources only shrink during a placement.
+	maxFree    modeller.Resources
+	hasMaxFree bool
 	// full are the demands for which no worker has room. They stay so during a
 	// placement.
 	full map[labelledDemand]struct{}
@@ -49,11 +53,11 @@
 			continue
 		}
 		pp := &poolPlacement{
-			name:     pool,
-			list:     wl,
-			eligible: al.eligibleWorkers(now, pool),
+			name:    pool,
+			list:    wl,
+			workers: al.workers.byPool[pool],
 		}
-		if len(pp.eligible) > 0 && al.hasRoom(pp) {
+		if al.hasRoom(now, pp) {
 			al.rerankDue(now, wl)
 			pl.pools = append(pl.pools, pp)
 		}
@@ -105,23 +109,36 @@
 }
 
 // hasRoom reports whether placing tasks in a pool can have any effect.
-func (al *Allocator) hasRoom(pp *poolPlacement) bool {
-	return pp.list.hasAdvice || al.hasRoomFor(pp, labelledDemand{
+func (al *Allocator) hasRoom(now time.Time, pp *poolPlacement) bool {
+	return pp.list.hasAdvice || al.hasRoomFor(now, pp, labelledDemand{
 		resources: pp.list.smallest,
 	})
 }
 
 // hasRoomFor reports whether an eligible worker of a pool has room for a demand.
-func (al *Allocator) hasRoomFor(pp *poolPlacement, ld labelledDemand) bool {
+func (al *Allocator) hasRoomFor(now time.Time, pp *poolPlacement, ld labelledDemand) bool {
+	if pp.hasMaxFree && !ld.resources.FitsIn(pp.maxFree) {
+		return false
+	}
 	if _, isFull := pp.full[ld]; isFull {
 		return false
 	}
-	for _, wk := range pp.eligible {
+	var maxFree modeller.Resources
+	for _, wk := range pp.workers {
 		al.effort.workers++
-		if wk.info.HasLabel(ld.label) && wk.used.Plus(ld.resources).FitsIn(wk.info.Capacity) {
-			return true
+		free := wk.free()
+		if ld.resources.FitsIn(free) {
+			if !al.isEligible(now, wk) {
+				continue
+			}
+			if wk.info.HasLabel(ld.label) {
+				return true
+			}
 		}
+		maxFree = maxFree.Max(free)
 	}
+	pp.maxFree = maxFree
+	pp.hasMaxFree = true
 	if pp.full == nil {
 		pp.full = map[labelledDemand]struct{}{}
 	}
--- a/shared/jobs/allocator/plan.go
+++ b/shared/jobs/allocator/plan.go
@@ -20,7 +20,7 @@
 		al.stopUnresolvedStarts(now)
 		al.adjustPaces(now)
 		// Decisions that end healthy runs require a confirmed duty.
-		if now.Sub(al.confirmedAt) < al.bounds.DutyLease {
+		if al.isConfirmed(now) {
 			al.stopStalledRuns(now)
 			al.evictFromDraining(now)
 			al.planWaves(now)
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,6 +33,7 @@
 	if !wk.isSynced {
 		wk.pollAt = now
 		wk.isSynced = true
+		wk.syncedAt = now
 		al.endTakenDownWorkers(now, al.workers.byVM[wk.info.VM])
 	}
 	wk.mayHoldOldRuns = false
@@ -48,6 +50,9 @@
 	for _, end := range ev.Report.Ended {
 		al.handleEnd(now, wk, end)
 	}
+	if len(wk.unstoredEnds) > 0 {
+		al.unacknowledged[wk] = struct{}{}
+	}
 	reportedAttempts := make(map[modeller.TaskName]int, len(ev.Report.Running))
 	for _, reported := range ev.Report.Running {
 		reportedAttempts[reported.Task] = reported.Attempt
@@ -121,7 +126,7 @@
 	rn.reserved = wk.info.Capacity
 	tk := al.taskForReport(now, reported.Task)
 	if tk != nil {
-		rn.reserved = tk.step.spec.ReservedResources()
+		rn.reserved = tk.step.reserved
 		tk.attempt = max(tk.attempt, reported.Attempt)
 	}
 	isWanted := tk != nil && !tk.isDone && tk.run == nil && tk.step.job.outcome == "" && !tk.step.job.isCancelled
@@ -265,6 +270,9 @@
 	}
 	switch ev.Outcome {
 	case Accepted:
+		if rn.incarnation == wk.incarnation && ev.Clock > 0 && ev.Clock < rn.minClock {
+			al.endIncarnation(now, wk, "a start was accepted by a later incarnation")
+		}
 		rn.state = runRunning
 		rn.confirmedAt = now
 		rn.progressAt = now
@@ -332,6 +340,7 @@
 	}
 	rn.isStopping = true
 	rn.stopSentAt = now
+	al.stopping[rn] = struct{}{}
 	al.orders = append(al.orders, StopOrder{
 		Worker:  rn.worker.info,
 		Task:    rn.name,
@@ -341,12 +350,21 @@
 
 // retryStops repeats stop orders of runs that have not ended.
 func (al *Allocator) retryStops(now time.Time) {
-	isDue := func(rn *run) bool { return rn.isStopping && now.Sub(rn.stopSentAt) >= orderRetryInterval }
-	for _, wk := range al.workers.sorted {
-		for _, rn := range wk.sortedRunsWith(isDue) {
-			al.stopRun(now, rn)
+	var due []*run
+	for rn := range al.stopping {
+		switch {
+		case rn.worker.runs[rn.name] != rn:
+			delete(al.stopping, rn)
+		case now.Sub(rn.stopSentAt) >= orderRetryInterval:
+			due = append(due, rn)
 		}
 	}
+	slices.SortFunc(due, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.worker.info.ID, b.worker.info.ID), a.name.Compare(b.name))
+	})
+	for _, rn := range due {
+		al.stopRun(now, rn)
+	}
 }
 
 // String returns the outcome's name.
--- a/shared/jobs/allocator/run.go
+++ b/shared/jobs/allocator/run.go
@@ -34,6 +34,10 @@
 	// sentAt is when the start was decided, or when it was found to have got no
 	// answer. confirmedAt is when the run was first known to be running.
 	sentAt, confirmedAt time.Time
+	// incarnation is the number of the worker's incarnation that the start was
+	// meant for, and minClock the least reading of its clock at the start.
+	incarnation int
+	minClock    time.Duration
 	// isStopping is true once a stop has been ordered. The order was last sent
 	// at stopSentAt and first acknowledged at stopAckedAt.
 	isStopping              bool
@@ -47,10 +51,11 @@
 // addRun adds a run and reserves its share of the worker's capacity.
 func (wk *worker) addRun(rn *run) {
 	if old, ok := wk.runs[rn.name]; ok {
-		wk.used = wk.used.Minus(old.reserved)
+		wk.removeRun(old)
 	}
 	wk.runs[rn.name] = rn
 	wk.used = wk.used.Plus(rn.reserved)
+	wk.neighbours.count(rn, 1)
 }
 
 // removeRun removes a run and releases its share of the worker's capacity.
@@ -58,15 +63,59 @@
 	if wk.runs[rn.name] == rn {
 		delete(wk.runs, rn.name)
 		wk.used = wk.used.Minus(rn.reserved)
+		wk.neighbours.count(rn, -1)
 	}
 }
 
+// free returns the capacity that no run holds.
+func (wk *worker) free() modeller.Resources { return wk.info.Capacity.Minus(wk.used) }
+
+// neighbourCounts counts the runs of a worker by what they mean for other runs.
+type neighbourCounts struct {
+	// longRunning counts the long-running runs that aren't filling ones.
+	longRunning int
+	// serving counts the runs with a latency target that aren't filling ones.
+	serving int
+	filling int
+}
+
+// count adds a run, or removes it if the change is -1.
+func (nc *neighbourCounts) count(rn *run, change int) {
+	if rn.task == nil {
+		return
+	}
+	spec := rn.task.step.spec
+	switch {
+	case spec.IsFilling:
+		nc.filling += change
+		return
+	case spec.LatencyTarget > 0:
+		nc.serving += change
+	}
+	if spec.IsLongRunning {
+		nc.longRunning += change
+	}
+}
+
+// interfering returns the number of runs that would interfere with a task of a
+// step.
+func (nc *neighbourCounts) interfering(spec modeller.Step) int {
+	switch {
+	case spec.IsFilling:
+		return nc.serving + nc.filling
+	case spec.LatencyTarget > 0:
+		return nc.filling
+	}
+	return 0
+}
+
 // dropRun removes a run whose end the worker has not reported, and requeues its
 // task.
 func (al *Allocator) dropRun(now time.Time, rn *run, reason string) {
 	rn.worker.removeRun(rn)
 	al.changes.note(rn.worker.info.Pool)
 	if rn.task != nil && rn.task.run == rn {
+		rn.task.droppedAt = now
 		al.requeue(now, rn.task, reason)
 	}
 }
--- a/shared/jobs/allocator/stall.go
+++ b/shared/jobs/allocator/stall.go
@@ -4,9 +4,16 @@
 	"time"
 )
 
+// stallCheckInterval is the interval between searches for stalled runs.
+const stallCheckInterval = 250 * time.Millisecond
+
 // stopStalledRuns stops runs that make no progress, so that their tasks restart
 // on other workers.
 func (al *Allocator) stopStalledRuns(now time.Time) {
+	if now.Sub(al.stallsCheckedAt) < stallCheckInterval {
+		return
+	}
+	al.stallsCheckedAt = now
 	isStalled := func(rn *run) bool {
 		return rn.state == runRunning && !rn.isStopping && rn.task != nil && now.Sub(rn.progressAt) > stallTimeout &&
 			rn.progress < 100 && !rn.task.step.spec.IsFilling
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -21,6 +21,9 @@
 	checkpoint     string
 	// notBefore is the earliest time of the next placement.
 	notBefore time.Time
+	// droppedAt is when a run of the task was last dropped without a reported
+	// end, or zero.
+	droppedAt time.Time
 	// avoidedSince maps the workers on which the task has failed or stalled to
 	// the time when this last happened.
 	avoidedSince map[modeller.WorkerID]time.Time
@@ -28,7 +31,9 @@
 
 // step is a step of an occurrence.
 type step struct {
-	spec         modeller.Step
+	spec modeller.Step
+	// reserved is what each task reserves on its worker.
+	reserved     modeller.Resources
 	job          *job
 	tasks        []*task
 	doneCount    int
@@ -72,10 +77,20 @@
 // avoids reports whether the task has failed or stalled on a worker within the
 // given duration.
 func (tk *task) avoids(now time.Time, wk *worker, duration time.Duration) bool {
+	if len(tk.avoidedSince) == 0 {
+		return false
+	}
 	since, ok := tk.avoidedSince[wk.info.ID]
 	return ok && now.Before(since.Add(duration))
 }
 
+// isReady reports whether a waiting task may be placed. While the duty isn't
+// confirmed, a later holder may have stored the end of a run that was dropped
+// since.
+func (al *Allocator) isReady(now time.Time, tk *task) bool {
+	return !now.Before(tk.notBefore) && (al.isConfirmed(now) || !tk.droppedAt.After(al.confirmedAt))
+}
+
 // findTask returns the task of a name, or nil.
 func (al *Allocator) findTask(name modeller.TaskName) *task {
 	jb := al.jobs[name.Job]
--- a/shared/jobs/allocator/waiting.go
+++ b/shared/jobs/allocator/waiting.go
@@ -112,7 +112,7 @@
 			if st.waitingCount == 0 {
 				continue
 			}
-			demand := st.spec.ReservedResources()
+			demand := st.reserved
 			if isFirst {
 				smallest = demand
 				isFirst = false
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -20,6 +20,10 @@
 	// isSynced is true once the present incarnation has reported its runs under
 	// the current fencing token.
 	isSynced bool
+	// incarnation counts the incarnations that have ended.
+	incarnation int
+	// syncedAt is when the present incarnation first reported.
+	syncedAt time.Time
 	// startedAtMS is the Unix millisecond at which the reporting incarnation
 	// started.
 	startedAtMS int64
@@ -49,6 +53,8 @@
 	// hold.
 	runs map[modeller.TaskName]*run
 	used modeller.Resources
+	// neighbours counts the runs by what they mean for other runs.
+	neighbours neighbourCounts
 	// unresolvedStarts are the attempts of starts without an answer that were
 	// dropped when the lease expired. The worker may still carry them out, so
 	// its lease isn't extended until it has acknowledged a stop of each.
@@ -143,11 +149,25 @@
 	return expiry
 }
 
+// minClock returns the least possible present reading of a worker's own clock,
+// unless it starts again.
+func (wk *worker) minClock(now time.Time) time.Duration {
+	return wk.clock + time.Duration(float64(now.Sub(wk.clockAt))*(1-clockDrift))
+}
+
 // isEligible reports whether a worker may get a start now.
 func (al *Allocator) isEligible(now time.Time, wk *worker) bool {
-	return wk.isListed && wk.isRostered && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned && !al.fleet.hasPendingTakedown(wk.info.VM) &&
+	return wk.isListed && wk.isRostered && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned &&
 		now.Sub(wk.reportedAt) < maxReportAge && !now.Before(wk.quarantinedUntil) && !now.Before(wk.suspectUntil) &&
-		wk.leaseEnd > 0 && al.estimateClock(now, wk) < wk.leaseEnd
+		wk.leaseEnd > 0 && al.estimateClock(now, wk) < wk.leaseEnd && al.isFenced(now, wk) && !al.fleet.hasPendingTakedown(wk.info.VM)
+}
+
+// isFenced reports whether a later holder would wait for a worker before it
+// starts the tasks that this holder may start there. While the duty isn't
+// confirmed, that is so only for incarnations from before: a later holder may
+// know of ends of the incarnation before, and a new one knows no fencing token.
+func (al *Allocator) isFenced(now time.Time, wk *worker) bool {
+	return al.isConfirmed(now) || !wk.syncedAt.After(al.confirmedAt)
 }
 
 // estimateClock estimates the present time of a worker's own clock.
@@ -165,6 +185,7 @@
 		}
 	}
 	wk.isSynced = false
+	wk.incarnation++
 	wk.mayHoldOldRuns = false
 	wk.lastProcessedEnd = 0
 	wk.lastStoredEnd = 0
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -119,3 +119,22 @@
 	fx.report("later", nil)
 	must.Len(t, 1, takeOrders[StartOrder](fx))
 }
+
+// A worker that crashes may be back under its ID before its polls have failed,
+// and accept a start that was meant for the incarnation before.
+func TestStartAcceptedByALaterIncarnationIsKept(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a", "b")
+	old := fx.startOneTaskJob("old")
+	fx.submitJob("new", oneTaskStep())
+	starts := takeOrders[StartOrder](fx)
+	must.Len(t, 1, starts)
+	must.Eq(t, old.Worker.ID, starts[0].Worker.ID)
+	fx.apply(StartResult{Worker: starts[0].Worker.ID, Task: starts[0].Task, Attempt: 1, Outcome: Accepted, Clock: 50 * time.Millisecond})
+	restarted := fx.al.workers.byID[old.Worker.ID].info
+	restarted.StartedAtMS = 2
+	fx.apply(WorkerListed{Worker: restarted})
+	again := takeOrders[StartOrder](fx)
+	must.Len(t, 1, again, must.Sprint("only the run of the incarnation before is lost"))
+	must.Eq(t, old.Task, again[0].Task)
+}
--- a/shared/jobs/modeller/job.go
+++ b/shared/jobs/modeller/job.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// Max returns the larger of two amounts in each resource.
+func (rs Resources) Max(other Resources) Resources {
+	return Resources{
+		MilliCores:   max(rs.MilliCores, other.MilliCores),
+		MemoryMB:     max(rs.MemoryMB, other.MemoryMB),
+		Accelerators: max(rs.Accelerators, other.Accelerators),
+	}
+}
+
 // FitsIn reports whether no amount exceeds that of bound.
 func (rs Resources) FitsIn(bound Resources) bool {
 	return rs.MilliCores <= bound.MilliCores && rs.MemoryMB <= bound.MemoryMB && rs.Accelerators <= bound.Accelerators
--- a/standin/internal/emulator/emulator_test.go
+++ b/standin/internal/emulator/emulator_test.go
@@ -44,3 +44,25 @@
 		t.Errorf("same seed gave counts %+v, then %+v", first, second)
 	}
 }
+
+// regressionSeeds are seeds that have failed before.
+var regressionSeeds = []uint64{
+	// A worker that was maintained twice was not listed again, since workers
+	// wrote their entries only once.
+	100881,
+	// A holder that was cut off started a task on a new incarnation, after a later
+	// holder had acknowledged the task's end on the one before.
+	201820,
+	// A worker was back under its ID before its polls had failed, and accepted a
+	// start that was then taken for one of the incarnation before.
+	303268,
+}
+
+func TestRegressionSeedsKeepAllPromises(t *testing.T) {
+	for _, seed := range regressionSeeds {
+		violations, _ := New(seed).Run()
+		for _, violation := range violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+}
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -63,9 +63,13 @@
 	case allocator.PollOrder:
 		sm.sendPoll(tm, od)
 	case allocator.StartOrder:
+		var clock time.Duration
 		sm.sendOrder(tm, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
-			return allocator.StartResult{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Outcome: oc}
-		}, func(nd *node) allocator.Outcome { return sm.carryOutStart(tm, nd, od) })
+			return allocator.StartResult{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Outcome: oc, Clock: clock}
+		}, func(nd *node) allocator.Outcome {
+			clock = nd.ex.Clock(sm.now)
+			return sm.carryOutStart(tm, nd, od)
+		})
 	case allocator.StopOrder:
 		sm.tracef("holder %d: stop %s attempt %d at %s", tm.fence, od.Task, od.Attempt, od.Worker.ID)
 		sm.sendOrder(tm, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
--- a/standin/internal/emulator/node.go
+++ b/standin/internal/emulator/node.go
@@ -17,6 +17,8 @@
 	info     modeller.Worker
 	isUp     bool
 	isListed bool
+	// writtenAt is when the worker last wrote its entry of the directory.
+	writtenAt time.Time
 	// unreachableUntil is the time until which messages to the node are lost.
 	unreachableUntil time.Time
 	restartAt        time.Time
@@ -83,6 +85,7 @@
 // listWorker adds a worker's entry to the directory and notifies the holders.
 func (sm *Simulation) listWorker(nd *node) {
 	nd.isListed = true
+	nd.writtenAt = sm.now
 	info := nd.info
 	sm.notifyHolders(allocator.WorkerListed{Worker: info})
 }
@@ -103,6 +106,9 @@
 			continue
 		}
 		nd.ex.Advance(sm.now)
+		if nd.isListed && !sm.store.isDown && sm.now.Sub(nd.writtenAt) >= heartbeatInterval {
+			sm.listWorker(nd)
+		}
 		if pol := nd.poll; pol != nil && (nd.ex.HasEnds(pol.order.AcknowledgedEnds) || !sm.now.Before(pol.until)) {
 			nd.poll = nil
 			sm.answerPoll(nd, pol)
@@ -141,6 +147,7 @@
 	})
 }
 
-// heartbeatInterval bounds the time from a worker's start to its first report to
-// the directory. The VM interface lists the worker immediately.
+// heartbeatInterval is the interval at which workers write their entries of the
+// directory. It bounds the time from a worker's start to its first entry; the VM
+// interface lists the worker immediately.
 const heartbeatInterval = 1500 * time.Millisecond
