--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -53,6 +53,9 @@
 	// clockDrift is the largest fraction by which a worker's clock may run
 	// slow.
 	clockDrift = 0.02
+	// clockRounding is the largest error of the reading of a worker's clock, which
+	// is in whole milliseconds, with a reserve.
+	clockRounding = 20 * time.Millisecond
 	// leaseMargin covers the delay between the check of an order's lease and
 	// the sending of the order.
 	leaseMargin = 300 * time.Millisecond
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -152,7 +152,7 @@
 // minClock returns the least possible present reading of a worker's own clock,
 // unless it starts again.
 func (wk *worker) minClock(now time.Time) time.Duration {
-	return wk.clock + time.Duration(float64(now.Sub(wk.clockAt))*(1-clockDrift))
+	return wk.clock + time.Duration(float64(now.Sub(wk.clockAt))*(1-clockDrift)) - clockRounding
 }
 
 // isEligible reports whether a worker may get a start now.
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -138,3 +138,20 @@
 	must.Len(t, 1, again, must.Sprint("only the run of the incarnation before is lost"))
 	must.Eq(t, old.Task, again[0].Task)
 }
+
+// Answers carry whole milliseconds, and the answer of a near worker may have the
+// same reading as the report before.
+func TestRoundedClockIsNotALaterIncarnation(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a")
+	fx.startOneTaskJob("first")
+	fx.report("a", []modeller.Run{{Task: taskName("first", 0), Attempt: 1}})
+	fx.submitJob("second", oneTaskStep())
+	clock := fx.al.workers.byID["a"].clock
+	starts := takeOrders[StartOrder](fx)
+	must.Len(t, 1, starts)
+	elapsed := fx.now.Sub(fx.al.workers.byID["a"].clockAt)
+	fx.apply(StartResult{Worker: "a", Task: starts[0].Task, Attempt: 1, Outcome: Accepted, Clock: (clock + elapsed).Truncate(time.Millisecond) - time.Millisecond})
+	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("no run of the worker is lost"))
+	must.True(t, fx.al.workers.byID["a"].isSynced)
+}
