Divide the connections to workers: every manager is a keeper of some

Cause: one process did the input and output for the whole fleet, so that its processor and link bound what the fleet could start.

Change: the holder alone still decides (placement, attempts, leases, pace), and every manager carries the orders and polls for the workers that are assigned to it by weighted rendezvous hashing, workers of its own availability zone first (shared/jobs/assigner). shared/jobs/distributor is both ends of the connection between the holder and a keeper: a compact codec, reports as differences, a permission that a keeper has to renew every 250 ms and that runs out on its own steady clock. VM orders have a queue of their own (internal/provisioner).

--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -12,9 +12,13 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"coltsfootwick.example/coltsfootwick-manager/internal/dispatcher"
+	"coltsfootwick.example/coltsfootwick-manager/internal/linker"
+	"coltsfootwick.example/coltsfootwick-manager/internal/provisioner"
+	"coltsfootwick.example/platform/adapter"
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/archiver"
+	"coltsfootwick.example/shared/jobs/assigner"
+	"coltsfootwick.example/shared/jobs/distributor"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/shared/process/timekeeper"
@@ -55,12 +59,15 @@
 	region     string
 	node       string
 	bounds     allocator.Bounds
-	platform   dispatcher.Platform
+	vms        *adapter.VMs
+	adviser    *adapter.Adviser
 	waveStatus archiver.EncodeStatusFunc
 	logger     *zap.Logger
 	requests   chan request
 	yields     chan struct{}
 	wallClock  func() time.Time
+	// current is the present term, or nil.
+	current atomic.Pointer[term]
 	// jobsSyncedAt is the time at which the watch on the jobs was last up to
 	// date, in Unix nanoseconds.
 	jobsSyncedAt atomic.Int64
@@ -84,8 +91,10 @@
 	Region, Node string
 	// Bounds are the durations that the allocator's decisions depend on.
 	Bounds allocator.Bounds
-	// Platform holds the clients through which orders are sent.
-	Platform dispatcher.Platform
+	// VMs is the client of the VM interface, and Adviser that of the advice
+	// service.
+	VMs     *adapter.VMs
+	Adviser *adapter.Adviser
 	// WaveStatus encodes the status records of waves for operators.
 	WaveStatus archiver.EncodeStatusFunc
 	// Logger logs each decision.
@@ -100,7 +109,8 @@
 		region:     st.Region,
 		node:       st.Node,
 		bounds:     st.Bounds,
-		platform:   st.Platform,
+		vms:        st.VMs,
+		adviser:    st.Adviser,
 		waveStatus: st.WaveStatus,
 		logger:     st.Logger,
 		requests:   make(chan request),
@@ -114,7 +124,14 @@
 	*Conductor
 	heldDuty    leaser.HeldDuty
 	allocator   *allocator.Allocator
-	dispatcher  *dispatcher.Dispatcher
+	distributor *distributor.Distributor
+	provisioner *provisioner.Provisioner
+	// conns are the connections of the keepers.
+	conns  map[assigner.KeeperID]*linker.Conn
+	joins  chan keeperJoined
+	frames chan keeperFrame
+	// ended is closed when the term is over.
+	ended       <-chan struct{}
 	committers  *archiver.Committers
 	events      chan allocator.Event
 	batches     [allocator.BatchLanes]chan *allocator.Batch
@@ -129,21 +146,39 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	tm := &term{
-		Conductor:  cd,
-		heldDuty:   hd,
-		allocator:  allocator.New(timekeeper.Now(), cd.bounds),
-		committers: archiver.NewCommitters(cd.store, cd.dutyKey, storer.Revision(hd.Epoch()), cd.region, allocator.BatchLanes),
-		events:     make(chan allocator.Event, eventQueueSize),
-		failures:   make(chan error, 1),
-		monitor:    newLoadMonitor(timekeeper.Now(), cd.logger),
+		Conductor:   cd,
+		heldDuty:    hd,
+		allocator:   allocator.New(timekeeper.Now(), cd.bounds),
+		distributor: distributor.New(),
+		committers:  archiver.NewCommitters(cd.store, cd.dutyKey, storer.Revision(hd.Epoch()), cd.region, allocator.BatchLanes),
+		conns:       map[assigner.KeeperID]*linker.Conn{},
+		joins:       make(chan keeperJoined),
+		frames:      make(chan keeperFrame, frameQueueSize),
+		ended:       ctx.Done(),
+		events:      make(chan allocator.Event, eventQueueSize),
+		failures:    make(chan error, 1),
+		monitor:     newLoadMonitor(timekeeper.Now(), cd.logger),
 	}
-	tm.dispatcher = dispatcher.New(cd.platform, cd.node, hd.Epoch(), func() bool { return hd.Check() == nil }, func(ev allocator.Event) { tm.enqueue(ctx, ev) }, cd.logger)
-	tm.dispatcher.Start(ctx)
+	tm.provisioner = provisioner.New(provisioner.Settings{
+		VMs:     cd.vms,
+		Adviser: cd.adviser,
+		Holder: adapter.Holder{
+			Name:         cd.node,
+			FencingToken: hd.Epoch(),
+		},
+		IsHeld: func() bool { return hd.Check() == nil },
+		Emit:   func(ev allocator.Event) { tm.enqueue(ctx, ev) },
+		Logger: cd.logger,
+	})
+	tm.provisioner.Start(ctx)
 	for lane := range tm.batches {
 		tm.batches[lane] = make(chan *allocator.Batch, 1)
 		go tm.storeBatches(ctx, lane)
 	}
 	go tm.load(ctx)
+	cd.current.Store(tm)
+	defer cd.current.Store(nil)
+	defer tm.closeConns()
 	return tm.run(ctx)
 }
 
@@ -168,6 +203,14 @@
 			if err := tm.apply(ev); err != nil {
 				return err
 			}
+		case kj := <-tm.joins:
+			if err := tm.addKeeper(ctx, kj); err != nil {
+				return err
+			}
+		case frame := <-tm.frames:
+			if err := tm.handleFrame(frame); err != nil {
+				return err
+			}
 		case rq := <-tm.requests:
 			rq.run(tm.allocator)
 			close(rq.done)
@@ -192,7 +235,10 @@
 		orders := tm.allocator.Plan(now, tm.wallClock())
 		tm.monitor.recordPlan(timekeeper.Now().Sub(now), orders)
 		tm.logFindings()
-		tm.dispatcher.Dispatch(ctx, now, orders)
+		tm.provisioner.Dispatch(orders)
+		if err := tm.distribute(now, orders); err != nil {
+			return err
+		}
 		tm.submitBatch(now)
 		if tm.monitor.isDue(now) {
 			tm.monitor.log(now, tm.allocator.Load(), len(tm.events))
@@ -200,20 +246,35 @@
 	}
 }
 
-// applyPending applies the queued events, so that a single plan covers them all.
+// applyPending applies the queued events and frames, so that a single plan covers
+// them all.
 func (tm *term) applyPending() error {
 	for {
+		var err error
 		select {
 		case ev := <-tm.events:
-			if err := tm.apply(ev); err != nil {
-				return err
-			}
+			err = tm.apply(ev)
+		case frame := <-tm.frames:
+			err = tm.handleFrame(frame)
 		default:
 			return nil
 		}
+		if err != nil {
+			return err
+		}
 	}
 }
 
+// applyAll applies events up to the first that ends the term.
+func (tm *term) applyAll(events []allocator.Event) error {
+	for _, ev := range events {
+		if err := tm.apply(ev); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (tm *term) apply(ev allocator.Event) error {
 	tm.allocator.Apply(timekeeper.Now(), ev)
 	if isFenced(ev) {
--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/platform/adapter"
 	"coltsfootwick.example/shared/jobs/allocator"
+	"coltsfootwick.example/shared/jobs/distributor"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/timekeeper"
 )
@@ -15,8 +15,7 @@
 // workerQueue holds the pending orders of one worker. Polls have a queue of
 // their own, so that they do not wait behind other orders.
 type workerQueue struct {
-	polls  chan allocator.PollOrder
-	orders chan timedOrder
+	polls, orders chan distributor.TimedOrder
 }
 
 // queueOf returns the queue of a worker. It creates the queue and starts its
@@ -27,8 +26,8 @@
 		return wq
 	}
 	wq = &workerQueue{
-		polls:  make(chan allocator.PollOrder, 1),
-		orders: make(chan timedOrder, orderQueueSize),
+		polls:  make(chan distributor.TimedOrder, 1),
+		orders: make(chan distributor.TimedOrder, orderQueueSize),
 	}
 	di.queues[id] = wq
 	go di.runPolls(ctx, wq)
@@ -38,39 +37,40 @@
 	return wq
 }
 
-// timedOrder is an order with the time of its decision.
-type timedOrder struct {
-	order     allocator.Order
-	decidedAt time.Time
-}
-
-func (di *Dispatcher) enqueue(ctx context.Context, now time.Time, id modeller.WorkerID, od allocator.Order) {
+func (di *Dispatcher) enqueue(ctx context.Context, id modeller.WorkerID, to distributor.TimedOrder) {
 	select {
-	case di.queueOf(ctx, id).orders <- timedOrder{order: od, decidedAt: now}:
+	case di.queueOf(ctx, id).orders <- to:
 	default:
 		di.logger.Error("order dropped: the worker's order queue is full", zap.String("worker", string(id)), zap.Int("waiting", orderQueueSize))
-		go di.emitNotSent(od)
+		di.emitNotSent(to.Order)
 	}
 }
 
+// isExpired reports whether the permission to send an order has run out.
+func isExpired(to distributor.TimedOrder) bool {
+	return !timekeeper.Now().Before(to.ValidUntil)
+}
+
 func (di *Dispatcher) runPolls(ctx context.Context, wq *workerQueue) {
 	for {
 		select {
-		case po := <-wq.polls:
-			di.poll(ctx, po)
+		case to := <-wq.polls:
+			if po, ok := to.Order.(allocator.PollOrder); ok {
+				di.poll(ctx, po, isExpired(to))
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (di *Dispatcher) poll(ctx context.Context, po allocator.PollOrder) {
-	if !di.isHeld() {
+func (di *Dispatcher) poll(ctx context.Context, po allocator.PollOrder, isExpired bool) {
+	if isExpired {
 		di.emitNotSent(po)
 		return
 	}
 	sentAt := timekeeper.Now()
-	report, err := di.platform.Workers.Poll(ctx, endpointOf(po.Worker), adapter.PollRequest{
+	report, err := di.workers.Poll(ctx, endpointOf(po.Worker), adapter.PollRequest{
 		FencingToken:        di.fencingToken,
 		LeaseEnd:            po.LeaseEnd,
 		LastAcknowledgedEnd: po.AcknowledgedEnds,
@@ -81,7 +81,7 @@
 		di.emit(allocator.PollFailed{
 			Worker:  po.Worker.ID,
 			SentAt:  sentAt,
-			Outcome: outcomeOf(err),
+			Outcome: OutcomeOf(err),
 		})
 		return
 	}
@@ -104,14 +104,14 @@
 	}
 }
 
-func (di *Dispatcher) execute(ctx context.Context, to timedOrder) {
-	if !di.isHeld() || timekeeper.Now().Sub(to.decidedAt) > maxOrderAge {
-		di.emitNotSent(to.order)
+func (di *Dispatcher) execute(ctx context.Context, to distributor.TimedOrder) {
+	if isExpired(to) {
+		di.emitNotSent(to.Order)
 		return
 	}
-	switch od := to.order.(type) {
+	switch od := to.Order.(type) {
 	case allocator.StartOrder:
-		clock, err := di.platform.Workers.Start(ctx, endpointOf(od.Worker), adapter.StartOrder{
+		clock, err := di.workers.Start(ctx, endpointOf(od.Worker), adapter.StartOrder{
 			Task:         od.Task,
 			Attempt:      od.Attempt,
 			Payload:      od.Payload,
@@ -125,11 +125,11 @@
 			Worker:  od.Worker.ID,
 			Task:    od.Task,
 			Attempt: od.Attempt,
-			Outcome: outcomeOf(err),
+			Outcome: OutcomeOf(err),
 			Clock:   clock,
 		})
 	case allocator.StopOrder:
-		err := di.platform.Workers.Stop(ctx, endpointOf(od.Worker), adapter.StopOrder{
+		err := di.workers.Stop(ctx, endpointOf(od.Worker), adapter.StopOrder{
 			Task:         od.Task,
 			Attempt:      od.Attempt,
 			FencingToken: di.fencingToken,
@@ -139,10 +139,10 @@
 			Worker:  od.Worker.ID,
 			Task:    od.Task,
 			Attempt: od.Attempt,
-			Outcome: outcomeOf(err),
+			Outcome: OutcomeOf(err),
 		})
 	case allocator.PaceOrder:
-		err := di.platform.Workers.Pace(ctx, endpointOf(od.Worker), adapter.PaceOrder{
+		err := di.workers.Pace(ctx, endpointOf(od.Worker), adapter.PaceOrder{
 			Task:         od.Task,
 			Attempt:      od.Attempt,
 			Percent:      od.Percent,
@@ -154,7 +154,7 @@
 			Task:    od.Task,
 			Attempt: od.Attempt,
 			Percent: od.Percent,
-			Outcome: outcomeOf(err),
+			Outcome: OutcomeOf(err),
 		})
 	}
 }
--- a/coltsfootwick-manager/internal/dispatcher/outcome.go
+++ b/coltsfootwick-manager/internal/dispatcher/outcome.go
@@ -6,8 +6,8 @@
 	"coltsfootwick.example/shared/process/timekeeper"
 )
 
-// outcomeOf returns the order outcome for an error's code.
-func outcomeOf(err error) allocator.Outcome {
+// OutcomeOf returns the order outcome for an error's code.
+func OutcomeOf(err error) allocator.Outcome {
 	switch classifier.CodeOf(err) {
 	case classifier.OK:
 		return allocator.Accepted
@@ -64,14 +64,7 @@
 		di.emit(allocator.PollFailed{
 			Worker:  od.Worker.ID,
 			SentAt:  timekeeper.Now(),
-			Outcome: allocator.NotSent,
-		})
-	case allocator.VMOrder:
-		di.emit(allocator.VMOrderResult{
-			Order:   od,
-			Outcome: allocator.NotSent,
+			Outcome: allocator.KeeperLost,
 		})
-	case allocator.ListVMsOrder:
-		di.emit(allocator.VMsListed{})
 	}
 }
--- a/coltsfootwick-manager/internal/peer/handler.go
+++ b/coltsfootwick-manager/internal/peer/handler.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"coltsfootwick.example/coltsfootwick-manager/internal/linker"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
 )
@@ -23,6 +24,8 @@
 	Announce(ctx context.Context, jr modeller.JobRecord) error
 	// Yield ends the term of a holder that has held the duty for some time.
 	Yield()
+	// ServeKeeper accepts the connection of a keeper.
+	ServeKeeper(rw http.ResponseWriter, rq *http.Request)
 }
 
 // NewHandler returns the handler of requests from other managers.
@@ -39,6 +42,7 @@
 	mux.HandleFunc("POST "+announcePath, func(rw http.ResponseWriter, rq *http.Request) {
 		writeResponse(rw, logger, handleAnnouncement(scheduler, rq), struct{}{})
 	})
+	mux.HandleFunc("GET "+linker.Path, scheduler.ServeKeeper)
 	mux.HandleFunc("POST "+yieldPath, func(rw http.ResponseWriter, _ *http.Request) {
 		scheduler.Yield()
 		rw.WriteHeader(http.StatusNoContent)
--- a/coltsfootwick-manager/internal/peer/locator.go
+++ b/coltsfootwick-manager/internal/peer/locator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,15 +28,20 @@
 	key    string
 	logger *zap.Logger
 	holder atomic.Pointer[netip.AddrPort]
+
+	mutex sync.Mutex
+	// changed is closed when the holder changes.
+	changed chan struct{}
 }
 
 // NewLocator returns a Locator that watches the duty with a key. The key's value
 // is the internal address of the holder.
 func NewLocator(store storer.Store, key string, logger *zap.Logger) *Locator {
 	return &Locator{
-		store:  store,
-		key:    key,
-		logger: logger,
+		store:   store,
+		key:     key,
+		logger:  logger,
+		changed: make(chan struct{}),
 	}
 }
 
@@ -52,17 +58,33 @@
 	}
 	if changed.Event.Deleted {
 		lo.logger.Info("scheduler's duty has no holder", zap.Uint64("revision", uint64(changed.Event.Entry.Revision)))
-		lo.holder.Store(nil)
+		lo.set(nil)
 		return
 	}
 	address, err := netip.ParseAddrPort(string(changed.Event.Entry.Value))
 	if err != nil {
 		lo.logger.Error("cannot parse the address of the holder of the scheduler's duty", zap.Error(err))
-		lo.holder.Store(nil)
+		lo.set(nil)
 		return
 	}
 	lo.logger.Info("scheduler's duty is held", zap.Stringer("holder", address), zap.Uint64("epoch", uint64(changed.Event.Entry.Revision)))
-	lo.holder.Store(&address)
+	lo.set(&address)
+}
+
+// set changes the holder.
+func (lo *Locator) set(holder *netip.AddrPort) {
+	lo.holder.Store(holder)
+	lo.mutex.Lock()
+	defer lo.mutex.Unlock()
+	close(lo.changed)
+	lo.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed when the holder changes.
+func (lo *Locator) Changed() <-chan struct{} {
+	lo.mutex.Lock()
+	defer lo.mutex.Unlock()
+	return lo.changed
 }
 
 // Holder returns the holder's address, or false if none is known.
--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -15,14 +15,15 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"coltsfootwick.example/coltsfootwick-manager/internal/attendant"
 	"coltsfootwick.example/coltsfootwick-manager/internal/conductor"
-	"coltsfootwick.example/coltsfootwick-manager/internal/dispatcher"
 	"coltsfootwick.example/coltsfootwick-manager/internal/elector"
 	"coltsfootwick.example/coltsfootwick-manager/internal/peer"
 	"coltsfootwick.example/coltsfootwick-manager/internal/router"
 	"coltsfootwick.example/coltsfootwick-manager/internal/submitter"
 	"coltsfootwick.example/platform/adapter"
 	"coltsfootwick.example/shared/jobs/allocator"
+	"coltsfootwick.example/shared/jobs/assigner"
 	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/shared/process/logger"
 	"coltsfootwick.example/shared/process/server"
@@ -105,6 +106,7 @@
 	elector        *elector.Elector
 	submitter      *submitter.Submitter
 	conductor      *conductor.Conductor
+	attendant      *attendant.Attendant
 	leaser         *leaser.Leaser
 	servers        []*server.Server
 	isShuttingDown atomic.Bool
@@ -129,8 +131,13 @@
 		storeHealth: health,
 		router:      router.New(store, log),
 		locator:     locator,
-		submitter:   submitter.New(store, client, locator, health, log),
-		leaser:      duty,
+		attendant: attendant.New(assigner.Keeper{
+			ID:       assigner.KeeperID(settings.Node),
+			Zone:     settings.Zone,
+			Capacity: float64(elector.NewCapacity(settings.Cores, settings.LinkMbps)),
+		}, locator, adapter.NewWorkers(), log),
+		submitter: submitter.New(store, client, locator, health, log),
+		leaser:    duty,
 		elector: elector.New(elector.Settings{
 			Store:      store,
 			Region:     settings.Region,
@@ -157,11 +164,8 @@
 				MaintenanceTime: settings.Bounds.MaintenanceTime,
 				VMOrderRate:     settings.Bounds.VMOrderRate,
 			},
-			Platform: dispatcher.Platform{
-				Workers: adapter.NewWorkers(),
-				VMs:     adapter.NewVMs(settings.VMs),
-				Adviser: adapter.NewAdviser(settings.Advice),
-			},
+			VMs:        adapter.NewVMs(settings.VMs),
+			Adviser:    adapter.NewAdviser(settings.Advice),
 			WaveStatus: waveStatus,
 			Logger:     log,
 		}),
@@ -225,7 +229,7 @@
 	// The duty is released as soon as a signal arrives; all other components
 	// continue while requests may still arrive.
 	dutyContext, releaseDuty := context.WithCancel(context.Background())
-	for _, actor := range []func(ctx context.Context) error{mg.router.Run, mg.locator.Run, mg.submitter.Run, mg.elector.Run} {
+	for _, actor := range []func(ctx context.Context) error{mg.router.Run, mg.locator.Run, mg.submitter.Run, mg.elector.Run, mg.attendant.Run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return actor(ctx) }, func(error) { cancel() })
 	}
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -232,6 +232,9 @@
 	Malformed
 	// Busy means that the state of the VM does not permit the order.
 	Busy
+	// KeeperLost means that the manager that was to send the poll was lost, which
+	// says nothing about the worker.
+	KeeperLost
 )
 
 // Apply applies an event to the state.
--- a/shared/jobs/allocator/order.go
+++ b/shared/jobs/allocator/order.go
@@ -59,8 +59,10 @@
 	// LeaseEnd is the end of the worker's lease by the worker's clock; zero
 	// leaves the lease unchanged.
 	LeaseEnd time.Duration
-	// AcknowledgedEnds is the number of the last end that is stored.
+	// AcknowledgedEnds is the number of the last end that is stored, and
+	// ProcessedEnds that of the last end that the report need not repeat.
 	AcknowledgedEnds int64
+	ProcessedEnds    int64
 	// Wait is how long the worker may delay its answer while no run ends.
 	Wait time.Duration
 }
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -58,7 +58,7 @@
 		reportedAttempts[reported.Task] = reported.Attempt
 		al.reconcileRun(now, wk, reported)
 	}
-	if len(ev.Report.Ended) >= modeller.EndsPerReport {
+	if ev.Report.HasMoreEnds {
 		return
 	}
 	isMissing := func(rn *run) bool {
@@ -245,6 +245,10 @@
 		return
 	}
 	wk.isPollInFlight = false
+	if ev.Outcome == KeeperLost {
+		wk.pollAt = now.Add(minPollInterval)
+		return
+	}
 	wk.failedPollAt = wk.polledAt
 	wk.isUnresponsive = true
 	wk.pollAt = now.Add(min(pollBackoff<<wk.failedPolls, maxPollBackoff))
@@ -369,7 +373,7 @@
 
 // String returns the outcome's name.
 func (oc Outcome) String() string {
-	names := [...]string{"accepted", "unanswered", "not sent", "fenced", "outdated", "late", "full", "bad ticket", "replaced", "unhealthy", "malformed", "busy"}
+	names := [...]string{"accepted", "unanswered", "not sent", "fenced", "outdated", "late", "full", "bad ticket", "replaced", "unhealthy", "malformed", "busy", "keeper lost"}
 	if int(oc) < len(names) {
 		return names[oc]
 	}
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -252,6 +252,7 @@
 		po := PollOrder{
 			Worker:           wk.info,
 			AcknowledgedEnds: wk.lastStoredEnd,
+			ProcessedEnds:    wk.lastProcessedEnd,
 		}
 		if wk.isSynced {
 			// A poll without an answer may still extend the lease, so the lease
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -210,6 +210,7 @@
 	Pool    string `json:"pool"`
 	Address string `json:"address"`
 	VM      string `json:"vm,omitempty"`
+	Zone    string `json:"zone,omitempty"`
 }
 
 // EncodeRoster returns the stored form of the workers that may have runs.
@@ -221,6 +222,7 @@
 			Pool:    wk.Pool,
 			Address: wk.Address.String(),
 			VM:      wk.VM,
+			Zone:    wk.Zone,
 		})
 	}
 	data, err := json.Marshal(records)
@@ -247,6 +249,7 @@
 			Pool:    rec.Pool,
 			Address: address,
 			VM:      rec.VM,
+			Zone:    rec.Zone,
 		})
 	}
 	return workers, nil
--- /dev/null
+++ b/shared/jobs/distributor/keeper.go
@@ -0,0 +1,279 @@
+package distributor
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"coltsfootwick.example/shared/jobs/allocator"
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+const (
+	// AskInterval is the interval at which a keeper asks for permission.
+	AskInterval = 250 * time.Millisecond
+	// OrderValidity is the time from an Ask to the end of the permission that
+	// answers it, and so the greatest age at which an order is sent.
+	OrderValidity = time.Second
+	// maxAsksInFlight bounds the asks that are remembered while none is answered.
+	maxAsksInFlight = 64
+)
+
+// Keeper is the keeper's end of a connection: it translates the scheduler's
+// messages into orders and the outcomes of these into messages.
+//
+// Orders and permissions arrive in the order in which they were sent, so an order
+// is younger than the Ask of the last permission before it. An order is valid for
+// OrderValidity from that Ask by the keeper's own clock, which goes on while the
+// keeper is suspended.
+type Keeper struct {
+	handles    map[modeller.WorkerID]Handle
+	workers    map[Handle]modeller.Worker
+	payloads   map[modeller.JobID]string
+	lastRuns   map[Handle][]modeller.Run
+	polls      map[modeller.WorkerID]Poll
+	askedAt    map[uint64]time.Time
+	lastAsk    uint64
+	validUntil time.Time
+}
+
+// NewKeeper returns the Keeper of a new connection.
+func NewKeeper() *Keeper {
+	return &Keeper{
+		handles:  map[modeller.WorkerID]Handle{},
+		workers:  map[Handle]modeller.Worker{},
+		payloads: map[modeller.JobID]string{},
+		lastRuns: map[Handle][]modeller.Run{},
+		polls:    map[modeller.WorkerID]Poll{},
+		askedAt:  map[uint64]time.Time{},
+	}
+}
+
+// TimedOrder is an order with the time until which it may be sent.
+type TimedOrder struct {
+	// Order is the order.
+	Order allocator.Order
+	// ValidUntil is the time, by the keeper's clock.
+	ValidUntil time.Time
+}
+
+// Ask returns a request for permission.
+func (kp *Keeper) Ask(now time.Time) Ask {
+	kp.lastAsk++
+	if len(kp.askedAt) >= maxAsksInFlight {
+		delete(kp.askedAt, kp.lastAsk-maxAsksInFlight)
+	}
+	kp.askedAt[kp.lastAsk] = now
+	return Ask{
+		Number: kp.lastAsk,
+	}
+}
+
+// Receive applies a message of the scheduler. It returns the order to be sent, if
+// the message is one. After an error the connection cannot be used any more.
+func (kp *Keeper) Receive(msg ToKeeper) (to TimedOrder, isOrder bool, err error) {
+	switch msg := msg.(type) {
+	case Permit:
+		kp.permit(msg)
+	case Attend:
+		kp.attend(msg)
+	case Leave:
+		delete(kp.handles, kp.workers[msg.Handle].ID)
+		delete(kp.workers, msg.Handle)
+		delete(kp.lastRuns, msg.Handle)
+	case Payload:
+		kp.payloads[msg.Job] = msg.Text
+	case Forget:
+		delete(kp.payloads, msg.Job)
+	default:
+		order, err := kp.order(msg)
+		if err != nil {
+			return TimedOrder{}, false, err
+		}
+		return TimedOrder{
+			Order:      order,
+			ValidUntil: kp.validUntil,
+		}, true, nil
+	}
+	return TimedOrder{}, false, nil
+}
+
+// permit extends the permission.
+func (kp *Keeper) permit(msg Permit) {
+	askedAt, ok := kp.askedAt[msg.Number]
+	if !ok {
+		return
+	}
+	for number := range kp.askedAt {
+		if number <= msg.Number {
+			delete(kp.askedAt, number)
+		}
+	}
+	kp.validUntil = askedAt.Add(OrderValidity)
+}
+
+func (kp *Keeper) attend(msg Attend) {
+	if old, ok := kp.workers[msg.Handle]; ok && old.ID != msg.Worker {
+		delete(kp.handles, old.ID)
+		delete(kp.lastRuns, msg.Handle)
+	}
+	kp.handles[msg.Worker] = msg.Handle
+	kp.workers[msg.Handle] = modeller.Worker{
+		ID:      msg.Worker,
+		Address: msg.Address,
+	}
+}
+
+// order translates an order.
+func (kp *Keeper) order(msg ToKeeper) (allocator.Order, error) {
+	switch msg := msg.(type) {
+	case Poll:
+		return kp.pollOrder(msg)
+	case Start:
+		return kp.startOrder(msg)
+	case Stop:
+		wk, err := kp.worker(msg.Handle)
+		return allocator.StopOrder{
+			Worker:  wk,
+			Task:    msg.Task,
+			Attempt: msg.Attempt,
+		}, err
+	case Pace:
+		wk, err := kp.worker(msg.Handle)
+		return allocator.PaceOrder{
+			Worker:  wk,
+			Task:    msg.Task,
+			Attempt: msg.Attempt,
+			Percent: msg.Percent,
+		}, err
+	}
+	return nil, errors.Errorf("message %T is not an order", msg)
+}
+
+// pollOrder translates a poll. A worker has one poll in flight, so that each
+// report is matched to its poll.
+func (kp *Keeper) pollOrder(msg Poll) (allocator.Order, error) {
+	wk, err := kp.worker(msg.Handle)
+	if err != nil {
+		return nil, err
+	}
+	if earlier, ok := kp.polls[wk.ID]; ok {
+		return nil, errors.Errorf("poll %d of worker %s while poll %d is in flight", msg.Number, wk.ID, earlier.Number)
+	}
+	kp.polls[wk.ID] = msg
+	return allocator.PollOrder{
+		Worker:           wk,
+		LeaseEnd:         msg.LeaseEnd,
+		AcknowledgedEnds: msg.AcknowledgedEnds,
+		ProcessedEnds:    msg.ProcessedEnds,
+		Wait:             msg.Wait,
+	}, nil
+}
+
+func (kp *Keeper) startOrder(msg Start) (allocator.Order, error) {
+	wk, err := kp.worker(msg.Handle)
+	if err != nil {
+		return nil, err
+	}
+	payload, ok := kp.payloads[msg.Task.Job]
+	if !ok {
+		return nil, errors.Errorf("start of task %s without the payload of its job", msg.Task)
+	}
+	return allocator.StartOrder{
+		Worker:         wk,
+		Task:           msg.Task,
+		Attempt:        msg.Attempt,
+		Payload:        payload,
+		Checkpoint:     msg.Checkpoint,
+		Ticket:         msg.Ticket,
+		LeaseEnd:       msg.LeaseEnd,
+		ReportAge:      msg.ReportAge,
+		FreeMilliCores: msg.FreeMilliCores,
+	}, nil
+}
+
+func (kp *Keeper) worker(handle Handle) (modeller.Worker, error) {
+	wk, ok := kp.workers[handle]
+	if !ok {
+		return modeller.Worker{}, errors.Errorf("order for handle %d, which has no worker", handle)
+	}
+	return wk, nil
+}
+
+// Answer returns the message with the outcome of an order, or false if the
+// scheduler no longer expects one for the worker.
+func (kp *Keeper) Answer(ev allocator.Event) (ToScheduler, bool) {
+	switch ev := ev.(type) {
+	case allocator.ReportReceived:
+		return kp.report(ev)
+	case allocator.PollFailed:
+		handle, ok := kp.handles[ev.Worker]
+		poll := kp.polls[ev.Worker]
+		delete(kp.polls, ev.Worker)
+		return PollFailure{
+			Handle:  handle,
+			Number:  poll.Number,
+			Outcome: ev.Outcome,
+		}, ok
+	case allocator.StartResult:
+		handle, ok := kp.handles[ev.Worker]
+		return StartAnswer{
+			Handle:  handle,
+			Task:    ev.Task,
+			Attempt: ev.Attempt,
+			Outcome: ev.Outcome,
+			Clock:   ev.Clock,
+		}, ok
+	case allocator.StopResult:
+		handle, ok := kp.handles[ev.Worker]
+		return StopAnswer{
+			Handle:  handle,
+			Task:    ev.Task,
+			Attempt: ev.Attempt,
+			Outcome: ev.Outcome,
+		}, ok
+	case allocator.PaceResult:
+		handle, ok := kp.handles[ev.Worker]
+		return PaceAnswer{
+			Handle:  handle,
+			Task:    ev.Task,
+			Attempt: ev.Attempt,
+			Percent: ev.Percent,
+			Outcome: ev.Outcome,
+		}, ok
+	}
+	return nil, false
+}
+
+// report returns a worker's report as changes since the last one.
+func (kp *Keeper) report(ev allocator.ReportReceived) (ToScheduler, bool) {
+	handle, ok := kp.handles[ev.Worker]
+	poll, isExpected := kp.polls[ev.Worker]
+	if !ok || !isExpected {
+		return nil, false
+	}
+	delete(kp.polls, ev.Worker)
+	if poll.IsFull {
+		delete(kp.lastRuns, handle)
+	}
+	rp := Report{
+		Handle:      handle,
+		Number:      poll.Number,
+		StartedAtMS: ev.Report.StartedAtMS,
+		Clock:       ev.Report.Clock,
+		HasMoreEnds: ev.Report.HasMoreEnds,
+	}
+	rp.Changes, rp.Added = compareRuns(kp.lastRuns[handle], ev.Report.Running)
+	present, err := applyChanges(kp.lastRuns[handle], rp.Changes, rp.Added)
+	if err != nil {
+		// The changes were made from the same runs.
+		return nil, false
+	}
+	kp.lastRuns[handle] = present
+	for _, end := range ev.Report.Ended {
+		if end.Number > poll.ProcessedEnds {
+			rp.Ended = append(rp.Ended, end)
+		}
+	}
+	return rp, true
+}
--- a/shared/jobs/modeller/worker.go
+++ b/shared/jobs/modeller/worker.go
@@ -94,6 +94,8 @@
 	Running []Run
 	// Ended are the unacknowledged ends, at most EndsPerReport.
 	Ended []End
+	// HasMoreEnds is true if there may be further unacknowledged ends.
+	HasMoreEnds bool
 }
 
 // EndsPerReport is the maximum number of ends in a report.
--- a/standin/internal/executor/executor.go
+++ b/standin/internal/executor/executor.go
@@ -214,6 +214,7 @@
 		StartedAtMS: ex.createdAtMS(),
 		Clock:       ex.Clock(now),
 		Ended:       slices.Clone(ex.unacknowledged[:min(len(ex.unacknowledged), modeller.EndsPerReport)]),
+		HasMoreEnds: len(ex.unacknowledged) >= modeller.EndsPerReport,
 	}
 	for _, name := range slices.SortedFunc(maps.Keys(ex.runs), modeller.TaskName.Compare) {
 		rn := ex.runs[name]
