Keep a job's payload apart from its record, and pack progress records

What callers saw: with keepers alone, the large deployment's holder still spent most of its link on payloads, once from the store and once to the keeper.

Cause: the record of a job included its payload, which the holder has no use for.

Change: the manager that accepts a job writes the payload under a key of its own, and the keeper of the worker reads it there; the holder sends it itself only within a fifth of its link's rate. Progress records have a binary format (shared/process/packer); records in the earlier one are still read.

--- a/coltsfootwick-manager/internal/attendant/attendant.go
+++ b/coltsfootwick-manager/internal/attendant/attendant.go
@@ -36,16 +36,32 @@
 	keeper  assigner.Keeper
 	locator Locator
 	workers *adapter.Workers
+	store   storer.Store
 	logger  *zap.Logger
 }
 
-// New returns the Attendant of a keeper.
-func New(kp assigner.Keeper, locator Locator, workers *adapter.Workers, logger *zap.Logger) *Attendant {
+// Settings holds the dependencies and parameters of an Attendant.
+type Settings struct {
+	// Keeper describes this manager.
+	Keeper assigner.Keeper
+	// Locator locates the holder of the scheduler's duty.
+	Locator Locator
+	// Workers is the client of the workers.
+	Workers *adapter.Workers
+	// Store is the platform's store.
+	Store storer.Store
+	// Logger logs each order.
+	Logger *zap.Logger
+}
+
+// New returns an Attendant.
+func New(st Settings) *Attendant {
 	return &Attendant{
-		keeper:  kp,
-		locator: locator,
-		workers: workers,
-		logger:  logger,
+		keeper:  st.Keeper,
+		locator: st.Locator,
+		workers: st.Workers,
+		store:   st.Store,
+		logger:  st.Logger,
 	}
 }
 
@@ -82,7 +98,7 @@
 	at.logger.Info("connected to the scheduler", zap.Stringer("holder", holder), zap.Uint64("epoch", epoch))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ss := newSession(conn)
+	ss := newSession(conn, at.store, at.logger)
 	ss.dispatcher = dispatcher.New(at.workers, epoch, ss.answer, at.logger)
 	ended := make(chan error, 1)
 	go func() { ended <- ss.receive(ctx) }()
--- a/coltsfootwick-manager/internal/attendant/session.go
+++ b/coltsfootwick-manager/internal/attendant/session.go
@@ -5,11 +5,15 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"coltsfootwick.example/coltsfootwick-manager/internal/dispatcher"
 	"coltsfootwick.example/coltsfootwick-manager/internal/linker"
 	"coltsfootwick.example/shared/jobs/allocator"
+	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/jobs/distributor"
 	"coltsfootwick.example/shared/process/timekeeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 const (
@@ -17,11 +21,15 @@
 	// acceptanceDelay how long acceptances do, which change little.
 	urgentDelay     = time.Millisecond
 	acceptanceDelay = 50 * time.Millisecond
+	// fetchTimeout bounds the time to read a payload, for which starts wait.
+	fetchTimeout = 400 * time.Millisecond
 )
 
 // session is the service of one connection to a holder.
 type session struct {
 	conn       *linker.Conn
+	store      storer.Store
+	logger     *zap.Logger
 	dispatcher *dispatcher.Dispatcher
 
 	mutex  sync.Mutex
@@ -34,9 +42,11 @@
 	wake, urgent chan struct{}
 }
 
-func newSession(conn *linker.Conn) *session {
+func newSession(conn *linker.Conn, store storer.Store, logger *zap.Logger) *session {
 	return &session{
 		conn:   conn,
+		store:  store,
+		logger: logger,
 		keeper: distributor.NewKeeper(),
 		wake:   make(chan struct{}, 1),
 		urgent: make(chan struct{}, 1),
@@ -56,18 +66,49 @@
 		}
 		for _, msg := range messages {
 			ss.mutex.Lock()
-			order, isOrder, err := ss.keeper.Receive(msg)
+			orders, answers, err := ss.keeper.Receive(msg)
+			ss.dispatch(ctx, orders)
+			ss.queueAll(answers)
 			ss.mutex.Unlock()
 			if err != nil {
 				return err
 			}
-			if isOrder {
-				ss.dispatcher.Dispatch(ctx, order)
+			if fetch, ok := msg.(distributor.Fetch); ok {
+				go ss.fetch(ctx, fetch)
 			}
 		}
 	}
 }
 
+// dispatch sends orders. The mutex has to be held.
+func (ss *session) dispatch(ctx context.Context, orders []distributor.TimedOrder) {
+	for _, to := range orders {
+		ss.dispatcher.Dispatch(ctx, to)
+	}
+}
+
+// fetch reads the payload of a job from the store.
+func (ss *session) fetch(ctx context.Context, fetch distributor.Fetch) {
+	limited, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	et, err := ss.store.Get(limited, archiver.PayloadKey(fetch.Queue, fetch.Job))
+	ss.mutex.Lock()
+	defer ss.mutex.Unlock()
+	if err == nil {
+		ss.dispatch(ctx, ss.keeper.Fetched(fetch.Job, string(et.Value)))
+		return
+	}
+	ss.logger.Info("cannot read the payload of a job", zap.String("job", string(fetch.Job)), zap.Error(err))
+	ss.queueAll(ss.keeper.Failed(fetch.Job))
+}
+
+// queueAll encodes urgent messages. The mutex has to be held.
+func (ss *session) queueAll(messages []distributor.ToScheduler) {
+	for _, msg := range messages {
+		ss.queue(msg, true)
+	}
+}
+
 // answer queues the outcome of an order.
 func (ss *session) answer(ev allocator.Event) {
 	ss.mutex.Lock()
--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,13 @@
 	storeRetryDelay = 50 * time.Millisecond
 )
 
+const (
+	// payloadShare is the share of the link that payloads may use.
+	payloadShare = 0.2
+	// bytesPerMegabit converts the bandwidth of a link.
+	bytesPerMegabit = 125_000
+)
+
 // errFenced ends a term whose orders are rejected because their fencing token
 // is stale.
 var errFenced = classifier.New(classifier.OrderFenced, "a worker or the VM interface has seen a newer fencing token")
@@ -59,9 +67,11 @@
 	region     string
 	node       string
 	bounds     allocator.Bounds
+	linkMbps   float64
 	vms        *adapter.VMs
 	adviser    *adapter.Adviser
 	waveStatus archiver.EncodeStatusFunc
+	links      []Link
 	logger     *zap.Logger
 	requests   chan request
 	yields     chan struct{}
@@ -91,16 +101,29 @@
 	Region, Node string
 	// Bounds are the durations that the allocator's decisions depend on.
 	Bounds allocator.Bounds
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, or zero if it
+	// is not known.
+	LinkMbps float64
 	// VMs is the client of the VM interface, and Adviser that of the advice
 	// service.
 	VMs     *adapter.VMs
 	Adviser *adapter.Adviser
 	// WaveStatus encodes the status records of waves for operators.
 	WaveStatus archiver.EncodeStatusFunc
+	// Links are the links whose traffic is logged.
+	Links []Link
 	// Logger logs each decision.
 	Logger *zap.Logger
 }
 
+// Link is a link whose traffic is logged.
+type Link struct {
+	// Name is the name of the dependency.
+	Name string
+	// Traffic returns the bytes sent and received so far.
+	Traffic func() (sent, received int64)
+}
+
 // New returns a Conductor.
 func New(st Settings) *Conductor {
 	return &Conductor{
@@ -109,9 +132,11 @@
 		region:     st.Region,
 		node:       st.Node,
 		bounds:     st.Bounds,
+		linkMbps:   st.LinkMbps,
 		vms:        st.VMs,
 		adviser:    st.Adviser,
 		waveStatus: st.WaveStatus,
+		links:      st.Links,
 		logger:     st.Logger,
 		requests:   make(chan request),
 		yields:     make(chan struct{}, 1),
@@ -127,9 +152,12 @@
 	distributor *distributor.Distributor
 	provisioner *provisioner.Provisioner
 	// conns are the connections of the keepers.
-	conns  map[assigner.KeeperID]*linker.Conn
-	joins  chan keeperJoined
-	frames chan keeperFrame
+	conns map[assigner.KeeperID]*linker.Conn
+	// closedSent and closedReceived are the traffic of keepers' connections that
+	// have ended.
+	closedSent, closedReceived int64
+	joins                      chan keeperJoined
+	frames                     chan keeperFrame
 	// ended is closed when the term is over.
 	ended       <-chan struct{}
 	committers  *archiver.Committers
@@ -149,7 +177,7 @@
 		Conductor:   cd,
 		heldDuty:    hd,
 		allocator:   allocator.New(timekeeper.Now(), cd.bounds),
-		distributor: distributor.New(),
+		distributor: distributor.New(distributor.WithPayloadRate(payloadShare * cd.linkMbps * bytesPerMegabit)),
 		committers:  archiver.NewCommitters(cd.store, cd.dutyKey, storer.Revision(hd.Epoch()), cd.region, allocator.BatchLanes),
 		conns:       map[assigner.KeeperID]*linker.Conn{},
 		joins:       make(chan keeperJoined),
@@ -157,8 +185,11 @@
 		ended:       ctx.Done(),
 		events:      make(chan allocator.Event, eventQueueSize),
 		failures:    make(chan error, 1),
-		monitor:     newLoadMonitor(timekeeper.Now(), cd.logger),
 	}
+	tm.monitor = newLoadMonitor(timekeeper.Now(), cd.logger, append(slices.Clone(cd.links), Link{
+		Name:    "keepers",
+		Traffic: tm.keeperTraffic,
+	}))
 	tm.provisioner = provisioner.New(provisioner.Settings{
 		VMs:     cd.vms,
 		Adviser: cd.adviser,
@@ -277,6 +308,11 @@
 
 func (tm *term) apply(ev allocator.Event) error {
 	tm.allocator.Apply(timekeeper.Now(), ev)
+	if stored, ok := ev.(allocator.BatchStored); ok {
+		for _, ended := range stored.Batch.Ended {
+			tm.distributor.Forget(ended.ID)
+		}
+	}
 	if isFenced(ev) {
 		return errFenced
 	}
--- a/coltsfootwick-manager/internal/conductor/keepers.go
+++ b/coltsfootwick-manager/internal/conductor/keepers.go
@@ -58,6 +58,7 @@
 func (tm *term) addKeeper(ctx context.Context, kj keeperJoined) error {
 	if old := tm.conns[kj.keeper.ID]; old != nil {
 		old.Close()
+		tm.countClosed(old)
 	}
 	tm.conns[kj.keeper.ID] = kj.conn
 	err := tm.applyAll(tm.distributor.Join(timekeeper.Now(), kj.keeper))
@@ -125,6 +126,7 @@
 	}
 	delete(tm.conns, id)
 	conn.Close()
+	tm.countClosed(conn)
 	tm.logger.Warn("keeper lost", zap.String("keeper", string(id)), zap.Int("keepers", len(tm.conns)), zap.Error(cause))
 }
 
@@ -157,6 +159,24 @@
 	return nil
 }
 
+// keeperTraffic returns the bytes sent to and received from keepers so far.
+func (tm *term) keeperTraffic() (sent, received int64) {
+	sent, received = tm.closedSent, tm.closedReceived
+	for _, conn := range tm.conns {
+		connSent, connReceived := conn.Bytes()
+		sent += connSent
+		received += connReceived
+	}
+	return sent, received
+}
+
+// countClosed keeps the traffic of a connection that has ended.
+func (tm *term) countClosed(conn *linker.Conn) {
+	sent, received := conn.Bytes()
+	tm.closedSent += sent
+	tm.closedReceived += received
+}
+
 // closeConns closes the connections of all keepers.
 func (tm *term) closeConns() {
 	for _, conn := range tm.conns {
--- a/coltsfootwick-manager/internal/conductor/monitor.go
+++ b/coltsfootwick-manager/internal/conductor/monitor.go
@@ -18,6 +18,10 @@
 type loadMonitor struct {
 	logger   *zap.Logger
 	loggedAt time.Time
+	// links are the links whose traffic is logged, and traffic their traffic at
+	// the last log line.
+	links   []Link
+	traffic []linkTraffic
 	// plans, planTime, starts and polls count since the last log line.
 	plans         int
 	planTime      time.Duration
@@ -27,11 +31,22 @@
 	slowestBatch atomic.Int64
 }
 
-func newLoadMonitor(now time.Time, logger *zap.Logger) *loadMonitor {
-	return &loadMonitor{
+// linkTraffic is the bytes sent and received on a link.
+type linkTraffic struct {
+	sent, received int64
+}
+
+func newLoadMonitor(now time.Time, logger *zap.Logger, links []Link) *loadMonitor {
+	lm := &loadMonitor{
 		logger:   logger,
 		loggedAt: now,
+		links:    links,
+	}
+	for _, li := range links {
+		sent, received := li.Traffic()
+		lm.traffic = append(lm.traffic, linkTraffic{sent: sent, received: received})
 	}
+	return lm
 }
 
 // recordPlan records the duration and the orders of a plan.
@@ -58,7 +73,7 @@
 
 // log logs the load and starts the next interval.
 func (lm *loadMonitor) log(now time.Time, ld allocator.Load, queuedEvents int) {
-	lm.logger.Info("scheduler load",
+	fields := []zap.Field{
 		zap.Duration("interval", now.Sub(lm.loggedAt)),
 		zap.Int("waitingJobs", ld.WaitingJobs),
 		zap.Int("changedJobs", ld.ChangedJobs),
@@ -70,7 +85,14 @@
 		zap.Duration("planTime", lm.planTime),
 		zap.Int("starts", lm.starts),
 		zap.Int("polls", lm.polls),
-		zap.Duration("slowestBatch", time.Duration(lm.slowestBatch.Swap(0))))
+		zap.Duration("slowestBatch", time.Duration(lm.slowestBatch.Swap(0))),
+	}
+	for idx, li := range lm.links {
+		sent, received := li.Traffic()
+		fields = append(fields, zap.Int64(li.Name+"SentBytes", sent-lm.traffic[idx].sent), zap.Int64(li.Name+"ReceivedBytes", received-lm.traffic[idx].received))
+		lm.traffic[idx] = linkTraffic{sent: sent, received: received}
+	}
+	lm.logger.Info("scheduler load", fields...)
 	lm.loggedAt = now
 	lm.plans, lm.planTime, lm.starts, lm.polls = 0, 0, 0, 0
 }
--- a/coltsfootwick-manager/internal/dispatcher/dispatcher.go
+++ b/coltsfootwick-manager/internal/dispatcher/dispatcher.go
@@ -50,7 +50,7 @@
 		case di.queueOf(ctx, od.Worker.ID).polls <- to:
 		default:
 			// The scheduler sends the next poll after the outcome of the last.
-			di.emitNotSent(od)
+			go di.emitNotSent(od)
 		}
 	case allocator.StartOrder:
 		di.enqueue(ctx, od.Worker.ID, to)
--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -42,7 +42,7 @@
 	case di.queueOf(ctx, id).orders <- to:
 	default:
 		di.logger.Error("order dropped: the worker's order queue is full", zap.String("worker", string(id)), zap.Int("waiting", orderQueueSize))
-		di.emitNotSent(to.Order)
+		go di.emitNotSent(to.Order)
 	}
 }
 
--- a/coltsfootwick-manager/internal/peer/client.go
+++ b/coltsfootwick-manager/internal/peer/client.go
@@ -16,6 +16,7 @@
 	"coltsfootwick.example/platform/adapter"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/packer"
 )
 
 const (
@@ -38,7 +39,7 @@
 func NewClient() *Client {
 	return &Client{
 		http: &http.Client{
-			Transport: adapter.NewTransport(connectionsPerPeer),
+			Transport: adapter.NewTransport(adapter.NewDialer(), connectionsPerPeer),
 		},
 	}
 }
@@ -68,10 +69,11 @@
 	return response.Pending, err
 }
 
-// Announce sends the record of a stored job to the holder, so that the holder
-// receives the job before its watch on the store delivers it.
-func (cl *Client) Announce(ctx context.Context, holder netip.AddrPort, record []byte) error {
-	_, err := cl.call(ctx, http.MethodPost, holder, announcePath, bytes.NewReader(record))
+// Announce sends the record and the payload of a stored job to the holder, so
+// that the holder receives the job before its watch on the store delivers it.
+func (cl *Client) Announce(ctx context.Context, holder netip.AddrPort, record []byte, payload string) error {
+	body := packer.AppendString(packer.AppendString(nil, payload), string(record))
+	_, err := cl.call(ctx, http.MethodPost, holder, announcePath, bytes.NewReader(body))
 	return err
 }
 
--- a/coltsfootwick-manager/internal/peer/handler.go
+++ b/coltsfootwick-manager/internal/peer/handler.go
@@ -11,6 +11,7 @@
 	"coltsfootwick.example/coltsfootwick-manager/internal/linker"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/packer"
 )
 
 // Scheduler is the scheduler that a handler serves to its peers. The error codes
@@ -56,10 +57,17 @@
 	if err != nil {
 		return classifier.Wrap(err, classifier.JobUnavailable, "announced job")
 	}
-	jr, err := modeller.DecodeJob(data)
+	rd := packer.NewReader(data)
+	payload, record := rd.String(), rd.String()
+	if err := rd.Err(); err != nil {
+		return classifier.Wrap(err, classifier.RecordInvalid, "announced job")
+	}
+	jr, err := modeller.DecodeJob([]byte(record))
 	if err != nil {
 		return err
 	}
+	jr.Job.Payload = payload
+	jr.HasPayload = true
 	return scheduler.Announce(rq.Context(), jr)
 }
 
--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -116,7 +116,8 @@
 	health := &storeHealth{
 		logger: log,
 	}
-	store := storer.ObserveTransactions(adapter.NewStore(settings.Store), health.observe)
+	storeDialer, vmDialer := adapter.NewDialer(), adapter.NewDialer()
+	store := storer.ObserveTransactions(adapter.NewStore(settings.Store, storeDialer), health.observe)
 	ttl := max(dutyTTL, settings.Bounds.MinLeaseTTL)
 	var mg *manager
 	duty := leaser.New(store, settings.Region, dutyName, settings.Internal.String(),
@@ -131,11 +132,17 @@
 		storeHealth: health,
 		router:      router.New(store, log),
 		locator:     locator,
-		attendant: attendant.New(assigner.Keeper{
-			ID:       assigner.KeeperID(settings.Node),
-			Zone:     settings.Zone,
-			Capacity: float64(elector.NewCapacity(settings.Cores, settings.LinkMbps)),
-		}, locator, adapter.NewWorkers(), log),
+		attendant: attendant.New(attendant.Settings{
+			Keeper: assigner.Keeper{
+				ID:       assigner.KeeperID(settings.Node),
+				Zone:     settings.Zone,
+				Capacity: float64(elector.NewCapacity(settings.Cores, settings.LinkMbps)),
+			},
+			Locator: locator,
+			Workers: adapter.NewWorkers(adapter.NewDialer()),
+			Store:   store,
+			Logger:  log,
+		}),
 		submitter: submitter.New(store, client, locator, health, log),
 		leaser:    duty,
 		elector: elector.New(elector.Settings{
@@ -164,10 +171,15 @@
 				MaintenanceTime: settings.Bounds.MaintenanceTime,
 				VMOrderRate:     settings.Bounds.VMOrderRate,
 			},
-			VMs:        adapter.NewVMs(settings.VMs),
-			Adviser:    adapter.NewAdviser(settings.Advice),
+			LinkMbps:   settings.LinkMbps,
+			VMs:        adapter.NewVMs(settings.VMs, vmDialer),
+			Adviser:    adapter.NewAdviser(settings.Advice, adapter.NewDialer()),
 			WaveStatus: waveStatus,
-			Logger:     log,
+			Links: []conductor.Link{
+				{Name: "store", Traffic: storeDialer.Traffic},
+				{Name: "vmInterface", Traffic: vmDialer.Traffic},
+			},
+			Logger: log,
 		}),
 	}
 	return mg, mg.listen()
--- a/coltsfootwick-manager/internal/submitter/submission.go
+++ b/coltsfootwick-manager/internal/submitter/submission.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/shared/store/storer"
@@ -67,6 +68,9 @@
 		tx.Writes = append(tx.Writes, storer.Write{
 			Key:   sub.key,
 			Value: sub.data,
+		}, storer.Write{
+			Key:   archiver.PayloadKey(sub.job.Queue, sub.job.ID),
+			Value: []byte(sub.job.Payload),
 		})
 	}
 	return tx
@@ -128,7 +132,7 @@
 		return
 	}
 	for _, sub := range batch {
-		if err := sm.scheduler.Announce(ctx, holder, sub.data); err != nil {
+		if err := sm.scheduler.Announce(ctx, holder, sub.data, sub.job.Payload); err != nil {
 			sm.logger.Debug("job not announced to the holder of the scheduler's duty", zap.String("job", string(sub.job.ID)), zap.Error(err))
 			return
 		}
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -19,8 +19,8 @@
 	// jobQueueSize is the capacity of the queue of jobs to be stored.
 	jobQueueSize = 256
 	// maxBatchJobs is the maximum number of jobs in a transaction; each job takes
-	// a condition and a write.
-	maxBatchJobs = storer.MaxTransactionEntries / 2
+	// a condition, and writes of its record and its payload.
+	maxBatchJobs = storer.MaxTransactionEntries / 3
 	// maxConcurrentCommits is the maximum number of batches being stored at once.
 	maxConcurrentCommits = 4
 	// retryDelay is the pause before a transaction with an unknown outcome, or a
@@ -36,8 +36,8 @@
 	State(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobState, error)
 	// Pending returns the number of a queue's jobs of which no task has started.
 	Pending(ctx context.Context, holder netip.AddrPort, queue string) (int, error)
-	// Announce sends the record of a stored job.
-	Announce(ctx context.Context, holder netip.AddrPort, record []byte) error
+	// Announce sends the record and the payload of a stored job.
+	Announce(ctx context.Context, holder netip.AddrPort, record []byte, payload string) error
 }
 
 // Locator locates the holder of the scheduler's duty.
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -21,8 +21,8 @@
 	// stored in one transaction.
 	maxBatchEntries = 28
 	// entriesPerEnd is the number of entries for the end of a job: its record
-	// and the removal of its progress and of its cancellation.
-	entriesPerEnd = 3
+	// and the removal of its progress, its payload and its cancellation.
+	entriesPerEnd = 4
 	// laneDelay is the age of the batches in flight at which another lane is
 	// used, so that a slow store doesn't hold up later changes. The store
 	// usually answers earlier, and then changes are combined.
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -21,6 +21,8 @@
 	// outcome is the final state, or empty while the job has not ended.
 	outcome    modeller.JobState
 	hasStarted bool
+	// hasPayload is true if info contains the payload.
+	hasPayload bool
 	// hasStoredProgress is true once a progress record is stored. This has to
 	// precede the first start, because a later holder starts a job without a
 	// progress record at once.
@@ -94,9 +96,14 @@
 		jb = &job{}
 		al.jobs[id] = jb
 	}
+	if jr.HasPayload && !jb.hasPayload {
+		jb.hasPayload = true
+		jb.info.Payload = jr.Job.Payload
+	}
 	if len(jb.info.Steps) > 0 {
 		return
 	}
+	jr.Job.Payload = jb.info.Payload
 	jb.info = jr.Job
 	jb.isInherited = jb.hasStoredProgress
 	if !jb.hasStoredProgress {
--- a/shared/jobs/allocator/order.go
+++ b/shared/jobs/allocator/order.go
@@ -18,8 +18,12 @@
 	// Task and Attempt identify the run.
 	Task    modeller.TaskName
 	Attempt int
-	// Payload is the job's payload.
-	Payload string
+	// Queue is the job's queue.
+	Queue string
+	// Payload is the job's payload if HasPayload is true. Otherwise it has to be
+	// read from the store.
+	Payload    string
+	HasPayload bool
 	// Checkpoint is the saved progress to resume from, or empty.
 	Checkpoint string
 	// Ticket is the advice service's ticket, or empty.
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -35,6 +35,11 @@
 	return JobKey(queue, id) + cancelSuffix
 }
 
+// PayloadKey returns the key of a job's payload.
+func PayloadKey(queue string, id modeller.JobID) string {
+	return storer.PayloadPrefix + queue + "/" + string(id)
+}
+
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(queue string, id modeller.JobID) string {
 	return storer.ProgressPrefix + queue + "/" + string(id)
@@ -98,11 +103,7 @@
 func batchParts(bt *allocator.Batch, region string, nowMS int64, status EncodeStatusFunc) ([]transactionPart, error) {
 	var parts []transactionPart
 	for _, pg := range bt.Progress {
-		value, err := modeller.EncodeProgress(pg)
-		if err != nil {
-			return nil, err
-		}
-		parts = append(parts, writePart(ProgressKey(pg.Queue, pg.ID), value))
+		parts = append(parts, writePart(ProgressKey(pg.Queue, pg.ID), modeller.EncodeProgress(pg)))
 	}
 	for _, ej := range bt.Ended {
 		part, err := jobEndPart(ej, nowMS)
@@ -152,7 +153,7 @@
 		return transactionPart{}, err
 	}
 	part := writePart(JobKey(ej.Queue, ej.ID), value)
-	part.removed = []string{ProgressKey(ej.Queue, ej.ID)}
+	part.removed = []string{ProgressKey(ej.Queue, ej.ID), PayloadKey(ej.Queue, ej.ID)}
 	if ej.State == modeller.JobCancelled {
 		part.removed = append(part.removed, CancelKey(ej.Queue, ej.ID))
 	}
--- a/shared/jobs/distributor/distributor.go
+++ b/shared/jobs/distributor/distributor.go
@@ -36,16 +36,24 @@
 	avoidanceInterval = 5 * time.Second
 	// tickInterval is the interval between searches for lost keepers.
 	tickInterval = 100 * time.Millisecond
-	// maxPayloads limits the payloads that a keeper holds.
-	maxPayloads = 2048
 )
 
+// Option is an option of New.
+type Option func(*Distributor)
+
+// WithPayloadRate limits the payloads that are sent to keepers to a number of
+// bytes per second. Beyond it, keepers read them from the store.
+func WithPayloadRate(bytesPerSecond float64) Option {
+	return func(di *Distributor) { di.payloads.bytesPerSecond = bytesPerSecond }
+}
+
 // Distributor is the scheduler's end of the connections to all keepers. It is
 // not safe for concurrent use.
 type Distributor struct {
 	assigner *assigner.Assigner
 	links    map[assigner.KeeperID]*link
 	workers  map[modeller.WorkerID]*workerState
+	payloads budget
 	tickedAt time.Time
 }
 
@@ -67,10 +75,11 @@
 	lastPoll uint64
 	// orders are the orders without an outcome, with the time of their sending.
 	orders map[orderKey]time.Time
-	// payloads are the jobs whose payloads the keeper holds, the oldest first.
-	payloads     map[modeller.JobID]struct{}
-	payloadQueue []modeller.JobID
-	outgoing     []ToKeeper
+	// payloads are the jobs whose payloads the keeper holds or reads, and missing
+	// those whose payloads it could not read. budget is that of all links.
+	payloads, missing map[modeller.JobID]struct{}
+	budget            *budget
+	outgoing          []ToKeeper
 }
 
 // attendedWorker is a worker as the keeper knows it.
@@ -110,12 +119,16 @@
 }
 
 // New returns a Distributor without keepers.
-func New() *Distributor {
-	return &Distributor{
+func New(opts ...Option) *Distributor {
+	di := &Distributor{
 		assigner: assigner.New(),
 		links:    map[assigner.KeeperID]*link{},
 		workers:  map[modeller.WorkerID]*workerState{},
 	}
+	for _, opt := range opts {
+		opt(di)
+	}
+	return di
 }
 
 // Join adds the keeper of a new connection. If the keeper had another connection,
@@ -129,6 +142,8 @@
 		attended: map[Handle]*attendedWorker{},
 		orders:   map[orderKey]time.Time{},
 		payloads: map[modeller.JobID]struct{}{},
+		missing:  map[modeller.JobID]struct{}{},
+		budget:   &di.payloads,
 	}
 	di.assigner.AddKeeper(kp)
 	return events
@@ -248,6 +263,10 @@
 			li.outgoing = append(li.outgoing, Permit(msg))
 		}
 		return nil, nil
+	case Missing:
+		delete(li.payloads, msg.Job)
+		li.missing[msg.Job] = struct{}{}
+		return nil, nil
 	case Report:
 		return di.report(now, li, msg)
 	case PollFailure:
@@ -388,6 +407,13 @@
 	}
 }
 
+// Forget lets the keepers discard the payload of a job that has ended.
+func (di *Distributor) Forget(job modeller.JobID) {
+	for _, li := range di.links {
+		li.forget(job)
+	}
+}
+
 // Outgoing returns the messages to be sent to each keeper since the last call, in
 // their order.
 func (di *Distributor) Outgoing() map[assigner.KeeperID][]ToKeeper {
--- a/shared/jobs/distributor/keeper.go
+++ b/shared/jobs/distributor/keeper.go
@@ -29,7 +29,7 @@
 type Keeper struct {
 	handles    map[modeller.WorkerID]Handle
 	workers    map[Handle]modeller.Worker
-	payloads   map[modeller.JobID]string
+	payloads   map[modeller.JobID]*payload
 	lastRuns   map[Handle][]modeller.Run
 	polls      map[modeller.WorkerID]Poll
 	askedAt    map[uint64]time.Time
@@ -42,13 +42,21 @@
 	return &Keeper{
 		handles:  map[modeller.WorkerID]Handle{},
 		workers:  map[Handle]modeller.Worker{},
-		payloads: map[modeller.JobID]string{},
+		payloads: map[modeller.JobID]*payload{},
 		lastRuns: map[Handle][]modeller.Run{},
 		polls:    map[modeller.WorkerID]Poll{},
 		askedAt:  map[uint64]time.Time{},
 	}
 }
 
+// payload is the payload of a job. While it is being read from the store, the
+// starts of the job wait.
+type payload struct {
+	text    string
+	isKnown bool
+	waiting []TimedOrder
+}
+
 // TimedOrder is an order with the time until which it may be sent.
 type TimedOrder struct {
 	// Order is the order.
@@ -69,33 +77,114 @@
 	}
 }
 
-// Receive applies a message of the scheduler. It returns the order to be sent, if
-// the message is one. After an error the connection cannot be used any more.
-func (kp *Keeper) Receive(msg ToKeeper) (to TimedOrder, isOrder bool, err error) {
+// Receive applies a message of the scheduler. It returns the orders that can be
+// sent and the answers for the scheduler. After a Fetch, Fetched or Failed has to
+// be called. After an error the connection cannot be used any more.
+func (kp *Keeper) Receive(msg ToKeeper) (orders []TimedOrder, answers []ToScheduler, err error) {
 	switch msg := msg.(type) {
 	case Permit:
 		kp.permit(msg)
 	case Attend:
 		kp.attend(msg)
 	case Leave:
-		delete(kp.handles, kp.workers[msg.Handle].ID)
-		delete(kp.workers, msg.Handle)
-		delete(kp.lastRuns, msg.Handle)
+		kp.leave(msg.Handle)
 	case Payload:
-		kp.payloads[msg.Job] = msg.Text
+		kp.payload(msg.Job)
+		orders = kp.Fetched(msg.Job, msg.Text)
+	case Fetch:
+		kp.payload(msg.Job)
 	case Forget:
-		delete(kp.payloads, msg.Job)
+		answers = kp.discard(msg.Job)
 	default:
-		order, err := kp.order(msg)
-		if err != nil {
-			return TimedOrder{}, false, err
+		orders, err = kp.receiveOrder(msg)
+	}
+	return orders, answers, err
+}
+
+// receiveOrder returns an order, unless it waits for a payload.
+func (kp *Keeper) receiveOrder(msg ToKeeper) ([]TimedOrder, error) {
+	order, err := kp.order(msg)
+	if err != nil {
+		return nil, err
+	}
+	to := TimedOrder{
+		Order:      order,
+		ValidUntil: kp.validUntil,
+	}
+	if start, isStart := order.(allocator.StartOrder); isStart && !start.HasPayload {
+		pl := kp.payload(start.Task.Job)
+		pl.waiting = append(pl.waiting, to)
+		return nil, nil
+	}
+	return []TimedOrder{to}, nil
+}
+
+// payload returns the state of a job's payload.
+func (kp *Keeper) payload(job modeller.JobID) *payload {
+	pl := kp.payloads[job]
+	if pl == nil {
+		pl = &payload{}
+		kp.payloads[job] = pl
+	}
+	return pl
+}
+
+// Fetched records the payload of a job, and returns the starts that have waited
+// for it. It has no effect if the payload is no longer needed.
+func (kp *Keeper) Fetched(job modeller.JobID, text string) []TimedOrder {
+	pl := kp.payloads[job]
+	if pl == nil {
+		return nil
+	}
+	pl.text = text
+	pl.isKnown = true
+	waiting := pl.waiting
+	pl.waiting = nil
+	for idx := range waiting {
+		if start, ok := waiting[idx].Order.(allocator.StartOrder); ok {
+			start.Payload = text
+			start.HasPayload = true
+			waiting[idx].Order = start
+		}
+	}
+	return waiting
+}
+
+// Failed discards a payload that cannot be read, and returns the answers for the
+// scheduler.
+func (kp *Keeper) Failed(job modeller.JobID) []ToScheduler {
+	if kp.payloads[job] == nil {
+		return nil
+	}
+	return append([]ToScheduler{Missing{
+		Job: job,
+	}}, kp.discard(job)...)
+}
+
+// discard discards a payload. The starts that have waited for it are not sent.
+func (kp *Keeper) discard(job modeller.JobID) []ToScheduler {
+	pl := kp.payloads[job]
+	if pl == nil {
+		return nil
+	}
+	delete(kp.payloads, job)
+	var answers []ToScheduler
+	for _, to := range pl.waiting {
+		start, ok := to.Order.(allocator.StartOrder)
+		if !ok {
+			continue
+		}
+		answer, ok := kp.Answer(allocator.StartResult{
+			Worker:  start.Worker.ID,
+			Task:    start.Task,
+			Attempt: start.Attempt,
+			Outcome: allocator.NotSent,
+		})
+		if ok {
+			answers = append(answers, answer)
 		}
-		return TimedOrder{
-			Order:      order,
-			ValidUntil: kp.validUntil,
-		}, true, nil
 	}
-	return TimedOrder{}, false, nil
+	return answers
 }
 
 // permit extends the permission.
@@ -112,6 +201,12 @@
 	kp.validUntil = askedAt.Add(OrderValidity)
 }
 
+func (kp *Keeper) leave(handle Handle) {
+	delete(kp.handles, kp.workers[handle].ID)
+	delete(kp.workers, handle)
+	delete(kp.lastRuns, handle)
+}
+
 func (kp *Keeper) attend(msg Attend) {
 	if old, ok := kp.workers[msg.Handle]; ok && old.ID != msg.Worker {
 		delete(kp.handles, old.ID)
@@ -175,15 +270,16 @@
 	if err != nil {
 		return nil, err
 	}
-	payload, ok := kp.payloads[msg.Task.Job]
-	if !ok {
+	pl := kp.payloads[msg.Task.Job]
+	if pl == nil {
 		return nil, errors.Errorf("start of task %s without the payload of its job", msg.Task)
 	}
 	return allocator.StartOrder{
 		Worker:         wk,
 		Task:           msg.Task,
 		Attempt:        msg.Attempt,
-		Payload:        payload,
+		Payload:        pl.text,
+		HasPayload:     pl.isKnown,
 		Checkpoint:     msg.Checkpoint,
 		Ticket:         msg.Ticket,
 		LeaseEnd:       msg.LeaseEnd,
--- a/shared/jobs/distributor/link.go
+++ b/shared/jobs/distributor/link.go
@@ -17,7 +17,7 @@
 	case allocator.PollOrder:
 		li.sendPoll(now, handle, od)
 	case allocator.StartOrder:
-		li.sendPayload(od.Task.Job, od.Payload)
+		li.sendPayload(now, od)
 		li.orders[startKey(od)] = now
 		li.outgoing = append(li.outgoing, Start{
 			Handle:         handle,
@@ -88,24 +88,39 @@
 	})
 }
 
-// sendPayload sends the payload of a job, unless the keeper holds it.
-func (li *link) sendPayload(job modeller.JobID, payload string) {
+// sendPayload makes the payload of a job known to the keeper, unless it is: it
+// sends the payload if that is known and the rate permits, and otherwise lets the
+// keeper read it from the store.
+func (li *link) sendPayload(now time.Time, od allocator.StartOrder) {
+	job := od.Task.Job
 	if _, ok := li.payloads[job]; ok {
 		return
 	}
-	if len(li.payloadQueue) >= maxPayloads {
-		oldest := li.payloadQueue[0]
-		li.payloadQueue = li.payloadQueue[1:]
-		delete(li.payloads, oldest)
-		li.outgoing = append(li.outgoing, Forget{
-			Job: oldest,
+	li.payloads[job] = struct{}{}
+	_, isMissing := li.missing[job]
+	if od.HasPayload && (li.budget.take(now, len(od.Payload)) || isMissing) {
+		delete(li.missing, job)
+		li.outgoing = append(li.outgoing, Payload{
+			Job:  job,
+			Text: od.Payload,
 		})
+		return
 	}
-	li.payloads[job] = struct{}{}
-	li.payloadQueue = append(li.payloadQueue, job)
-	li.outgoing = append(li.outgoing, Payload{
-		Job:  job,
-		Text: payload,
+	li.outgoing = append(li.outgoing, Fetch{
+		Job:   job,
+		Queue: od.Queue,
+	})
+}
+
+// forget lets the keeper discard the payload of a job that has ended.
+func (li *link) forget(job modeller.JobID) {
+	delete(li.missing, job)
+	if _, ok := li.payloads[job]; !ok {
+		return
+	}
+	delete(li.payloads, job)
+	li.outgoing = append(li.outgoing, Forget{
+		Job: job,
 	})
 }
 
--- a/shared/jobs/distributor/message.go
+++ b/shared/jobs/distributor/message.go
@@ -37,14 +37,21 @@
 	Handle Handle
 }
 
-// Payload carries the payload of a job, which precedes the first Start of the
-// job on the connection.
+// Payload carries the payload of a job. It or a Fetch precedes the first Start of
+// the job on the connection.
 type Payload struct {
 	// Job is the job, and Text its payload.
 	Job  modeller.JobID
 	Text string
 }
 
+// Fetch tells the keeper to read the payload of a job from the store.
+type Fetch struct {
+	// Job and Queue identify the job.
+	Job   modeller.JobID
+	Queue string
+}
+
 // Forget lets the keeper discard the payload of a job.
 type Forget struct {
 	// Job is the job.
@@ -102,6 +109,7 @@
 func (Attend) toKeeper()  {}
 func (Leave) toKeeper()   {}
 func (Payload) toKeeper() {}
+func (Fetch) toKeeper()   {}
 func (Forget) toKeeper()  {}
 func (Poll) toKeeper()    {}
 func (Start) toKeeper()   {}
@@ -186,7 +194,14 @@
 	Outcome allocator.Outcome
 }
 
+// Missing reports that the keeper cannot read the payload of a job.
+type Missing struct {
+	// Job is the job.
+	Job modeller.JobID
+}
+
 func (Ask) toScheduler()         {}
+func (Missing) toScheduler()     {}
 func (Report) toScheduler()      {}
 func (PollFailure) toScheduler() {}
 func (StartAnswer) toScheduler() {}
--- a/shared/jobs/modeller/progress.go
+++ b/shared/jobs/modeller/progress.go
@@ -25,12 +25,15 @@
 	Checkpoint string
 }
 
-// JobRecord is the stored record of a job. It holds the job until this has
-// ended, and then only its final state.
+// JobRecord is the stored record of a job. It holds the job, without its payload,
+// until this has ended, and then only its final state.
 type JobRecord struct {
 	// Job is the job as submitted. Once it has ended, only its ID and queue are
 	// kept.
 	Job Job
+	// HasPayload is true if the job's payload is known. It is stored apart from
+	// the record.
+	HasPayload bool
 	// FinalState is the final state, or empty while the job has not ended.
 	FinalState JobState
 	// EndedAtMS is the Unix millisecond at which the job ended.
--- /dev/null
+++ b/shared/jobs/modeller/progress_codec_test.go
@@ -0,0 +1,86 @@
+package modeller
+
+import (
+	"encoding/hex"
+	"reflect"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"coltsfootwick.example/shared/process/classifier"
+)
+
+// progressOfTwoSteps is the progress of a job with a step of three tasks, of which
+// two are done, and a checkpointed task of a later step that has failed.
+var progressOfTwoSteps = Progress{
+	ID:    "5c0e7a21d94b36f8",
+	Queue: "q",
+	Tasks: []TaskProgress{
+		{IsDone: true, Attempt: 1},
+		{Index: 1, IsDone: true, Attempt: 1},
+		{Index: 2, Attempt: 1},
+		{Occurrence: 1, Step: 2, Index: 7, Attempt: 3, FailedAttempts: []int{1, 2}, Checkpoint: "c1"},
+	},
+}
+
+func TestProgressFormatStays(t *testing.T) {
+	const golden = "02" + "10" + "35633065376132316439346233366638" + "01" + "71" + "04" +
+		"01" + "000000" + "01" + // done, first task
+		"09" + "01" + // done, next task
+		"08" + "01" + // next task
+		"06" + "010207" + "03" + "02" + "0102" + "02" + "6331" // failed, with a checkpoint
+	must.Eq(t, golden, hex.EncodeToString(EncodeProgress(progressOfTwoSteps)))
+}
+
+func TestProgressRoundTrip(t *testing.T) {
+	for _, pg := range []Progress{{}, {ID: "j", Queue: "q"}, progressOfTwoSteps} {
+		decoded, err := DecodeProgress(EncodeProgress(pg))
+		must.NoError(t, err)
+		must.Eq(t, pg, decoded)
+	}
+}
+
+func TestProgressOfEarlierVersionIsDecoded(t *testing.T) {
+	const stored = `{"id":"5c0e7a21d94b36f8","queue":"q","tasks":[{"done":true,"attempt":1},{"i":1,"done":true,"attempt":1},{"i":2,"attempt":1},` +
+		`{"k":1,"s":2,"i":7,"attempt":3,"failed":[1,2],"checkpoint":"c1"}]}`
+	decoded, err := DecodeProgress([]byte(stored))
+	must.NoError(t, err)
+	must.Eq(t, progressOfTwoSteps, decoded)
+}
+
+func FuzzDecodeProgress(f *testing.F) {
+	f.Add(EncodeProgress(progressOfTwoSteps))
+	f.Add([]byte(`{"id":"j"}`))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		pg, err := DecodeProgress(data)
+		if err != nil {
+			must.Eq(t, classifier.RecordInvalid, classifier.CodeOf(err))
+			return
+		}
+		again, err := DecodeProgress(EncodeProgress(pg))
+		must.NoError(t, err)
+		if len(pg.Tasks) == 0 {
+			pg.Tasks, again.Tasks = nil, nil
+		}
+		if !reflect.DeepEqual(pg, again) && !hasNegativeNumber(pg) {
+			t.Errorf("decoded %+v, and after encoding %+v", pg, again)
+		}
+	})
+}
+
+// hasNegativeNumber reports whether a record of an earlier version has a number
+// that no scheduler writes.
+func hasNegativeNumber(pg Progress) bool {
+	for _, tp := range pg.Tasks {
+		if tp.Occurrence < 0 || tp.Step < 0 || tp.Index < 0 || tp.Attempt < 0 {
+			return true
+		}
+		for _, attempt := range tp.FailedAttempts {
+			if attempt < 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/shared/store/storer/store.go
+++ b/shared/store/storer/store.go
@@ -102,6 +102,8 @@
 	// JobPrefix holds the jobs by queue and ID. A further key below a job's key
 	// requests its cancellation.
 	JobPrefix = "jobs/"
+	// PayloadPrefix holds the payloads of live jobs by queue and ID.
+	PayloadPrefix = "payloads/"
 	// ProgressPrefix holds the progress of live jobs by queue and ID.
 	ProgressPrefix = "progress/"
 	// SchedulerPrefix holds the state that a scheduler passes to its successor.
