Emulate keepers; answer a start without its payload as not sent

The emulator's managers are keepers, and its messages go through the codec; new faults: a slow store, a manager that crashes, freezes or is cut off.

--- a/shared/jobs/distributor/codec.go
+++ b/shared/jobs/distributor/codec.go
@@ -64,7 +64,7 @@
 	case Attend:
 		frame = packer.AppendUint(append(frame, byte(typeAttend)), uint64(msg.Handle))
 		frame = packer.AppendString(frame, string(msg.Worker))
-		frame = packer.AppendString(frame, msg.Address.String())
+		frame = appendAddress(frame, msg.Address)
 	case Leave:
 		frame = packer.AppendUint(append(frame, byte(typeLeave)), uint64(msg.Handle))
 	case Payload:
@@ -186,6 +186,16 @@
 	return frame
 }
 
+// appendAddress appends an address. An invalid one is sent like any other: it
+// concerns only the worker.
+func appendAddress(frame []byte, address netip.AddrPort) []byte {
+	data, err := address.MarshalBinary()
+	if err != nil {
+		data = nil
+	}
+	return packer.AppendString(frame, string(data))
+}
+
 // appendJobID appends an ID of sixteen lower-case hexadecimal digits as eight
 // bytes, and any other as text.
 func appendJobID(frame []byte, id modeller.JobID) []byte {
@@ -415,13 +425,12 @@
 func (rd *reader) outcome() allocator.Outcome { return allocator.Outcome(rd.Byte()) }
 
 func (rd *reader) address() netip.AddrPort {
-	text := rd.String()
-	if rd.Err() != nil {
-		return netip.AddrPort{}
-	}
-	address, err := netip.ParseAddrPort(text)
-	if err != nil {
-		rd.Fail("invalid address %q", text)
+	data := rd.String()
+	var address netip.AddrPort
+	if rd.Err() == nil && data != "" {
+		if err := address.UnmarshalBinary([]byte(data)); err != nil {
+			rd.Fail("invalid address %x: %s", data, err)
+		}
 	}
 	return address
 }
--- a/shared/jobs/distributor/keeper.go
+++ b/shared/jobs/distributor/keeper.go
@@ -96,27 +96,32 @@
 	case Forget:
 		answers = kp.discard(msg.Job)
 	default:
-		orders, err = kp.receiveOrder(msg)
+		orders, answers, err = kp.receiveOrder(msg)
 	}
 	return orders, answers, err
 }
 
-// receiveOrder returns an order, unless it waits for a payload.
-func (kp *Keeper) receiveOrder(msg ToKeeper) ([]TimedOrder, error) {
+// receiveOrder returns an order, unless it waits for a payload. A start whose
+// payload could not be read is not sent; the scheduler will know when it receives
+// the Missing.
+func (kp *Keeper) receiveOrder(msg ToKeeper) ([]TimedOrder, []ToScheduler, error) {
 	order, err := kp.order(msg)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	to := TimedOrder{
 		Order:      order,
 		ValidUntil: kp.validUntil,
 	}
-	if start, isStart := order.(allocator.StartOrder); isStart && !start.HasPayload {
-		pl := kp.payload(start.Task.Job)
+	start, isStart := order.(allocator.StartOrder)
+	if !isStart || start.HasPayload {
+		return []TimedOrder{to}, nil, nil
+	}
+	if pl := kp.payloads[start.Task.Job]; pl != nil {
 		pl.waiting = append(pl.waiting, to)
-		return nil, nil
+		return nil, nil, nil
 	}
-	return []TimedOrder{to}, nil
+	return nil, kp.notSent(start), nil
 }
 
 // payload returns the state of a job's payload.
@@ -170,23 +175,27 @@
 	delete(kp.payloads, job)
 	var answers []ToScheduler
 	for _, to := range pl.waiting {
-		start, ok := to.Order.(allocator.StartOrder)
-		if !ok {
-			continue
-		}
-		answer, ok := kp.Answer(allocator.StartResult{
-			Worker:  start.Worker.ID,
-			Task:    start.Task,
-			Attempt: start.Attempt,
-			Outcome: allocator.NotSent,
-		})
-		if ok {
-			answers = append(answers, answer)
+		if start, ok := to.Order.(allocator.StartOrder); ok {
+			answers = append(answers, kp.notSent(start)...)
 		}
 	}
 	return answers
 }
 
+// notSent returns the answer for a start that is not sent.
+func (kp *Keeper) notSent(start allocator.StartOrder) []ToScheduler {
+	answer, ok := kp.Answer(allocator.StartResult{
+		Worker:  start.Worker.ID,
+		Task:    start.Task,
+		Attempt: start.Attempt,
+		Outcome: allocator.NotSent,
+	})
+	if !ok {
+		return nil
+	}
+	return []ToScheduler{answer}
+}
+
 // permit extends the permission.
 func (kp *Keeper) permit(msg Permit) {
 	askedAt, ok := kp.askedAt[msg.Number]
@@ -203,6 +212,7 @@
 
 func (kp *Keeper) leave(handle Handle) {
 	delete(kp.handles, kp.workers[handle].ID)
+	delete(kp.polls, kp.workers[handle].ID)
 	delete(kp.workers, handle)
 	delete(kp.lastRuns, handle)
 }
@@ -270,16 +280,18 @@
 	if err != nil {
 		return nil, err
 	}
+	var text string
 	pl := kp.payloads[msg.Task.Job]
-	if pl == nil {
-		return nil, errors.Errorf("start of task %s without the payload of its job", msg.Task)
+	isKnown := pl != nil && pl.isKnown
+	if isKnown {
+		text = pl.text
 	}
 	return allocator.StartOrder{
 		Worker:         wk,
 		Task:           msg.Task,
 		Attempt:        msg.Attempt,
-		Payload:        pl.text,
-		HasPayload:     pl.isKnown,
+		Payload:        text,
+		HasPayload:     isKnown,
 		Checkpoint:     msg.Checkpoint,
 		Ticket:         msg.Ticket,
 		LeaseEnd:       msg.LeaseEnd,
--- a/standin/internal/emulator/caller.go
+++ b/standin/internal/emulator/caller.go
@@ -36,7 +36,9 @@
 	sm.jobs[sj.job.ID] = sj
 	sm.counts.Jobs++
 	sm.store.jobs[sj.job.ID] = modeller.JobRecord{Job: sj.job}
-	sm.notifyHolders(allocator.JobRecorded{Record: modeller.JobRecord{Job: sj.job}})
+	announced := sj.job
+	announced.Payload = string(sj.job.ID)
+	sm.notifyHolders(allocator.JobRecorded{Record: modeller.JobRecord{Job: announced, HasPayload: sm.random.IntN(2) == 0}})
 }
 
 func (sm *Simulation) cancelRandomJob() {
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"coltsfootwick.example/shared/jobs/allocator"
+	"coltsfootwick.example/shared/jobs/assigner"
+	"coltsfootwick.example/shared/jobs/distributor"
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
@@ -75,17 +77,19 @@
 	nextID      int
 	// nextElectionAt is when the next holder is elected; zero if no election is due.
 	nextElectionAt time.Time
-	// nextPartition holds the nodes that the next holder can't reach, each
-	// with the time at which its partition heals.
-	nextPartition map[*node]time.Time
-	wave          *modeller.Wave
-	violations    []string
-	completions   map[modeller.TaskName][]*completion
-	starts        map[modeller.TaskName][]time.Time
-	failures      map[modeller.TaskName]int
-	longRunning   map[modeller.TaskName]*longRunningTask
-	checkedAt     time.Time
-	counts        Counts
+	managers       []*manager
+	// partitionedUntil is the time until which the two sides of a partition can't
+	// reach each other, and side that of the next holder.
+	partitionedUntil time.Time
+	side             int
+	wave             *modeller.Wave
+	violations       []string
+	completions      map[modeller.TaskName][]*completion
+	starts           map[modeller.TaskName][]time.Time
+	failures         map[modeller.TaskName]int
+	longRunning      map[modeller.TaskName]*longRunningTask
+	checkedAt        time.Time
+	counts           Counts
 	// trace, if set, receives a line for each fault and each log entry of a holder.
 	trace func(line string)
 }
@@ -128,18 +132,23 @@
 	skew time.Duration
 	// missesEvents is true if the holder no longer receives store events.
 	missesEvents bool
-	// unreachable holds the nodes that the holder can't reach, each with the
-	// time at which its partition heals.
-	unreachable map[*node]time.Time
+	distributor  *distributor.Distributor
+	conns        map[assigner.KeeperID]*connection
+	// electedAt is when the holder was elected, and awareness the time after
+	// which each manager knows of it.
+	electedAt time.Time
+	awareness map[assigner.KeeperID]time.Duration
+	// side is the side of a partition that the holder is on.
+	side int
 	// plannedAt is the time of the last plan; hasChanges is true if events have
 	// arrived since then.
 	plannedAt  time.Time
 	hasChanges bool
 }
 
-// canReach reports whether a holder and a node can exchange messages.
-func (sm *Simulation) canReach(tm *term, nd *node) bool {
-	return nd != nil && nd.isUp && !sm.now.Before(nd.unreachableUntil) && !sm.now.Before(tm.unreachable[nd])
+// canReach reports whether a manager and a node can exchange messages.
+func (sm *Simulation) canReach(mg *manager, nd *node) bool {
+	return nd != nil && nd.isUp && !sm.now.Before(nd.unreachableUntil) && sm.isSameSide(mg.side, nd.side)
 }
 
 // New returns the simulation of a seed.
@@ -159,9 +168,10 @@
 		longRunning: map[modeller.TaskName]*longRunningTask{},
 	}
 	sm.faults = schedule(random)
+	sm.addManagers()
 	for pool := range pools {
 		for number := range workersPerPool {
-			sm.addNode(fmt.Sprintf("p%d", pool), fmt.Sprintf("m%d-%d", pool, number))
+			sm.addNode(fmt.Sprintf("p%d", pool), fmt.Sprintf("m%d-%d", pool, number), zoneName(number))
 		}
 	}
 	return sm
@@ -184,6 +194,7 @@
 			sm.checkedAt = sm.now
 			sm.observeLongRunning()
 		}
+		sm.runManagers()
 		sm.runHolders()
 	}
 	if len(sm.violations) == 0 {
--- a/standin/internal/emulator/fault.go
+++ b/standin/internal/emulator/fault.go
@@ -45,6 +45,11 @@
 	// faultStoreSlow slows the commits of batches down, so that those of
 	// different lanes overtake each other.
 	faultStoreSlow
+	// faultManagerCrash crashes managers, faultManagerFreeze suspends them and
+	// faultManagerCut holds up their messages to and from the holder.
+	faultManagerCrash
+	faultManagerFreeze
+	faultManagerCut
 	faultKindCount
 )
 
@@ -110,6 +115,12 @@
 		sm.store.isDown = true
 	case faultStoreSlow:
 		sm.store.isSlow = true
+	case faultManagerCrash:
+		sm.crashManagers(sm.pickManagers(1+sm.random.IntN(len(sm.managers))), sm.now.Add(ft.length/2))
+	case faultManagerFreeze:
+		sm.freezeManagers(sm.pickManagers(1+sm.random.IntN(len(sm.managers))), sm.now.Add(ft.length))
+	case faultManagerCut:
+		sm.cutConnections(sm.pickManagers(1+sm.random.IntN(len(sm.managers))), sm.now.Add(ft.length))
 	case faultMaintenanceWave:
 		sm.recordWave()
 	case faultWorkerLost:
@@ -216,24 +227,72 @@
 	}
 }
 
-// partitionFleet partitions the nodes: the current holder can reach one part and
-// the next holder the other.
+// partitionFleet partitions the nodes and managers: the current holder can reach
+// one part and the next holder the other.
 func (sm *Simulation) partitionFleet(until time.Time) {
-	here, there := map[*node]time.Time{}, map[*node]time.Time{}
+	if sm.now.Before(sm.partitionedUntil) {
+		return
+	}
+	sm.partitionedUntil = until
 	for number, nd := range sm.pickNodes(len(sm.nodes)) {
-		if number%3 == 0 {
-			there[nd] = until
-		} else {
-			here[nd] = until
+		nd.side = number % 3 / 2
+	}
+	for _, mg := range sm.managers {
+		mg.side = sm.random.IntN(2)
+		if mg.conn != nil && mg.conn.term.side != mg.side {
+			mg.conn.cutUntil = until
 		}
 	}
 	for _, tm := range sm.terms {
-		tm.unreachable = here
+		tm.side = 0
 	}
-	sm.nextPartition = there
+	sm.side = 1
 	sm.replaceHolder(sm.now.Add(bounds.MaxOverrun))
 }
 
+// pickManagers returns a random selection of managers.
+func (sm *Simulation) pickManagers(count int) []*manager {
+	picked := slices.Clone(sm.managers)
+	sm.random.Shuffle(len(picked), func(a, b int) { picked[a], picked[b] = picked[b], picked[a] })
+	return picked[:count]
+}
+
+// crashManagers stops managers until restartAt. Their connections are closed, or
+// fall silent.
+func (sm *Simulation) crashManagers(managers []*manager, restartAt time.Time) {
+	for _, mg := range managers {
+		sm.tracef("manager %s crashes", mg.info.ID)
+		mg.isUp = false
+		mg.restartAt = restartAt
+		if mg.conn == nil {
+			continue
+		}
+		if sm.random.IntN(2) == 0 {
+			sm.closeConnection(mg.conn)
+		}
+		mg.conn.isClosed = true
+		mg.conn.isAbandoned = true
+	}
+}
+
+// cutConnections holds up the messages between managers and the holder.
+func (sm *Simulation) cutConnections(managers []*manager, until time.Time) {
+	for _, mg := range managers {
+		sm.tracef("connection of manager %s is cut", mg.info.ID)
+		if mg.conn != nil {
+			mg.conn.cutUntil = until
+		}
+	}
+}
+
+// freezeManagers suspends managers.
+func (sm *Simulation) freezeManagers(managers []*manager, until time.Time) {
+	for _, mg := range managers {
+		sm.tracef("manager %s freezes", mg.info.ID)
+		mg.frozenUntil = until
+	}
+}
+
 // crash stops nodes until restartAt, or permanently if it is zero.
 func (sm *Simulation) crash(nodes []*node, restartAt time.Time) {
 	for _, nd := range nodes {
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootwick.example/shared/jobs/allocator"
+	"coltsfootwick.example/shared/jobs/distributor"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/standin/internal/executor"
 )
@@ -45,54 +46,87 @@
 		if tm.endsAt.IsZero() && !sm.store.isDown {
 			tm.al.ConfirmDuty(sm.now)
 		}
-		for _, od := range tm.al.Plan(sm.now, sm.now.Add(tm.skew)) {
-			sm.send(tm, od)
+		orders := tm.al.Plan(sm.now, sm.now.Add(tm.skew))
+		for _, od := range orders {
+			sm.sendFleetOrder(tm, od)
 		}
+		sm.applyEvents(tm, tm.distributor.Dispatch(sm.now, orders))
+		sm.removeLostKeepers(tm)
+		sm.sendToKeepers(tm)
 		for _, fi := range tm.al.LogEntries() {
 			sm.tracef("holder %d: %s %s%s %s attempt %d: %s", tm.fence, fi.Message, fi.Job, fi.Task, fi.Worker, fi.Attempt, fi.Reason)
 		}
-		if bt := tm.al.Batch(sm.now); bt != nil {
+		for bt := tm.al.Batch(sm.now); bt != nil; bt = tm.al.Batch(sm.now) {
 			sm.storeBatch(tm, bt)
 		}
 	}
 }
 
-// send schedules the delivery of an order.
-func (sm *Simulation) send(tm *term, od allocator.Order) {
+// removeLostKeepers closes the connections of keepers that are silent.
+func (sm *Simulation) removeLostKeepers(tm *term) {
+	lost, events := tm.distributor.Tick(sm.now)
+	for _, id := range lost {
+		sm.tracef("holder %d: keeper %s lost", tm.fence, id)
+		if cn := tm.conns[id]; cn != nil {
+			delete(tm.conns, id)
+			cn.isClosed = true
+		}
+	}
+	sm.applyEvents(tm, events)
+}
+
+// sendFleetOrder schedules the delivery of an order that no worker receives.
+func (sm *Simulation) sendFleetOrder(tm *term, od allocator.Order) {
 	switch od := od.(type) {
+	case allocator.VMOrder:
+		sm.timers.add(sm.now.Add(messageDelay), func() { sm.carryOutVM(tm, od) })
+	case allocator.ListVMsOrder:
+		sm.listVMs(tm)
+	case allocator.AdviceOrder:
+		sm.notify(tm, messageDelay, allocator.AdviceResult{Task: od.Task, Failed: true})
+	}
+}
+
+// carryOut schedules the delivery of an order from a manager to a worker, unless
+// the permission has run out.
+func (sm *Simulation) carryOut(cn *connection, to distributor.TimedOrder) {
+	isExpired := !sm.now.Before(to.ValidUntil)
+	switch od := to.Order.(type) {
 	case allocator.PollOrder:
-		sm.sendPoll(tm, od)
+		if isExpired {
+			sm.answer(cn, allocator.PollFailed{Worker: od.Worker.ID, SentAt: sm.now, Outcome: allocator.KeeperLost})
+			return
+		}
+		sm.sendPoll(cn, od)
 	case allocator.StartOrder:
 		var clock time.Duration
-		sm.sendOrder(tm, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
+		sm.sendOrder(cn, isExpired, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
 			return allocator.StartResult{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Outcome: oc, Clock: clock}
 		}, func(nd *node) allocator.Outcome {
 			clock = nd.ex.Clock(sm.now)
-			return sm.carryOutStart(tm, nd, od)
+			return sm.carryOutStart(cn.term, nd, od)
 		})
 	case allocator.StopOrder:
-		sm.tracef("holder %d: stop %s attempt %d at %s", tm.fence, od.Task, od.Attempt, od.Worker.ID)
-		sm.sendOrder(tm, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
+		sm.tracef("holder %d: stop %s attempt %d at %s", cn.term.fence, od.Task, od.Attempt, od.Worker.ID)
+		sm.sendOrder(cn, isExpired, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
 			return allocator.StopResult{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Outcome: oc}
-		}, func(nd *node) allocator.Outcome { return sm.carryOutStop(tm, nd, od) })
+		}, func(nd *node) allocator.Outcome { return sm.carryOutStop(cn.term, nd, od) })
 	case allocator.PaceOrder:
-		sm.sendOrder(tm, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
+		sm.sendOrder(cn, isExpired, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
 			return allocator.PaceResult{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Percent: od.Percent, Outcome: oc}
 		}, func(nd *node) allocator.Outcome {
-			return outcomeOf(nd.ex.Pace(sm.now, tm.fence, od.Task, od.Attempt, od.Percent))
+			return outcomeOf(nd.ex.Pace(sm.now, cn.term.fence, od.Task, od.Attempt, od.Percent))
 		})
-	case allocator.VMOrder:
-		sm.timers.add(sm.now.Add(messageDelay), func() { sm.carryOutVM(tm, od) })
-	case allocator.ListVMsOrder:
-		sm.listVMs(tm)
-	case allocator.AdviceOrder:
-		sm.notify(tm, messageDelay, allocator.AdviceResult{Task: od.Task, Failed: true})
 	}
 }
 
 // sendOrder schedules an order to a worker. The order may be carried out after
 // the message delay, seconds late or not at all, with or without an answer.
-func (sm *Simulation) sendOrder(tm *term, id modeller.WorkerID, answer func(oc allocator.Outcome) allocator.Event, carryOut func(nd *node) allocator.Outcome) {
+func (sm *Simulation) sendOrder(cn *connection, isExpired bool, id modeller.WorkerID, outcome func(oc allocator.Outcome) allocator.Event, carryOut func(nd *node) allocator.Outcome) {
+	if isExpired {
+		sm.answer(cn, outcome(allocator.NotSent))
+		return
+	}
 	arrival := messageDelay
 	nd := sm.nodes[id]
 	isDelayed := nd != nil && sm.random.Float64() < nd.delayedShare
@@ -100,92 +134,88 @@
 	if isDelayed {
 		incarnation = nd.incarnation
 		arrival = 2*time.Second + time.Duration(sm.random.IntN(10_000))*time.Millisecond
+		sm.answerAfter(cn, orderTimeout, outcome, allocator.Unanswered)
 	}
 	sm.timers.add(sm.now.Add(arrival), func() {
 		nd := sm.nodes[id]
-		if tm.isOver && !isDelayed {
-			return
-		}
-		if !sm.canReach(tm, nd) || isDelayed && nd.incarnation != incarnation {
+		switch {
+		case isDelayed && (nd == nil || nd.incarnation != incarnation):
 			// A delayed order is lost when its worker restarts.
+		case !sm.canReach(cn.manager, nd):
 			if !isDelayed {
-				sm.notify(tm, orderTimeout, answer(allocator.Unanswered))
+				sm.answerAfter(cn, orderTimeout, outcome, allocator.Unanswered)
+			}
+		default:
+			oc := carryOut(nd)
+			if !isDelayed {
+				sm.answerAfter(cn, messageDelay, outcome, oc)
 			}
-			return
-		}
-		oc := carryOut(nd)
-		sm.finishOrder(tm, oc)
-		if !isDelayed {
-			sm.notify(tm, messageDelay, answer(oc))
 		}
 	})
-	if isDelayed {
-		sm.notify(tm, orderTimeout, answer(allocator.Unanswered))
-	}
 }
 
-// finishOrder ends a holder whose order was refused because its fencing token
-// was stale.
-func (sm *Simulation) finishOrder(tm *term, oc allocator.Outcome) {
-	if oc == allocator.Fenced {
-		tm.isOver = true
-	}
+// answerAfter sends the outcome of an order from its manager after a delay.
+func (sm *Simulation) answerAfter(cn *connection, delay time.Duration, outcome func(oc allocator.Outcome) allocator.Event, oc allocator.Outcome) {
+	sm.atManager(cn, sm.now.Add(delay), func() { sm.answer(cn, outcome(oc)) })
+}
+
+// failPoll sends the failure of a poll from its manager after a delay.
+func (sm *Simulation) failPoll(cn *connection, delay time.Duration, id modeller.WorkerID, oc allocator.Outcome) {
+	sm.atManager(cn, sm.now.Add(delay), func() {
+		sm.answer(cn, allocator.PollFailed{Worker: id, SentAt: sm.now, Outcome: oc})
+	})
 }
 
-func (sm *Simulation) sendPoll(tm *term, po allocator.PollOrder) {
-	sent := sm.now
+func (sm *Simulation) sendPoll(cn *connection, po allocator.PollOrder) {
 	id := po.Worker.ID
 	sm.timers.add(sm.now.Add(messageDelay), func() {
 		nd := sm.nodes[id]
-		if !sm.canReach(tm, nd) {
-			sm.notify(tm, po.Wait+orderTimeout, allocator.PollFailed{Worker: id, SentAt: sent, Outcome: allocator.Unanswered})
+		if !sm.canReach(cn.manager, nd) {
+			sm.failPoll(cn, po.Wait+orderTimeout, id, allocator.Unanswered)
 			return
 		}
 		sm.checkAcknowledged(nd, po)
-		if _, _, ok := nd.ex.Poll(sm.now, tm.fence, po.LeaseEnd, po.AcknowledgedEnds); !ok {
-			tm.isOver = true
+		if _, _, ok := nd.ex.Poll(sm.now, cn.term.fence, po.LeaseEnd, po.AcknowledgedEnds); !ok {
+			sm.failPoll(cn, messageDelay, id, allocator.Fenced)
 			return
 		}
 		sm.abandonPoll(nd)
 		nd.poll = &pendingPoll{
-			term:  tm,
+			conn:  cn,
 			order: po,
-			sent:  sent,
 			until: sm.now.Add(po.Wait),
 		}
 	})
 }
 
-// abandonPoll drops a node's pending poll, which then times out at the holder.
+// abandonPoll drops a node's pending poll, which then times out at its manager.
 func (sm *Simulation) abandonPoll(nd *node) {
 	if pol := nd.poll; pol != nil {
 		nd.poll = nil
-		sm.notify(pol.term, pol.until.Sub(sm.now)+orderTimeout, allocator.PollFailed{Worker: nd.info.ID, SentAt: pol.sent, Outcome: allocator.Unanswered})
+		sm.failPoll(pol.conn, pol.until.Sub(sm.now)+orderTimeout, nd.info.ID, allocator.Unanswered)
 	}
 }
 
 // answerPoll answers a pending poll with the worker's report.
 func (sm *Simulation) answerPoll(nd *node, pol *pendingPoll) {
 	id := nd.info.ID
-	if !sm.canReach(pol.term, nd) {
-		sm.notify(pol.term, orderTimeout, allocator.PollFailed{Worker: id, SentAt: pol.sent, Outcome: allocator.Unanswered})
+	if !sm.canReach(pol.conn.manager, nd) {
+		sm.failPoll(pol.conn, orderTimeout, id, allocator.Unanswered)
 		return
 	}
 	report := nd.ex.Report(sm.now)
-	sm.timers.add(sm.now.Add(messageDelay), func() {
-		if !pol.term.isOver {
-			pol.term.hasChanges = true
-			pol.term.al.Apply(sm.now, allocator.ReportReceived{
-				Worker:     id,
-				SentAt:     pol.sent,
-				ReceivedAt: sm.now,
-				Report:     report,
-			})
-		}
+	sm.atManager(pol.conn, sm.now.Add(messageDelay), func() {
+		sm.answer(pol.conn, allocator.ReportReceived{
+			Worker: id,
+			Report: report,
+		})
 	})
 }
 
 func (sm *Simulation) carryOutStart(tm *term, nd *node, so allocator.StartOrder) allocator.Outcome {
+	if so.Payload != string(so.Task.Job) {
+		sm.recordViolation("UNASKED", "%s is started with payload %q", so.Task, so.Payload)
+	}
 	before := nd.ex.Runs()[so.Task]
 	oc := outcomeOf(nd.ex.Start(sm.now, tm.fence, so.Task, so.Attempt, so.Checkpoint, so.LeaseEnd))
 	if oc == allocator.Accepted && before != so.Attempt {
--- a/standin/internal/emulator/node.go
+++ b/standin/internal/emulator/node.go
@@ -26,6 +26,8 @@
 	// isMaintained is true once the wave has started maintenance of the VM.
 	isMaintained bool
 	incarnation  int
+	// side is the side of a partition that the node is on.
+	side int
 	// poll is the pending long poll, or nil.
 	poll *pendingPoll
 	// delayedShare is the share of orders that get no answer in time and are
@@ -35,13 +37,12 @@
 
 // pendingPoll is a long poll that waits for a run to end.
 type pendingPoll struct {
-	term  *term
+	conn  *connection
 	order allocator.PollOrder
-	sent  time.Time
 	until time.Time
 }
 
-func (sm *Simulation) addNode(pool, vm string) {
+func (sm *Simulation) addNode(pool, vm, zone string) {
 	nd := &node{
 		isUp:     true,
 		isListed: true,
@@ -49,6 +50,7 @@
 	}
 	nd.info = modeller.Worker{
 		Pool:   pool,
+		Zone:   zone,
 		Labels: []string{"a", "r1"},
 		Capacity: modeller.Resources{
 			MilliCores: 16_000,
--- a/standin/internal/emulator/store.go
+++ b/standin/internal/emulator/store.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"coltsfootwick.example/shared/jobs/allocator"
+	"coltsfootwick.example/shared/jobs/assigner"
+	"coltsfootwick.example/shared/jobs/distributor"
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
@@ -67,10 +69,16 @@
 	tm := &term{
 		al:          allocator.New(sm.now, bounds),
 		fence:       sm.fence,
-		unreachable: sm.nextPartition,
+		distributor: distributor.New(),
+		conns:       map[assigner.KeeperID]*connection{},
+		electedAt:   sm.now,
+		awareness:   map[assigner.KeeperID]time.Duration{},
+		side:        sm.side,
 		skew:        time.Duration(sm.random.Int64N(2*int64(maxSkew))) - maxSkew,
 	}
-	sm.nextPartition = nil
+	for _, mg := range sm.managers {
+		tm.awareness[mg.info.ID] = time.Duration(sm.random.Int64N(int64(awarenessTime)))
+	}
 	sm.terms = append(sm.terms, tm)
 	sm.timers.add(sm.now.Add(loadTime), func() { sm.loadRecords(tm) })
 }
