--- a/coltsfootwick-manager/internal/attendant/session.go
+++ b/coltsfootwick-manager/internal/attendant/session.go
@@ -34,10 +34,8 @@
 
 	mutex  sync.Mutex
 	keeper *distributor.Keeper
-	// frame holds the encoded messages that wait to be sent, and isUrgent is true
-	// if they include more than acceptances.
-	frame    []byte
-	isUrgent bool
+	// frame holds the encoded messages that wait to be sent.
+	frame []byte
 	// wake has an element once messages wait, and urgent once they are urgent.
 	wake, urgent chan struct{}
 }
--- a/shared/jobs/distributor/keeper.go
+++ b/shared/jobs/distributor/keeper.go
@@ -89,10 +89,10 @@
 	case Leave:
 		kp.leave(msg.Handle)
 	case Payload:
-		kp.payload(msg.Job)
+		kp.expectPayload(msg.Job)
 		orders = kp.Fetched(msg.Job, msg.Text)
 	case Fetch:
-		kp.payload(msg.Job)
+		kp.expectPayload(msg.Job)
 	case Forget:
 		answers = kp.discard(msg.Job)
 	default:
@@ -124,14 +124,11 @@
 	return nil, kp.notSent(start), nil
 }
 
-// payload returns the state of a job's payload.
-func (kp *Keeper) payload(job modeller.JobID) *payload {
-	pl := kp.payloads[job]
-	if pl == nil {
-		pl = &payload{}
-		kp.payloads[job] = pl
+// expectPayload prepares for the payload of a job.
+func (kp *Keeper) expectPayload(job modeller.JobID) {
+	if kp.payloads[job] == nil {
+		kp.payloads[job] = &payload{}
 	}
-	return pl
 }
 
 // Fetched records the payload of a job, and returns the starts that have waited
