allocator: order VMs for the demand that is expected once they arrive

Cause: a pool's required VMs followed the tasks that were there, while a move takes two seconds, in which the arrivals of a rising queue double.

Change: shared/jobs/forecaster extrapolates the arrivals of the last two seconds, beyond their statistical error, to the time at which a move that is ordered now completes; the time of a move is averaged.

Evidence: TestVMsAreOrderedAheadOfRisingDemand orders 12 VMs without the change.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -19,6 +19,7 @@
 import (
 	"time"
 
+	"coltsfootwick.example/shared/jobs/forecaster"
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
@@ -121,6 +122,8 @@
 	retained       map[modeller.JobID]retainedJob
 	// waiting are the waiting lists by pool.
 	waiting map[string]*waitingList
+	// arrivals are the forecasts of the pools.
+	arrivals map[string]*forecaster.Forecaster
 	// changes are those since tasks were last placed.
 	changes changes
 	// scheduledJobs counts all jobs with occurrences recorded so far.
@@ -175,6 +178,7 @@
 		jobs:           map[modeller.JobID]*job{},
 		retained:       map[modeller.JobID]retainedJob{},
 		waiting:        map[string]*waitingList{},
+		arrivals:       map[string]*forecaster.Forecaster{},
 		fleet:          newFleet(),
 		startedAt:      now,
 		confirmedAt:    now,
--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -26,6 +26,10 @@
 	movesPlannedAt time.Time
 	// moveBudget is how many moves may be ordered now.
 	moveBudget float64
+	// needs are the available and required VMs of the pools at the last plan.
+	needs []poolNeed
+	// moveTime is the average time of a move until the VM's worker is listed.
+	moveTime time.Duration
 	// surplus is the surplus history of each pool.
 	surplus map[string]surplusHistory
 }
@@ -36,6 +40,7 @@
 		absentSince: map[string]time.Time{},
 		waves:       map[int64]*wave{},
 		moves:       map[string]*move{},
+		moveTime:    defaultMoveTime,
 		surplus:     map[string]surplusHistory{},
 	}
 }
--- a/shared/jobs/allocator/load.go
+++ b/shared/jobs/allocator/load.go
@@ -1,5 +1,10 @@
 package allocator
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Load describes how far the scheduler keeps up with its work.
 type Load struct {
 	// WaitingJobs counts the jobs with tasks that wait for a start, and
@@ -11,6 +16,17 @@
 	// Reports counts the reports since the last call, and RepeatedEnds the ends
 	// in them that an earlier report had contained.
 	Reports, RepeatedEnds int
+	// Pools are the pools with queues, by name.
+	Pools []PoolLoad
+}
+
+// PoolLoad is the demand of a pool and what there is for it.
+type PoolLoad struct {
+	Name string
+	// Required is the number of VMs that the demand requires, and Available the
+	// number of those that can get work or are moving to the pool. Idle counts
+	// the workers without runs.
+	Required, Available, Idle int
 }
 
 // Load returns the present load. It resets the counts of reports and ends.
@@ -31,5 +47,14 @@
 			ld.UnstoredEnds++
 		}
 	}
+	for _, pn := range al.fleet.needs {
+		ld.Pools = append(ld.Pools, PoolLoad{
+			Name:      pn.name,
+			Required:  pn.required,
+			Available: pn.available,
+			Idle:      len(pn.idle),
+		})
+	}
+	slices.SortFunc(ld.Pools, func(a, b PoolLoad) int { return cmp.Compare(a.Name, b.Name) })
 	return ld
 }
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -60,7 +60,8 @@
 	// available counts the workers that can get work, and the VMs that are
 	// moving to the pool.
 	available int
-	// required is the number of VMs that the present demand requires.
+	// required is the number of VMs that the present demand requires, or the one
+	// expected by the time that a move completes.
 	required int
 	// idle are the workers without runs.
 	idle []*worker
@@ -78,6 +79,7 @@
 	fl.movesPlannedAt = now
 	al.updateMoves(now)
 	needs := al.poolNeeds(now)
+	fl.needs = needs
 	standby := al.standbyPool()
 	if standby == "" || al.isDirectoryBehind(now, standby) {
 		return
@@ -202,7 +204,11 @@
 		listed := fl.vms[vm]
 		hasArrived := mv.isAccepted && fl.listedAt.After(mv.orderedAt) && listed.State == modeller.VMUp && listed.Pool == mv.pool
 		isOverdue := mv.isAccepted && now.Sub(mv.orderedAt) > arrivalTimeout
-		if hasArrived || al.hasListedWorker(vm, mv.pool) || isOverdue {
+		isListed := al.hasListedWorker(vm, mv.pool)
+		if isListed {
+			fl.recordMoveTime(now.Sub(mv.orderedAt))
+		}
+		if hasArrived || isListed || isOverdue {
 			delete(fl.moves, vm)
 			al.uncordon(mv.worker)
 		}
@@ -256,7 +262,8 @@
 	for _, name := range slices.Sorted(maps.Keys(byPool)) {
 		pn := byPool[name]
 		poolDemand := demand[name]
-		pn.required = max(int(math.Ceil(float64(poolDemand.milliCores)*demandHeadroom/capacity)), poolDemand.minWorkers, minPoolVMs)
+		milliCores := max(poolDemand.milliCores, al.expectedMilliCores(now, name))
+		pn.required = max(int(math.Ceil(float64(milliCores)*demandHeadroom/capacity)), poolDemand.minWorkers, minPoolVMs)
 		al.fleet.recordSurplus(now, *pn)
 		needs = append(needs, *pn)
 	}
--- a/shared/jobs/allocator/move_test.go
+++ b/shared/jobs/allocator/move_test.go
@@ -105,3 +105,34 @@
 	fx.advance(500 * time.Millisecond)
 	must.Len(t, 0, takeOrders[VMOrder](fx), must.Sprint("orders that end the work on the VM that has arrived"))
 }
+
+// The demand of a pool rises while the VMs for it are still moving, so those are
+// ordered that it will need once they arrive.
+func TestVMsAreOrderedAheadOfRisingDemand(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(ConfigurationLoaded{
+		Configuration: modeller.Configuration{
+			Version: 2,
+			Queues:  map[string]modeller.Queue{"q": {Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 50}},
+			Pools:   map[string]modeller.Pool{"p": {Name: "p"}, "off": {Name: "off", IsStandby: true}},
+		},
+	})
+	fx.addReadyWorkers("a")
+	vms := []modeller.VM{vmOf("a", modeller.VMUp)}
+	for number := range 80 {
+		vms = append(vms, modeller.VM{Name: fmt.Sprintf("off-%03d", number), Pool: "off", State: modeller.VMUp})
+	}
+	fx.listVMs(vms...)
+	submitted := 0
+	for _, jobs := range []int{0, 4, 40} {
+		for number := range jobs {
+			fx.submitJob(fmt.Sprintf("j%d-%d", jobs, number), oneTaskStep())
+			fx.now = fx.now.Add(time.Second / time.Duration(jobs))
+			submitted++
+		}
+		fx.advance(time.Second - time.Duration(jobs)*(time.Second/time.Duration(max(jobs, 1))))
+	}
+	fx.advance(200 * time.Millisecond)
+	present := int(float64(submitted) * demandHeadroom / 4)
+	must.Between(t, present+10, len(takeOrders[VMOrder](fx)), 3*present)
+}
--- /dev/null
+++ b/shared/jobs/forecaster/forecaster_test.go
@@ -0,0 +1,61 @@
+package forecaster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var testBegin = time.Unix(1_700_000_000, 0)
+
+// arrive adds the jobs of a second, evenly spread, each with 10 s of core time.
+func arrive(fc *Forecaster, begin time.Time, jobs int) (end time.Time) {
+	for number := range jobs {
+		fc.Add(begin.Add(time.Duration(number)*time.Second/time.Duration(jobs)), 10*time.Second)
+	}
+	return begin.Add(time.Second)
+}
+
+func TestConstantArrivalsAreForecastAsTheyAre(t *testing.T) {
+	var fc Forecaster
+	now := testBegin
+	for range 3 {
+		now = arrive(&fc, now, 8)
+	}
+	must.InDelta(t, 80, fc.Cores(now, 2*time.Second), 10)
+}
+
+func TestRisingArrivalsAreExtrapolated(t *testing.T) {
+	var fc Forecaster
+	now := testBegin
+	for _, jobs := range []int{1, 20, 60} {
+		now = arrive(&fc, now, jobs)
+	}
+	must.Between(t, 1200, fc.Cores(now, 2*time.Second), 1600)
+	must.Between(t, 600, fc.Cores(now, 0), 900)
+}
+
+func TestFewArrivalsAreNoTrend(t *testing.T) {
+	var fc Forecaster
+	now := arrive(&fc, arrive(&fc, testBegin, 2), 3)
+	must.InDelta(t, 30, fc.Cores(now, 2*time.Second), 1)
+}
+
+func TestFallingArrivalsAreExtrapolatedToNoLessThanNone(t *testing.T) {
+	var fc Forecaster
+	now := arrive(&fc, arrive(&fc, testBegin, 60), 10)
+	must.Eq(t, 0, fc.Cores(now, 2*time.Second))
+}
+
+func TestArrivalsAreForgotten(t *testing.T) {
+	var fc Forecaster
+	now := arrive(&fc, testBegin, 60)
+	must.Eq(t, 0, fc.Cores(now.Add(3*time.Second), 2*time.Second))
+	must.Eq(t, 0, fc.Cores(now.Add(time.Hour), 2*time.Second))
+}
+
+func TestForecasterWithoutArrivals(t *testing.T) {
+	var fc Forecaster
+	must.Eq(t, 0, fc.Cores(testBegin, time.Second))
+}
