allocator: give a pool VMs for long-running tasks that wait

Cause: a pool's required VMs were the sum of the reserved processors. A filling task reserves memory only, and tasks of a step keep apart, so a pool was too small by that sum and idle VMs stayed on standby.

Change: the sum counts memory too, and a pool whose long-running tasks have waited for half a second requires more workers for them, at most one for each such task.

Evidence: TestWaitingLongRunningTasksGetVMs orders no VM without the change.

--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -30,18 +30,21 @@
 	needs []poolNeed
 	// moveTime is the average time of a move until the VM's worker is listed.
 	moveTime time.Duration
+	// unplacedSince holds, by pool, since when long-running tasks wait.
+	unplacedSince map[string]time.Time
 	// surplus is the surplus history of each pool.
 	surplus map[string]surplusHistory
 }
 
 func newFleet() *fleet {
 	return &fleet{
-		vms:         map[string]modeller.VM{},
-		absentSince: map[string]time.Time{},
-		waves:       map[int64]*wave{},
-		moves:       map[string]*move{},
-		moveTime:    defaultMoveTime,
-		surplus:     map[string]surplusHistory{},
+		vms:           map[string]modeller.VM{},
+		absentSince:   map[string]time.Time{},
+		waves:         map[int64]*wave{},
+		moves:         map[string]*move{},
+		moveTime:      defaultMoveTime,
+		unplacedSince: map[string]time.Time{},
+		surplus:       map[string]surplusHistory{},
 	}
 }
 
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -28,6 +28,9 @@
 	// maxDirectoryLag is how long after the duty was won the directory may lag
 	// behind the list of VMs; workers report every one and a half seconds.
 	maxDirectoryLag = 4 * time.Second
+	// unplacedDelay is how long long-running tasks of a pool must have waited
+	// before it requires further VMs for them.
+	unplacedDelay = 500 * time.Millisecond
 	// arrivalTimeout is how long the arrival of a moved VM is awaited.
 	arrivalTimeout = 5 * time.Second
 	// maxMovingShare limits the share of all VMs that move at once, so that a
@@ -57,9 +60,9 @@
 // poolNeed is the available and required number of VMs of a pool.
 type poolNeed struct {
 	name string
-	// available counts the workers that can get work, and the VMs that are
-	// moving to the pool.
-	available int
+	// workers counts the workers that can get work, and available these and the
+	// VMs that are moving to the pool.
+	workers, available int
 	// required is the number of VMs that the present demand requires, or the one
 	// expected by the time that a move completes.
 	required int
@@ -241,18 +244,21 @@
 			}
 		}
 	}
-	capacity := al.averageMilliCores()
+	capacity := al.averageCapacity()
 	demand := al.demandByPool(now)
 	for _, wk := range al.workers.sorted {
 		pn := byPool[wk.info.Pool]
 		if pn == nil || !wk.isListed || wk.info.IsDraining || wk.isCordoned {
 			continue
 		}
-		pn.available++
+		pn.workers++
 		if wk.isSynced && len(wk.runs) == 0 && wk.info.VM != "" {
 			pn.idle = append(pn.idle, wk)
 		}
 	}
+	for _, pn := range byPool {
+		pn.available = pn.workers
+	}
 	for _, mv := range al.fleet.moves {
 		if pn := byPool[mv.pool]; pn != nil {
 			pn.available++
@@ -262,28 +268,47 @@
 	for _, name := range slices.Sorted(maps.Keys(byPool)) {
 		pn := byPool[name]
 		poolDemand := demand[name]
-		milliCores := max(poolDemand.milliCores, al.expectedMilliCores(now, name))
-		pn.required = max(int(math.Ceil(float64(milliCores)*demandHeadroom/capacity)), poolDemand.minWorkers, minPoolVMs)
+		poolDemand.resources.MilliCores = max(poolDemand.resources.MilliCores, al.expectedMilliCores(now, name))
+		pn.required = max(
+			workersFor(poolDemand.resources, capacity),
+			poolDemand.minWorkers,
+			minPoolVMs,
+			al.longRunningNeed(now, name, poolDemand, pn.workers, capacity),
+		)
 		al.fleet.recordSurplus(now, *pn)
 		needs = append(needs, *pn)
 	}
 	return needs
 }
 
-// averageMilliCores returns the average capacity of a worker in thousandths of
-// a core.
-func (al *Allocator) averageMilliCores() float64 {
-	sum := 0
+// averageCapacity returns the average capacity of a worker.
+func (al *Allocator) averageCapacity() modeller.Resources {
+	var sum modeller.Resources
 	for _, wk := range al.workers.byID {
-		sum += wk.info.Capacity.MilliCores
+		sum = sum.Plus(wk.info.Capacity)
+	}
+	count := max(len(al.workers.byID), 1)
+	return modeller.Resources{
+		MilliCores: max(sum.MilliCores/count, 1),
+		MemoryMB:   max(sum.MemoryMB/count, 1),
 	}
-	return max(float64(sum)/float64(max(len(al.workers.byID), 1)), 1)
+}
+
+// workersFor returns the number of workers of the given capacity that an amount
+// of processors and memory requires.
+func workersFor(amount, capacity modeller.Resources) int {
+	share := max(float64(amount.MilliCores)/float64(capacity.MilliCores), float64(amount.MemoryMB)/float64(capacity.MemoryMB))
+	return int(math.Ceil(share * demandHeadroom))
 }
 
 // demand is the present demand of a pool's jobs.
 type demand struct {
-	// milliCores is the demand of the tasks that are running or could run.
-	milliCores int
+	// resources is the demand of the tasks that are running or could run.
+	resources modeller.Resources
+	// longRunning counts the long-running tasks, waitingLongRunning those of them
+	// that wait for a start, and waitingResources what these demand.
+	longRunning, waitingLongRunning int
+	waitingResources                modeller.Resources
 	// minWorkers is the number of workers that the widest long-running step
 	// requires, plus one.
 	minWorkers int
@@ -310,8 +335,9 @@
 				if isOnTime {
 					counted += st.waitingCount
 				}
-				dm.milliCores += counted * st.reserved.MilliCores
+				dm.resources = dm.resources.Plus(st.reserved.Times(counted))
 				if st.spec.IsLongRunning {
+					dm.addLongRunning(st)
 					dm.minWorkers = max(dm.minWorkers, minWorkersOf(st.spec)+1)
 				}
 			}
@@ -321,6 +347,34 @@
 	return demands
 }
 
+func (dm *demand) addLongRunning(st *step) {
+	dm.longRunning += len(st.tasks) - st.doneCount
+	dm.waitingLongRunning += st.waitingCount
+	dm.waitingResources = dm.waitingResources.Plus(st.reserved.Times(st.waitingCount))
+}
+
+// longRunningNeed returns the number of workers that a pool requires for its
+// long-running tasks to start, or 0 if none has been waiting for unplacedDelay.
+// The sum of the demands doesn't show it: such tasks also keep apart from each
+// other, and may reserve memory only. More than a worker for each of them is of
+// no use.
+func (al *Allocator) longRunningNeed(now time.Time, pool string, dm demand, workers int, capacity modeller.Resources) int {
+	if dm.waitingLongRunning == 0 {
+		delete(al.fleet.unplacedSince, pool)
+		return 0
+	}
+	since, ok := al.fleet.unplacedSince[pool]
+	if !ok {
+		al.fleet.unplacedSince[pool] = now
+		return 0
+	}
+	if now.Sub(since) < unplacedDelay {
+		return 0
+	}
+	more := max(workersFor(dm.waitingResources, capacity), 1)
+	return min(workers+more, dm.longRunning+minPoolVMs)
+}
+
 // minWorkersOf returns the minimum number of workers on which a step's tasks
 // run.
 func minWorkersOf(st modeller.Step) int {
--- a/shared/jobs/allocator/move_test.go
+++ b/shared/jobs/allocator/move_test.go
@@ -136,3 +136,42 @@
 	present := int(float64(submitted) * demandHeadroom / 4)
 	must.Between(t, present+10, len(takeOrders[VMOrder](fx)), 3*present)
 }
+
+// Filling tasks reserve memory only, and tasks of one step may have to keep
+// apart, so that a pool's processors suffice while its tasks wait.
+func TestWaitingLongRunningTasksGetVMs(t *testing.T) {
+	filling := longRunningStep(4)
+	filling.IsFilling = true
+	filling.MaxPerWorker = 0
+	filling.Demand.MemoryMB = 3000
+	labelled := longRunningStep(1)
+	labelled.RequiredLabel = "absent"
+	for _, tc := range []struct {
+		name string
+		step modeller.Step
+		want int
+	}{
+		{name: "filling tasks that need the memory of a worker each", step: filling, want: 2},
+		{name: "a task that no worker suits", step: labelled, want: 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fx := newFixture(t)
+			fx.apply(ConfigurationLoaded{
+				Configuration: modeller.Configuration{
+					Version: 2,
+					Queues:  map[string]modeller.Queue{"q": {Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 50}},
+					Pools:   map[string]modeller.Pool{"p": {Name: "p"}, "off": {Name: "off", IsStandby: true}},
+				},
+			})
+			fx.addReadyWorkers("a", "b")
+			vms := []modeller.VM{vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp)}
+			for number := range 80 {
+				vms = append(vms, modeller.VM{Name: fmt.Sprintf("off-%03d", number), Pool: "off", State: modeller.VMUp})
+			}
+			fx.listVMs(vms...)
+			fx.submitJob("j", tc.step)
+			fx.advance(3 * time.Second)
+			must.Eq(t, tc.want, len(takeOrders[VMOrder](fx)))
+		})
+	}
+}
--- a/shared/jobs/modeller/job.go
+++ b/shared/jobs/modeller/job.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// Times returns a multiple of an amount.
+func (rs Resources) Times(count int) Resources {
+	return Resources{
+		MilliCores:   count * rs.MilliCores,
+		MemoryMB:     count * rs.MemoryMB,
+		Accelerators: count * rs.Accelerators,
+	}
+}
+
 // Max returns the larger of two amounts in each resource.
 func (rs Resources) Max(other Resources) Resources {
 	return Resources{
