allocator: give workers of pools with late jobs to jobs that can be on time

Cause: only idle workers were moved, and late jobs keep workers busy.

Change: each pool has a target, the VMs that its jobs require which can still be on time, or its proportional part while the fleet has too few. If a pool lacks a fifth of it, workers of pools above theirs get no further tasks and are moved once idle, the ones that will be idle soonest first. The forecast subtracts a standard deviation, so that a single large job is neither demand nor trend (found by the test). The log line pool load has urgent and target.

--- a/coltsfootwick-manager/internal/conductor/monitor.go
+++ b/coltsfootwick-manager/internal/conductor/monitor.go
@@ -94,7 +94,8 @@
 	}
 	lm.logger.Info("scheduler load", fields...)
 	for _, po := range ld.Pools {
-		lm.logger.Info("pool load", zap.String("pool", po.Name), zap.Int("required", po.Required), zap.Int("available", po.Available), zap.Int("idle", po.Idle))
+		lm.logger.Info("pool load", zap.String("pool", po.Name), zap.Int("required", po.Required), zap.Int("available", po.Available),
+			zap.Int("idle", po.Idle), zap.Int("urgent", po.Urgent), zap.Int("target", po.Target))
 	}
 	lm.loggedAt = now
 	lm.plans, lm.planTime, lm.starts, lm.polls = 0, 0, 0, 0
--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -32,8 +32,9 @@
 	moveTime time.Duration
 	// unplacedSince holds, by pool, since when long-running tasks wait.
 	unplacedSince map[string]time.Time
-	// surplus is the surplus history of each pool.
-	surplus map[string]surplusHistory
+	// surplus is the history of each pool's surplus over what it requires, and
+	// urgentSurplus that over its target.
+	surplus, urgentSurplus map[string]surplusHistory
 }
 
 func newFleet() *fleet {
@@ -45,6 +46,7 @@
 		moveTime:      defaultMoveTime,
 		unplacedSince: map[string]time.Time{},
 		surplus:       map[string]surplusHistory{},
+		urgentSurplus: map[string]surplusHistory{},
 	}
 }
 
--- a/shared/jobs/allocator/load.go
+++ b/shared/jobs/allocator/load.go
@@ -27,6 +27,9 @@
 	// number of those that can get work or are moving to the pool. Idle counts
 	// the workers without runs.
 	Required, Available, Idle int
+	// Urgent is the number of VMs that the jobs require which can still be on
+	// time, and Target the part of it that the fleet can give to the pool.
+	Urgent, Target int
 }
 
 // Load returns the present load. It resets the counts of reports and ends.
@@ -53,6 +56,8 @@
 			Required:  pn.required,
 			Available: pn.available,
 			Idle:      len(pn.idle),
+			Urgent:    pn.urgent,
+			Target:    pn.target,
 		})
 	}
 	slices.SortFunc(ld.Pools, func(a, b PoolLoad) int { return cmp.Compare(a.Name, b.Name) })
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -66,6 +66,11 @@
 	// required is the number of VMs that the present demand requires, or the one
 	// expected by the time that a move completes.
 	required int
+	// urgent is the number of VMs that the jobs require which can still be on
+	// time, and target the part of it that the fleet can give to the pool.
+	urgent, target int
+	// least is the number of VMs that the pool keeps in any case.
+	least int
 	// idle are the workers without runs.
 	idle []*worker
 }
@@ -81,36 +86,68 @@
 	fl.addMoveBudget(now.Sub(fl.movesPlannedAt), al.bounds.VMOrderRate)
 	fl.movesPlannedAt = now
 	al.updateMoves(now)
-	needs := al.poolNeeds(now)
-	fl.needs = needs
 	standby := al.standbyPool()
+	needs := al.poolNeeds(now, standby)
+	fl.needs = needs
 	if standby == "" || al.isDirectoryBehind(now, standby) {
 		return
 	}
-	donors := al.donors(now, needs, donationDelay)
-	free := al.standbyVMs(standby)
+	sources := moveSources{
+		free:   al.standbyVMs(standby),
+		donors: append(al.vacatedWorkers(), al.donors(now, needs, donationDelay)...),
+	}
+	al.planVacating(now, needs, missingVMs(needs)-len(sources.free))
+	al.moveVMs(now, needs, &sources, func(pn *poolNeed) int { return pn.target })
+	al.moveVMs(now, needs, &sources, func(pn *poolNeed) int { return pn.required })
+	for _, wk := range al.donors(now, needs, standbyDelay) {
+		if fl.canMove() && !wk.isCordoned {
+			al.orderMove(now, wk.info.VM, wk.info.ID, standby)
+		}
+	}
+}
+
+// moveSources are the VMs that can be moved: those on standby, and workers.
+type moveSources struct {
+	free   []string
+	donors []*worker
+}
+
+// moveVMs orders moves to the pools that have fewer VMs than wanted, to the one
+// that lacks most first.
+func (al *Allocator) moveVMs(now time.Time, needs []poolNeed, sources *moveSources, wanted func(*poolNeed) int) {
+	lack := func(pn poolNeed) int { return wanted(&pn) - pn.available }
 	slices.SortFunc(needs, func(a, b poolNeed) int {
-		return cmp.Or(cmp.Compare(b.required-b.available, a.required-a.available), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(lack(b), lack(a)), cmp.Compare(a.name, b.name))
 	})
-	for _, pn := range needs {
-		for range pn.required - pn.available {
+	for idx := range needs {
+		pn := &needs[idx]
+		for pn.available < wanted(pn) {
 			switch {
-			case !fl.canMove():
+			case !al.fleet.canMove():
+				return
+			case len(sources.free) > 0:
+				al.orderMove(now, sources.free[0], "", pn.name)
+				sources.free = sources.free[1:]
+			case len(sources.donors) > 0:
+				al.orderMove(now, sources.donors[0].info.VM, sources.donors[0].info.ID, pn.name)
+				sources.donors = sources.donors[1:]
+			default:
 				return
-			case len(free) > 0:
-				al.orderMove(now, free[0], "", pn.name)
-				free = free[1:]
-			case len(donors) > 0:
-				al.orderMove(now, donors[0].info.VM, donors[0].info.ID, pn.name)
-				donors = donors[1:]
 			}
+			pn.available++
 		}
 	}
-	for _, wk := range al.donors(now, needs, standbyDelay) {
-		if fl.canMove() && !wk.isCordoned {
-			al.orderMove(now, wk.info.VM, wk.info.ID, standby)
+}
+
+// vacatedWorkers returns the workers that were vacated and are idle.
+func (al *Allocator) vacatedWorkers() []*worker {
+	var vacated []*worker
+	for _, wk := range al.workers.sorted {
+		if wk.isVacating && len(wk.runs) == 0 && len(wk.unresolvedStarts) == 0 && al.isMovable(wk) {
+			vacated = append(vacated, wk)
 		}
 	}
+	return vacated
 }
 
 // addMoveBudget adds the orders that moves may use in the given time, at a rate
@@ -235,7 +272,7 @@
 }
 
 // poolNeeds returns the available and required VMs of each pool with queues.
-func (al *Allocator) poolNeeds(now time.Time) []poolNeed {
+func (al *Allocator) poolNeeds(now time.Time, standby string) []poolNeed {
 	byPool := map[string]*poolNeed{}
 	for _, qu := range al.configuration.Queues {
 		if pool := al.configuration.Pools[qu.Pool]; !pool.IsStandby && byPool[qu.Pool] == nil {
@@ -246,11 +283,16 @@
 	}
 	capacity := al.averageCapacity()
 	demand := al.demandByPool(now)
+	fleetSize := 0
 	for _, wk := range al.workers.sorted {
 		pn := byPool[wk.info.Pool]
 		if pn == nil || !wk.isListed || wk.info.IsDraining || wk.isCordoned {
 			continue
 		}
+		fleetSize++
+		if wk.isVacating {
+			continue
+		}
 		pn.workers++
 		if wk.isSynced && len(wk.runs) == 0 && wk.info.VM != "" {
 			pn.idle = append(pn.idle, wk)
@@ -268,16 +310,20 @@
 	for _, name := range slices.Sorted(maps.Keys(byPool)) {
 		pn := byPool[name]
 		poolDemand := demand[name]
-		poolDemand.resources.MilliCores = max(poolDemand.resources.MilliCores, al.expectedMilliCores(now, name))
-		pn.required = max(
-			workersFor(poolDemand.resources, capacity),
-			poolDemand.minWorkers,
-			minPoolVMs,
-			al.longRunningNeed(now, name, poolDemand, pn.workers, capacity),
-		)
-		al.fleet.recordSurplus(now, *pn)
+		expected := modeller.Resources{
+			MilliCores: al.expectedMilliCores(now, name),
+		}
+		pn.least = max(poolDemand.minWorkers, minPoolVMs, al.longRunningNeed(now, name, poolDemand, pn.workers, capacity))
+		pn.required = max(workersFor(poolDemand.resources.Max(expected), capacity), pn.least)
+		pn.urgent = max(workersFor(poolDemand.urgentResources.Max(expected), capacity), pn.least)
+		fleetSize += pn.available - pn.workers
 		needs = append(needs, *pn)
 	}
+	shareFleet(needs, fleetSize+len(al.standbyVMs(standby)))
+	for _, pn := range needs {
+		recordSurplus(now, al.fleet.surplus, pn.name, pn.available-pn.required)
+		recordSurplus(now, al.fleet.urgentSurplus, pn.name, pn.available-pn.target)
+	}
 	return needs
 }
 
@@ -305,6 +351,8 @@
 type demand struct {
 	// resources is the demand of the tasks that are running or could run.
 	resources modeller.Resources
+	// urgentResources is the part of it without the jobs that are late.
+	urgentResources modeller.Resources
 	// longRunning counts the long-running tasks, waitingLongRunning those of them
 	// that wait for a start, and waitingResources what these demand.
 	longRunning, waitingLongRunning int
@@ -334,6 +382,7 @@
 				counted := len(st.tasks) - st.doneCount - st.waitingCount
 				if isOnTime {
 					counted += st.waitingCount
+					dm.urgentResources = dm.urgentResources.Plus(st.reserved.Times(counted))
 				}
 				dm.resources = dm.resources.Plus(st.reserved.Times(counted))
 				if st.spec.IsLongRunning {
@@ -392,16 +441,28 @@
 }
 
 // recordSurplus updates the history of a pool's surplus.
-func (fl *fleet) recordSurplus(now time.Time, pn poolNeed) {
-	history := fl.surplus[pn.name]
-	surplus := max(pn.available-pn.required, 0)
+func recordSurplus(now time.Time, histories map[string]surplusHistory, pool string, surplus int) {
+	history := histories[pool]
+	surplus = max(surplus, 0)
 	if len(history.since) > surplus {
 		history.since = history.since[:surplus]
 	}
 	for len(history.since) < surplus {
 		history.since = append(history.since, now)
 	}
-	fl.surplus[pn.name] = history
+	histories[pool] = history
+}
+
+// lastingSurplus returns how many VMs of a pool have been surplus for the given
+// duration.
+func lastingSurplus(now time.Time, histories map[string]surplusHistory, pool string, duration time.Duration) int {
+	count := 0
+	for _, since := range histories[pool].since {
+		if now.Sub(since) >= duration {
+			count++
+		}
+	}
+	return count
 }
 
 // donors returns idle workers of pools, at most as many of each pool as have
@@ -409,12 +470,7 @@
 func (al *Allocator) donors(now time.Time, needs []poolNeed, duration time.Duration) []*worker {
 	var donors []*worker
 	for _, pn := range needs {
-		spare := 0
-		for _, since := range al.fleet.surplus[pn.name].since {
-			if now.Sub(since) >= duration {
-				spare++
-			}
-		}
+		spare := lastingSurplus(now, al.fleet.surplus, pn.name, duration)
 		for _, wk := range pn.idle {
 			if spare == 0 {
 				break
@@ -438,6 +494,7 @@
 	}
 	if wk := al.workers.byID[worker]; wk != nil {
 		wk.isCordoned = true
+		wk.isVacating = false
 	}
 	al.log(LogEntry{Message: "VM move ordered", Worker: worker, VM: vm, Reason: "to pool " + pool})
 	al.sendMove(now, vm, al.fleet.moves[vm])
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -77,6 +77,9 @@
 	// isCordoned is true while the worker is evacuated for a move or
 	// maintenance.
 	isCordoned bool
+	// isVacating is true while the worker gets no tasks since another pool needs
+	// its VM.
+	isVacating bool
 }
 
 func (al *Allocator) updateWorker(now time.Time, info modeller.Worker) {
@@ -157,7 +160,7 @@
 
 // isEligible reports whether a worker may get a start now.
 func (al *Allocator) isEligible(now time.Time, wk *worker) bool {
-	return wk.isListed && wk.isRostered && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned &&
+	return wk.isListed && wk.isRostered && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned && !wk.isVacating &&
 		now.Sub(wk.reportedAt) < maxReportAge && !now.Before(wk.quarantinedUntil) && !now.Before(wk.suspectUntil) &&
 		wk.leaseEnd > 0 && al.estimateClock(now, wk) < wk.leaseEnd && al.isFenced(now, wk) && !al.fleet.hasPendingTakedown(wk.info.VM)
 }
@@ -185,6 +188,7 @@
 		}
 	}
 	wk.isSynced = false
+	wk.isVacating = false
 	wk.incarnation++
 	wk.mayHoldOldRuns = false
 	wk.lastProcessedEnd = 0
--- a/shared/jobs/forecaster/forecaster.go
+++ b/shared/jobs/forecaster/forecaster.go
@@ -17,10 +17,16 @@
 	window = windowBins * binLength
 )
 
-// bin holds the arrivals of one interval.
+// bin holds the arrivals of one interval, or of several.
 type bin struct {
-	jobs int
-	work time.Duration
+	// work is the sum of the jobs' core time in seconds, and variance that of
+	// its squares: the variance of the sum if the jobs arrive independently.
+	work, variance float64
+}
+
+func (bn *bin) add(other bin) {
+	bn.work += other.work
+	bn.variance += other.variance
 }
 
 // Forecaster records the jobs that arrive for a pool. The zero value is ready
@@ -35,9 +41,11 @@
 // Add records the arrival of a job with the given core time.
 func (fc *Forecaster) Add(now time.Time, work time.Duration) {
 	fc.advance(now)
-	bn := &fc.bins[fc.present%int64(len(fc.bins))]
-	bn.jobs++
-	bn.work += work
+	seconds := work.Seconds()
+	fc.bins[fc.present%int64(len(fc.bins))].add(bin{
+		work:     seconds,
+		variance: seconds * seconds,
+	})
 }
 
 // advance empties the bins of the intervals that have begun since the last call.
@@ -50,23 +58,22 @@
 	fc.present = max(fc.present, number)
 }
 
-// Cores returns the number of cores that the jobs of a moment require if they
-// arrive as the trend of the last two seconds suggests. The moment is the given
-// time ahead of now. A change within the statistical error of the counts is not
-// taken for a trend.
+// Cores returns the number of cores that the jobs of a moment require at least if
+// they arrive as the trend of the last two seconds suggests. The moment is the
+// given time ahead of now. What may be due to chance, by one standard deviation,
+// is not taken for demand or for a trend: a single large job is neither.
 func (fc *Forecaster) Cores(now time.Time, ahead time.Duration) float64 {
 	fc.advance(now)
 	earlier, latest := fc.sum(windowBins+1), fc.sum(1)
-	jobs := earlier.jobs + latest.jobs
-	if jobs == 0 {
-		return 0
-	}
-	change := float64(latest.jobs - earlier.jobs)
-	change = math.Copysign(max(math.Abs(change)-math.Sqrt(float64(jobs)), 0), change)
-	// The latest window's rate is that of its middle.
-	expected := float64(latest.jobs) + change*(ahead+window/2).Seconds()/window.Seconds()
-	meanWork := (earlier.work + latest.work).Seconds() / float64(jobs)
-	return max(expected, 0) * meanWork / window.Seconds()
+	change := shrink(latest.work-earlier.work, latest.variance+earlier.variance)
+	// The latest window's work is that of its middle.
+	expected := shrink(latest.work, latest.variance) + change*(ahead+window/2).Seconds()/window.Seconds()
+	return max(expected, 0) / window.Seconds()
+}
+
+// shrink returns an amount that is nearer to zero by its standard deviation.
+func shrink(amount, variance float64) float64 {
+	return math.Copysign(max(math.Abs(amount)-math.Sqrt(variance), 0), amount)
 }
 
 // sum returns the arrivals of the window whose last bin is the given number of
@@ -74,13 +81,9 @@
 func (fc *Forecaster) sum(before int64) bin {
 	var total bin
 	for idx := range int64(windowBins) {
-		number := fc.present - before - idx
-		if number < 0 {
-			break
+		if number := fc.present - before - idx; number >= 0 {
+			total.add(fc.bins[number%int64(len(fc.bins))])
 		}
-		bn := fc.bins[number%int64(len(fc.bins))]
-		total.jobs += bn.jobs
-		total.work += bn.work
 	}
 	return total
 }
