logger: drop lines after Close; don't end the process

What was seen: in 3 of 8 runs of the new demo of hand-overs a manager that was asked to end did so with exit status 2, after a panic: send on closed channel.

Cause: a poll that the end of the process aborts logs its failure, and the writer of log lines was closed by then.

Change: Close ends the writer by a channel of its own, and lines after it are dropped and counted. Ruled out: waiting for all goroutines that log, since any library may have one.

--- a/shared/process/logger/ring.go
+++ b/shared/process/logger/ring.go
@@ -19,14 +19,16 @@
 type AsyncWriter struct {
 	lines   chan []byte
 	dropped atomic.Uint64
-	done    chan struct{}
+	// closing is closed by Close, and done once all queued lines are written.
+	closing, done chan struct{}
 }
 
 // NewAsyncWriter returns an AsyncWriter that writes to output until Close is called.
 func NewAsyncWriter(output io.Writer) *AsyncWriter {
 	aw := &AsyncWriter{
-		lines: make(chan []byte, maxQueuedLines),
-		done:  make(chan struct{}),
+		lines:   make(chan []byte, maxQueuedLines),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
 	}
 	go aw.run(output)
 	return aw
@@ -34,27 +36,41 @@
 
 func (aw *AsyncWriter) run(output io.Writer) {
 	defer close(aw.done)
-	for line := range aw.lines {
-		// All queued lines are written with one call. A failed write is ignored,
-		// since there is nowhere else to report it.
-		for more := true; more; {
-			select {
-			case next, ok := <-aw.lines:
-				if !ok {
-					more = false
-					break
-				}
-				line = append(line, next...)
-			default:
-				more = false
+	for {
+		select {
+		case line := <-aw.lines:
+			aw.flush(output, line)
+		case <-aw.closing:
+			aw.flush(output, nil)
+			return
+		}
+	}
+}
+
+// flush writes a line and all queued ones with one call. A failed write is
+// ignored, since there is nowhere else to report it.
+func (aw *AsyncWriter) flush(output io.Writer, line []byte) {
+	for {
+		select {
+		case next := <-aw.lines:
+			line = append(line, next...)
+		default:
+			if len(line) > 0 {
+				_, _ = output.Write(line)
 			}
+			return
 		}
-		_, _ = output.Write(line)
 	}
 }
 
-// Write implements io.Writer. It never blocks.
+// Write implements io.Writer. It never blocks. It drops lines after Close.
 func (aw *AsyncWriter) Write(line []byte) (int, error) {
+	select {
+	case <-aw.closing:
+		aw.dropped.Add(1)
+		return len(line), nil
+	default:
+	}
 	select {
 	case aw.lines <- append([]byte(nil), line...):
 	default:
@@ -69,10 +85,9 @@
 // Dropped returns the number of lines dropped.
 func (aw *AsyncWriter) Dropped() uint64 { return aw.dropped.Load() }
 
-// Close waits until the queued lines are written. Write must not be called after
-// Close.
+// Close waits until the queued lines are written. It must be called once.
 func (aw *AsyncWriter) Close() {
-	close(aw.lines)
+	close(aw.closing)
 	<-aw.done
 }
 
