dispatcher: end the goroutines of workers that have left

A keeper had three goroutines and two queues for each worker that was ever assigned to it, until the holder changed: every move of a VM makes a new worker. The scheduler's Leave now ends them. Evidence: TestForgottenWorkersLeaveNoGoroutines; without the change the map grows by one for each worker.

--- a/coltsfootwick-manager/internal/attendant/session.go
+++ b/coltsfootwick-manager/internal/attendant/session.go
@@ -64,6 +64,7 @@
 		}
 		for _, msg := range messages {
 			ss.mutex.Lock()
+			ss.forgetWorker(msg)
 			orders, answers, err := ss.keeper.Receive(msg)
 			ss.dispatch(ctx, orders)
 			ss.queueAll(answers)
@@ -78,6 +79,16 @@
 	}
 }
 
+// forgetWorker ends the queue of a worker that the scheduler takes back. The
+// mutex has to be held.
+func (ss *session) forgetWorker(msg distributor.ToKeeper) {
+	if leave, ok := msg.(distributor.Leave); ok {
+		if id, ok := ss.keeper.Worker(leave.Handle); ok {
+			ss.dispatcher.Forget(id)
+		}
+	}
+}
+
 // dispatch sends orders. The mutex has to be held.
 func (ss *session) dispatch(ctx context.Context, orders []distributor.TimedOrder) {
 	for _, to := range orders {
--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -16,6 +16,8 @@
 // their own, so that they do not wait behind other orders.
 type workerQueue struct {
 	polls, orders chan distributor.TimedOrder
+	// end ends the goroutines that send the orders.
+	end context.CancelFunc
 }
 
 // queueOf returns the queue of a worker. It creates the queue and starts its
@@ -25,9 +27,11 @@
 	if ok {
 		return wq
 	}
+	ctx, cancel := context.WithCancel(ctx)
 	wq = &workerQueue{
 		polls:  make(chan distributor.TimedOrder, 1),
 		orders: make(chan distributor.TimedOrder, orderQueueSize),
+		end:    cancel,
 	}
 	di.queues[id] = wq
 	go di.runPolls(ctx, wq)
@@ -37,6 +41,15 @@
 	return wq
 }
 
+// Forget ends the queue of a worker that the scheduler has no more orders for. It
+// is not safe for use beside Dispatch.
+func (di *Dispatcher) Forget(id modeller.WorkerID) {
+	if wq, ok := di.queues[id]; ok {
+		wq.end()
+		delete(di.queues, id)
+	}
+}
+
 func (di *Dispatcher) enqueue(ctx context.Context, id modeller.WorkerID, to distributor.TimedOrder) {
 	select {
 	case di.queueOf(ctx, id).orders <- to:
--- a/coltsfootwick-manager/internal/dispatcher/lane_test.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"net/netip"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/platform/adapter"
@@ -83,3 +86,28 @@
 	must.True(t, ok)
 	must.Eq(t, allocator.KeeperLost, failed.Outcome)
 }
+
+// Workers come and go while a holder keeps its duty.
+func TestForgottenWorkersLeaveNoGoroutines(t *testing.T) {
+	worker, calls := newWorker(t)
+	events := make(chan allocator.Event, 1)
+	di := New(adapter.NewWorkers(adapter.NewDialer()), 1, func(ev allocator.Event) { events <- ev }, zap.NewNop())
+	stop := func(id modeller.WorkerID) {
+		order := allocator.StopOrder{Worker: worker, Task: modeller.TaskName{Job: "j"}}
+		order.Worker.ID = id
+		di.Dispatch(t.Context(), distributor.TimedOrder{Order: order, ValidUntil: timekeeper.Now().Add(time.Minute)})
+		<-events
+	}
+	const count = 100
+	stop("w")
+	before := runtime.NumGoroutine()
+	for number := range count {
+		id := modeller.WorkerID(fmt.Sprintf("w-%d", number))
+		stop(id)
+		di.Forget(id)
+	}
+	stop("w")
+	must.MapLen(t, 1, di.queues)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return runtime.NumGoroutine() < before+count })))
+	must.Eq(t, count+2, calls.Load())
+}
--- a/shared/jobs/distributor/keeper.go
+++ b/shared/jobs/distributor/keeper.go
@@ -77,6 +77,12 @@
 	}
 }
 
+// Worker returns the worker of a handle, or false if the handle has none.
+func (kp *Keeper) Worker(handle Handle) (modeller.WorkerID, bool) {
+	wk, ok := kp.workers[handle]
+	return wk.ID, ok
+}
+
 // Receive applies a message of the scheduler. It returns the orders that can be
 // sent and the answers for the scheduler. After a Fetch, Fetched or Failed has to
 // be called. After an error the connection cannot be used any more.
