rehearser: play the hand-overs between the holder, keepers and workers with processes

A keeper is frozen beyond its permission and woken, the holder is frozen until another one holds the duty and woken, and a keeper is killed, while jobs run on sound workers. Every task is started once, none runs twice, all jobs are completed, and the managers end gracefully.

--- a/standin/internal/rehearser/command.go
+++ b/standin/internal/rehearser/command.go
@@ -17,9 +17,10 @@
 
 // Command is the subcommand that runs the demo of jobs.
 type Command struct {
-	Bin  string `help:"Directory of the programs." type:"existingdir" default:"bin"`
-	Jobs int    `help:"How many jobs are submitted." default:"60"`
-	Keep bool   `help:"Keep the directory of settings files and logs also when all passed."`
+	Bin       string `help:"Directory of the programs." type:"existingdir" default:"bin"`
+	Jobs      int    `help:"How many jobs are submitted." default:"60"`
+	HandOvers bool   `help:"Freeze and kill keepers and the scheduler's node, instead of the demo's other steps."`
+	Keep      bool   `help:"Keep the directory of settings files and logs also when all passed."`
 }
 
 // Run runs the demo and prints its closing line, which counts steps. It returns
@@ -37,7 +38,7 @@
 	}
 	defer se.close()
 	passed, failed := 0, 0
-	for _, st := range steps() {
+	for _, st := range cd.steps() {
 		began := time.Now()
 		if err := st.run(ctx, se); err != nil {
 			failed++
@@ -59,3 +60,10 @@
 	}
 	return nil
 }
+
+func (cd *Command) steps() []step {
+	if cd.HandOvers {
+		return handOverSteps()
+	}
+	return demoSteps()
+}
--- a/standin/internal/rehearser/step.go
+++ b/standin/internal/rehearser/step.go
@@ -25,8 +25,8 @@
 // submitInterval is the time between two jobs.
 const submitInterval = 120 * time.Millisecond
 
-// steps returns the demo's steps in order.
-func steps() []step {
+// demoSteps returns the demo's steps in order.
+func demoSteps() []step {
 	return []step{{
 		name: "managers are ready",
 		run:  awaitReady,
@@ -184,18 +184,13 @@
 
 // killHolder kills the manager that holds the scheduler's duty.
 func killHolder(ctx context.Context, se *stage) error {
-	et, err := se.provider.Keeper().Zone("demo").Get(ctx, "duties/demo/scheduler")
+	nd, err := se.holder(ctx)
 	if err != nil {
 		return err
 	}
-	for _, nd := range se.nodes {
-		if nd.internal.String() == string(et.Value) {
-			se.killed = nd.name
-			nd.isUp = false
-			return nd.child.Kill()
-		}
-	}
-	return classifier.New(classifier.Internal, "holder %s is no manager", et.Value)
+	se.killed = nd.name
+	nd.isUp = false
+	return nd.child.Kill()
 }
 
 // wavePath is the key of the demo's wave, and waveVMs are its VMs.
