allocator: vacate workers only for what idle VMs can't cover

A vacated worker could be ordered to move to the pool in which it was, if that pool lacked VMs by the time it was idle, and workers vacated although idle ones of other pools sufficed. Found by reading. A worker stays in its own pool, and workers vacate after the moves of idle ones. Evidence: TestVacatedWorkerStaysIfItsOwnPoolLacksVMs orders the move without the change.

--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -96,8 +96,8 @@
 		free:   al.standbyVMs(standby),
 		donors: append(al.vacatedWorkers(), al.donors(now, needs, donationDelay)...),
 	}
-	al.planVacating(now, needs, missingVMs(needs)-len(sources.free))
 	al.moveVMs(now, needs, &sources, func(pn *poolNeed) int { return pn.target })
+	al.planVacating(now, needs, missingVMs(needs)-sources.unused())
 	al.moveVMs(now, needs, &sources, func(pn *poolNeed) int { return pn.required })
 	for _, wk := range al.donors(now, needs, standbyDelay) {
 		if fl.canMove() && !wk.isCordoned {
@@ -112,6 +112,18 @@
 	donors []*worker
 }
 
+// unused returns how many VMs are left that could be moved without vacating any
+// worker.
+func (ms *moveSources) unused() int {
+	count := len(ms.free)
+	for _, wk := range ms.donors {
+		if !wk.isVacating {
+			count++
+		}
+	}
+	return count
+}
+
 // moveVMs orders moves to the pools that have fewer VMs than wanted, to the one
 // that lacks most first.
 func (al *Allocator) moveVMs(now time.Time, needs []poolNeed, sources *moveSources, wanted func(*poolNeed) int) {
@@ -129,7 +141,7 @@
 				al.orderMove(now, sources.free[0], "", pn.name)
 				sources.free = sources.free[1:]
 			case len(sources.donors) > 0:
-				al.orderMove(now, sources.donors[0].info.VM, sources.donors[0].info.ID, pn.name)
+				al.giveWorker(now, sources.donors[0], pn.name)
 				sources.donors = sources.donors[1:]
 			default:
 				return
@@ -139,6 +151,17 @@
 	}
 }
 
+// giveWorker moves the VM of an idle worker to a pool. A worker that was vacated
+// stays if it is its own pool that lacks VMs by now.
+func (al *Allocator) giveWorker(now time.Time, wk *worker, pool string) {
+	if wk.info.Pool != pool {
+		al.orderMove(now, wk.info.VM, wk.info.ID, pool)
+		return
+	}
+	wk.isVacating = false
+	al.changes.note(pool)
+}
+
 // vacatedWorkers returns the workers that were vacated and are idle.
 func (al *Allocator) vacatedWorkers() []*worker {
 	var vacated []*worker
--- a/shared/jobs/allocator/vacate.go
+++ b/shared/jobs/allocator/vacate.go
@@ -86,7 +86,7 @@
 func (al *Allocator) vacatable(now time.Time, pool string) []*worker {
 	var found []*worker
 	for _, wk := range al.workers.byPool[pool] {
-		if wk.isVacating || !al.isMovable(wk) || len(wk.runs) == 0 || wk.hasLastingRuns() || wk.busyTime(now) > maxVacatingTime {
+		if wk.isVacating || !al.isMovable(wk) || wk.hasLastingRuns() || wk.busyTime(now) > maxVacatingTime {
 			continue
 		}
 		found = append(found, wk)
--- a/shared/jobs/allocator/vacate_test.go
+++ b/shared/jobs/allocator/vacate_test.go
@@ -122,3 +122,16 @@
 		must.Eq(t, "r", vo.Pool)
 	}
 }
+
+// The demand turns back to a pool whose workers were vacated for another one.
+func TestVacatedWorkerStaysIfItsOwnPoolLacksVMs(t *testing.T) {
+	fx := newTwoPools(t, "a", "b")
+	wk := fx.al.workers.byID["a"]
+	wk.isVacating = true
+	needs := []poolNeed{{name: "p", available: 1, required: 2}}
+	sources := &moveSources{donors: []*worker{wk}}
+	fx.al.fleet.moveBudget = 1
+	fx.al.moveVMs(fx.now, needs, sources, func(pn *poolNeed) int { return pn.required })
+	must.MapLen(t, 0, fx.al.fleet.moves)
+	must.False(t, wk.isVacating)
+}
