--- a/shared/jobs/allocator/move_test.go
+++ b/shared/jobs/allocator/move_test.go
@@ -10,15 +10,29 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
-func TestVMWithUnconfirmedMoveGetsNoWork(t *testing.T) {
-	fx := newFixture(t)
+// addStandbyPool adds a pool of VMs that are switched off, and sets the stretch
+// of queue q.
+func (fx *fixture) addStandbyPool(stretch float64) {
 	fx.apply(ConfigurationLoaded{
 		Configuration: modeller.Configuration{
 			Version: 2,
-			Queues:  map[string]modeller.Queue{"q": {Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 1.6}},
+			Queues:  map[string]modeller.Queue{"q": {Name: "q", Pool: "p", MaxAttempts: 2, Stretch: stretch}},
 			Pools:   map[string]modeller.Pool{"p": {Name: "p"}, "off": {Name: "off", IsStandby: true}},
 		},
 	})
+}
+
+func standbyVMs(count int) []modeller.VM {
+	var vms []modeller.VM
+	for number := range count {
+		vms = append(vms, modeller.VM{Name: fmt.Sprintf("off-%03d", number), Pool: "off", State: modeller.VMUp})
+	}
+	return vms
+}
+
+func TestVMWithUnconfirmedMoveGetsNoWork(t *testing.T) {
+	fx := newFixture(t)
+	fx.addStandbyPool(1.6)
 	ids := []string{"a", "b", "c", "d"}
 	fx.addReadyWorkers(ids...)
 	idle := func(duration time.Duration) {
@@ -60,20 +74,10 @@
 // in a fleet with VMs on standby.
 func orderedMoves(t *testing.T, vmCount int, duration time.Duration) int {
 	fx := newFixture(t)
-	fx.apply(ConfigurationLoaded{
-		Configuration: modeller.Configuration{
-			Version: 2,
-			Queues:  map[string]modeller.Queue{"q": {Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 50}},
-			Pools:   map[string]modeller.Pool{"p": {Name: "p"}, "off": {Name: "off", IsStandby: true}},
-		},
-	})
+	fx.addStandbyPool(50)
 	fx.addReadyWorkers("a")
 	fx.submitJob("j", modeller.Step{Count: 4 * vmCount, Demand: modeller.Resources{MilliCores: 4000}, Estimate: time.Second})
-	vms := []modeller.VM{vmOf("a", modeller.VMUp)}
-	for number := range vmCount - 1 {
-		vms = append(vms, modeller.VM{Name: fmt.Sprintf("off-%03d", number), Pool: "off", State: modeller.VMUp})
-	}
-	fx.listVMs(vms...)
+	fx.listVMs(append(standbyVMs(vmCount-1), vmOf("a", modeller.VMUp))...)
 	fx.advance(duration)
 	return len(takeOrders[VMOrder](fx))
 }
@@ -85,13 +89,7 @@
 
 func TestVMThatHasArrivedIsNotMovedAgainByAnOldList(t *testing.T) {
 	fx := newFixture(t)
-	fx.apply(ConfigurationLoaded{
-		Configuration: modeller.Configuration{
-			Version: 2,
-			Queues:  map[string]modeller.Queue{"q": {Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 50}},
-			Pools:   map[string]modeller.Pool{"p": {Name: "p"}, "off": {Name: "off", IsStandby: true}},
-		},
-	})
+	fx.addStandbyPool(50)
 	fx.addReadyWorkers("a")
 	fx.submitJob("j", modeller.Step{Count: 40, Demand: modeller.Resources{MilliCores: 4000}, Estimate: time.Second})
 	oldList := []modeller.VM{vmOf("a", modeller.VMUp), vmOf("c", modeller.VMUp), vmOf("d", modeller.VMUp),
@@ -110,19 +108,9 @@
 // ordered that it will need once they arrive.
 func TestVMsAreOrderedAheadOfRisingDemand(t *testing.T) {
 	fx := newFixture(t)
-	fx.apply(ConfigurationLoaded{
-		Configuration: modeller.Configuration{
-			Version: 2,
-			Queues:  map[string]modeller.Queue{"q": {Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 50}},
-			Pools:   map[string]modeller.Pool{"p": {Name: "p"}, "off": {Name: "off", IsStandby: true}},
-		},
-	})
+	fx.addStandbyPool(50)
 	fx.addReadyWorkers("a")
-	vms := []modeller.VM{vmOf("a", modeller.VMUp)}
-	for number := range 80 {
-		vms = append(vms, modeller.VM{Name: fmt.Sprintf("off-%03d", number), Pool: "off", State: modeller.VMUp})
-	}
-	fx.listVMs(vms...)
+	fx.listVMs(append(standbyVMs(80), vmOf("a", modeller.VMUp))...)
 	submitted := 0
 	for _, jobs := range []int{0, 4, 40} {
 		for number := range jobs {
@@ -156,19 +144,9 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			fx := newFixture(t)
-			fx.apply(ConfigurationLoaded{
-				Configuration: modeller.Configuration{
-					Version: 2,
-					Queues:  map[string]modeller.Queue{"q": {Name: "q", Pool: "p", MaxAttempts: 2, Stretch: 50}},
-					Pools:   map[string]modeller.Pool{"p": {Name: "p"}, "off": {Name: "off", IsStandby: true}},
-				},
-			})
+			fx.addStandbyPool(50)
 			fx.addReadyWorkers("a", "b")
-			vms := []modeller.VM{vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp)}
-			for number := range 80 {
-				vms = append(vms, modeller.VM{Name: fmt.Sprintf("off-%03d", number), Pool: "off", State: modeller.VMUp})
-			}
-			fx.listVMs(vms...)
+			fx.listVMs(append(standbyVMs(80), vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))...)
 			fx.submitJob("j", tc.step)
 			fx.advance(3 * time.Second)
 			must.Eq(t, tc.want, len(takeOrders[VMOrder](fx)))
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -34,8 +34,9 @@
 	// of its successor.
 	takeoverTime = 1600 * time.Millisecond
 	loadTime     = 60 * time.Millisecond
-	// workersPerPool and pools define the size of the fleet.
+	// workersPerPool, workerCores and pools define the size of the fleet.
 	workersPerPool = 6
+	workerCores    = 16
 	pools          = 2
 	maxAttempts    = 3
 	// checkInterval is the interval between readiness checks of long-running tasks.
@@ -188,14 +189,7 @@
 		if sm.now.Before(sm.begin.Add(submissionTime)) {
 			sm.submit()
 		}
-		sm.runTimers()
-		sm.advance()
-		if sm.now.Sub(sm.checkedAt) >= checkInterval {
-			sm.checkedAt = sm.now
-			sm.observeLongRunning()
-		}
-		sm.runManagers()
-		sm.runHolders()
+		sm.step()
 	}
 	if len(sm.violations) == 0 {
 		sm.checkOutcome()
@@ -203,6 +197,18 @@
 	return sm.violations, sm.counts
 }
 
+// step lets nodes, managers and holders do what is due.
+func (sm *Simulation) step() {
+	sm.runTimers()
+	sm.advance()
+	if sm.now.Sub(sm.checkedAt) >= checkInterval {
+		sm.checkedAt = sm.now
+		sm.observeLongRunning()
+	}
+	sm.runManagers()
+	sm.runHolders()
+}
+
 // recordViolation records the violation of a guarantee.
 func (sm *Simulation) recordViolation(name, format string, args ...any) {
 	sm.violations = append(sm.violations, fmt.Sprintf("%.3f s %s: %s", sm.now.Sub(sm.begin).Seconds(), name, fmt.Sprintf(format, args...)))
--- a/standin/internal/emulator/node.go
+++ b/standin/internal/emulator/node.go
@@ -53,7 +53,7 @@
 		Zone:   zone,
 		Labels: []string{"a", "r1"},
 		Capacity: modeller.Resources{
-			MilliCores: 16_000,
+			MilliCores: 1000 * workerCores,
 			MemoryMB:   64_000,
 		},
 		VM: vm,
