--- a/shared/jobs/allocator/arrival.go
+++ b/shared/jobs/allocator/arrival.go
@@ -15,10 +15,10 @@
 	moveTimeWeight = 0.1
 )
 
-// noteArrival records a job that was accepted, for the forecast of its pool's
-// demand. Jobs from before the duty was won and long-running ones don't tell
-// what comes next.
-func (al *Allocator) noteArrival(now time.Time, jb *job) {
+// recordArrival records a job that was accepted, for the forecast of its pool's
+// demand. Jobs from before the duty was won and long-running ones are no measure
+// of the jobs to come.
+func (al *Allocator) recordArrival(now time.Time, jb *job) {
 	qu, ok := al.configuration.Queues[jb.info.Queue]
 	if !ok || !al.isLoaded || jb.isInherited || jb.info.Occurrences > 0 {
 		return
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -111,7 +111,7 @@
 	}
 	jb.acceptedAt = now
 	jb.coreTime, jb.criticalPath = estimateWork(jr.Job)
-	al.noteArrival(now, jb)
+	al.recordArrival(now, jb)
 	if jr.Job.Occurrences == 0 {
 		al.beginOccurrence(now, jb, 0)
 		return
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -141,7 +141,7 @@
 				al.orderMove(now, sources.free[0], "", pn.name)
 				sources.free = sources.free[1:]
 			case len(sources.donors) > 0:
-				al.giveWorker(now, sources.donors[0], pn.name)
+				al.reassignWorker(now, sources.donors[0], pn.name)
 				sources.donors = sources.donors[1:]
 			default:
 				return
@@ -151,9 +151,9 @@
 	}
 }
 
-// giveWorker moves the VM of an idle worker to a pool. A worker that was vacated
-// stays if it is its own pool that lacks VMs by now.
-func (al *Allocator) giveWorker(now time.Time, wk *worker, pool string) {
+// reassignWorker moves the VM of an idle worker to a pool. A vacated worker whose
+// own pool lacks VMs by now stays there and gets tasks again.
+func (al *Allocator) reassignWorker(now time.Time, wk *worker, pool string) {
 	if wk.info.Pool != pool {
 		al.orderMove(now, wk.info.VM, wk.info.ID, pool)
 		return
@@ -427,9 +427,8 @@
 
 // longRunningNeed returns the number of workers that a pool requires for its
 // long-running tasks to start, or 0 if none has been waiting for unplacedDelay.
-// The sum of the demands doesn't show it: such tasks also keep apart from each
-// other, and may reserve memory only. More than a worker for each of them is of
-// no use.
+// The sum of the demands may be too low, since such tasks may not share a worker.
+// A worker for each of them is always enough.
 func (al *Allocator) longRunningNeed(now time.Time, pool string, dm demand, workers int, capacity modeller.Resources) int {
 	if dm.waitingLongRunning == 0 {
 		delete(al.fleet.unplacedSince, pool)
