--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -76,8 +76,8 @@
 }
 
 // planMoves moves VMs to the pools whose demand exceeds their capacity, from
-// standby first and then from pools with a lasting surplus. It puts VMs on
-// standby that no pool requires.
+// standby first and then from pools with a lasting surplus, and has workers
+// vacated where these don't suffice. It puts VMs on standby that no pool requires.
 func (al *Allocator) planMoves(now time.Time) {
 	fl := al.fleet
 	if now.Sub(fl.movesPlannedAt) < moveInterval || fl.listedAt.IsZero() || !al.isLoaded {
