--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,6 +22,8 @@
 
 var scenarios = map[string]scenario{
 	"removed-route": removedRoute,
+
+	"earlier-birth": earlierBirth,
 }
 
 func main() {
