review: case 3, an upkeep of a killed holder takes a machine down beyond the wave's cap

Promise: LIMIT, no upkeep begins while cap machines of its wave are down. Code: allocator.orderMaintenance sends the order before a record tells the next holder of it; wave records hold accepted upkeeps alone.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,7 +22,7 @@
 
 var scenarios = map[string]scenario{
 	"removed-route": removedRoute,
-
+	"late-upkeep":   lateUpkeep,
 	"earlier-birth": earlierBirth,
 }
 
