review: case 2, a step without an allowed executor blocks all queues with advice

Promise: LOST, an accepted job that nobody has cancelled goes on while there is capacity. Code: allocator.ensureTickets asks again and again for the first step in the order of service, with one call in flight for all queues.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -39,6 +39,8 @@
 	// that began beyond the cap of its wave.
 	upkeeps   int
 	overLimit string
+	// hasAdvice is true if starts need a ticket.
+	hasAdvice bool
 }
 
 // machine is a machine and the present life of its executor.
@@ -50,6 +52,9 @@
 	maintained                      map[int64]bool
 	upkeepWave                      int64
 	life                            *life
+	// greyUntil is the time until which the executor refuses all starts, although its
+	// health is good.
+	greyUntil time.Time
 }
 
 // life is one life of an executor.
@@ -192,6 +197,18 @@
 	})
 }
 
+// lose ends a machine and its executor for good. The store removes the executor's entry
+// after its silence.
+func (fl *fleet) lose(name string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	ma := fl.machines[name]
+	key := "servers/" + ma.life.id
+	fl.rec.log("executor %s is lost for good", ma.life.id)
+	fl.takeDown(ma, "down", "crash", true)
+	time.AfterFunc(silenceTime, func() { fl.store.remove(key) })
+}
+
 func (li *life) clock() int64 { return time.Since(li.startedAt).Milliseconds() }
 
 // advance ends the runs of a machine that are done, stopped or without a lease.
@@ -229,6 +246,7 @@
 	Task         string `json:"task"`
 	Attempt      int    `json:"attempt"`
 	Spec         string `json:"spec"`
+	Ticket       string `json:"ticket"`
 	DeadlineMS   int64  `json:"deadline_ms"`
 	FencingToken uint64 `json:"fencing_token"`
 	LastSeen     int64  `json:"last_seen"`
@@ -293,12 +311,17 @@
 	rn := li.runs[od.Task]
 	var wo work
 	switch {
+	case time.Now().Before(ma.greyUntil):
+		fl.rec.log("run %s, attempt %d, is refused by %s: 503", od.Task, od.Attempt, ma.name)
+		rw.WriteHeader(http.StatusServiceUnavailable)
 	case rn != nil && rn.attempt == od.Attempt:
 		answer(rw, li, "")
 	case rn != nil || od.Attempt <= li.highest[od.Task]:
 		answer(rw, li, "old")
 	case li.leaseEnd <= li.clock():
 		answer(rw, li, "late")
+	case fl.hasAdvice && od.Ticket != ticketOf(stepOf(od.Task), li.id):
+		answer(rw, li, "ticket")
 	case json.Unmarshal([]byte(od.Spec), &wo) != nil:
 		rw.WriteHeader(http.StatusBadRequest)
 	default:
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,9 +21,10 @@
 type scenario func(rg *rig) (broken string, err error)
 
 var scenarios = map[string]scenario{
-	"removed-route": removedRoute,
-	"late-upkeep":   lateUpkeep,
-	"earlier-birth": earlierBirth,
+	"removed-route":  removedRoute,
+	"late-upkeep":    lateUpkeep,
+	"earlier-birth":  earlierBirth,
+	"blocked-advice": blockedAdvice,
 }
 
 func main() {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -35,6 +35,7 @@
 	folder     string
 	store      *store
 	fleet      *fleet
+	adviser    *adviser
 	managers   []*manager
 	client     *http.Client
 }
@@ -53,7 +54,7 @@
 	}
 	st := newStore()
 	rg := &rig{
-		rec: rec, hasTrouble: hasTrouble, folder: folder, store: st, fleet: newFleet(rec, st),
+		rec: rec, hasTrouble: hasTrouble, folder: folder, store: st, fleet: newFleet(rec, st), adviser: &adviser{rec: rec},
 		client: &http.Client{Timeout: requestTime},
 	}
 	return rg, nil
@@ -61,7 +62,7 @@
 
 // start starts the managers and waits until they are ready and one holds the duty.
 func (rg *rig) start() error {
-	addresses, err := serveAll(rg.store.handler(), rg.fleet.machinesHandler(), http.NotFoundHandler())
+	addresses, err := serveAll(rg.store.handler(), rg.fleet.machinesHandler(), rg.adviser.handler())
 	if err != nil {
 		return err
 	}
