review: case 3, a job can't be cancelled once its route has another name

Promise: UNASKED, work units of a job end within a bound after its cancelling was acknowledged. Code: submitter.cancelOnce looks the job up under the present name of the route.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,7 @@
 	"late-upkeep":    lateUpkeep,
 	"earlier-birth":  earlierBirth,
 	"blocked-advice": blockedAdvice,
+	"renamed-route":  renamedRoute,
 }
 
 func main() {
