review: case 5, refused starts take jobs out of the count of pending ones

Promise: MIXED, a queue's count of pending jobs has at least half of those that haven't begun. Code: allocator.assignRun counts a job as started when a start is decided, and no refusal takes that back.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,7 @@
 	"earlier-birth":  earlierBirth,
 	"blocked-advice": blockedAdvice,
 	"renamed-route":  renamedRoute,
+	"refused-starts": refusedStarts,
 }
 
 func main() {
