--- a/review/rig/earlier_birth.go
+++ b/review/rig/earlier_birth.go
@@ -8,6 +8,8 @@
 const (
 	// clockStep is how far the time of day of an executor's machine jumps back.
 	clockStep = 2000 * time.Millisecond
+	// clockMargin is the least difference of the two births.
+	clockMargin = 200 * time.Millisecond
 	// lifeTime is how long the executor lives before it crashes, and downtime how
 	// long it is away.
 	lifeTime = 800 * time.Millisecond
@@ -43,6 +45,9 @@
 		return "", err
 	}
 	time.Sleep(time.Until(addedAt.Add(lifeTime)))
+	if lived := time.Since(addedAt); lived+downtime > clockStep-clockMargin {
+		return "", fmt.Errorf("the executor has lived for %s, too long for a step of %s", lived, clockStep)
+	}
 	rg.fleet.crash("m-1", downtime)
 	until := time.Now().Add(finishTime + idleTime)
 	for time.Now().Before(until) && rg.fleet.countDone(id) < units {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 )
 
 // The exit codes of a case.
@@ -30,6 +31,8 @@
 }
 
 func main() {
+	// The managers end with the thread that has started them.
+	runtime.LockOSThread()
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig SCENARIO FOLDER")
 		os.Exit(exitFailed)
