--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -45,16 +45,40 @@
 
 // machine is a machine and the present life of its executor.
 type machine struct {
-	name, pool, zone, rack, address string
-	cpu, memMB                      int
-	state                           string
-	fence                           uint64
-	maintained                      map[int64]bool
-	upkeepWave                      int64
-	life                            *life
+	name, pool, zone, kind, rack, address string
+	cpu, memMB                            int
+	state                                 string
+	fence                                 uint64
+	maintained                            map[int64]bool
+	upkeepWave                            int64
+	life                                  *life
 	// greyUntil is the time until which the executor refuses all starts, although its
 	// health is good.
 	greyUntil time.Time
+
+	channelsMu sync.Mutex
+	channels   map[net.Conn]bool
+}
+
+// noteChannel keeps the open channels to the machine.
+func (ma *machine) noteChannel(conn net.Conn, state http.ConnState) {
+	ma.channelsMu.Lock()
+	defer ma.channelsMu.Unlock()
+	switch state {
+	case http.StateNew:
+		ma.channels[conn] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(ma.channels, conn)
+	}
+}
+
+// closeChannels closes all channels to the machine, as the end of its executor does.
+func (ma *machine) closeChannels() {
+	ma.channelsMu.Lock()
+	defer ma.channelsMu.Unlock()
+	for conn := range ma.channels {
+		_ = conn.Close()
+	}
 }
 
 // life is one life of an executor.
@@ -124,10 +148,11 @@
 		return err
 	}
 	ma := &machine{
-		name: name, pool: pool, zone: zone, rack: "r1-" + name, address: listener.Addr().String(),
-		cpu: cpu, memMB: memMB, state: "up", maintained: map[int64]bool{},
+		name: name, pool: pool, zone: zone, kind: "a", rack: "r1-" + name, address: listener.Addr().String(),
+		cpu: cpu, memMB: memMB, state: "up", maintained: map[int64]bool{}, channels: map[net.Conn]bool{},
 	}
-	go func() { _ = http.Serve(listener, fl.executorHandler(ma)) }()
+	server := &http.Server{Handler: fl.executorHandler(ma), ConnState: ma.noteChannel}
+	go func() { _ = server.Serve(listener) }()
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.machines[name] = ma
@@ -150,7 +175,7 @@
 	fl.rec.log("executor %s of %s starts in %s, born %d", id, ma.name, ma.pool, born)
 	fl.store.put("servers/"+id, map[string]any{
 		"service": ma.pool, "address": ma.address, "zone": ma.zone, "version": "v1", "slots": 8, "state": "ready",
-		"cold_remaining_ms": 0, "seq": 1, "machine": ma.name, "labels": []string{"a", ma.rack}, "born": born,
+		"cold_remaining_ms": 0, "seq": 1, "machine": ma.name, "labels": []string{ma.kind, ma.rack}, "born": born,
 		"capacity": map[string]int{"cpu": ma.cpu, "mem_mb": ma.memMB, "gpu": 0},
 	})
 }
@@ -170,6 +195,7 @@
 		fl.store.remove("servers/" + ma.life.id)
 	}
 	ma.life = nil
+	ma.closeChannels()
 }
 
 func sortedTasks(runs map[string]*run) []string {
@@ -402,7 +428,7 @@
 	defer fl.mu.Unlock()
 	rows := []map[string]any{}
 	for _, ma := range fl.machines {
-		row := map[string]any{"machine": ma.name, "pool": ma.pool, "state": ma.state, "zone": ma.zone, "labels": []string{"a", ma.rack},
+		row := map[string]any{"machine": ma.name, "pool": ma.pool, "state": ma.state, "zone": ma.zone, "labels": []string{ma.kind, ma.rack},
 			"capacity": map[string]int{"cpu": ma.cpu, "mem_mb": ma.memMB, "gpu": 0}}
 		if ma.life != nil {
 			row["id"] = ma.life.id
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -23,6 +25,10 @@
 	requestTime   = 3 * time.Second
 	retryInterval = 500 * time.Millisecond
 	pollInterval  = 20 * time.Millisecond
+	// firstPort and portCount are the range of the managers' ports.
+	firstPort    = 20000
+	portCount    = 10000
+	portAttempts = 1000
 )
 
 // zones are the zones of the managers, one in each.
@@ -182,22 +188,12 @@
 // submit hands in a job, as a requester that repeats a request without an answer at
 // another node.
 func (rg *rig) submit(path, id string, wo work, steps ...step) error {
-	spec, err := json.Marshal(wo)
-	if err != nil {
-		return err
-	}
-	body, err := json.Marshal(map[string]any{"spec": string(spec), "steps": steps})
-	if err != nil {
-		return err
-	}
 	for attempt := range 2 * len(rg.managers) {
 		ma := rg.managers[attempt%len(rg.managers)]
 		if ma.command == nil {
 			continue
 		}
-		status, text := rg.request(ma, http.MethodPost, path+id, body)
-		rg.rec.log("POST %s%s at %s: %d %s", path, id, ma.name, status, text)
-		if status == http.StatusOK {
+		if status, _ := rg.submitAt(ma, path, id, wo, steps...); status == http.StatusOK {
 			return nil
 		}
 		time.Sleep(retryInterval)
@@ -205,6 +201,21 @@
 	return errors.New("job " + id + " was not accepted")
 }
 
+// submitAt hands in a job at one manager.
+func (rg *rig) submitAt(ma *manager, path, id string, wo work, steps ...step) (status int, text string) {
+	spec, err := json.Marshal(wo)
+	if err != nil {
+		return 0, err.Error()
+	}
+	body, err := json.Marshal(map[string]any{"spec": string(spec), "steps": steps})
+	if err != nil {
+		return 0, err.Error()
+	}
+	status, text = rg.request(ma, http.MethodPost, path+id, body)
+	rg.rec.log("POST %s%s at %s: %d %s", path, id, ma.name, status, text)
+	return status, text
+}
+
 // request sends a request to a manager. The status is 0 without an answer.
 func (rg *rig) request(ma *manager, method, path string, body []byte) (status int, text string) {
 	rq, err := http.NewRequest(method, "http://"+ma.front+path, bytes.NewReader(body))
@@ -251,15 +262,24 @@
 	return addresses, nil
 }
 
+// freeAddresses returns free loopback addresses. Their ports are below those that the
+// kernel gives to outgoing channels, which could take one before its manager listens.
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for attempt := 0; len(addresses) < count && attempt < portAttempts; attempt++ {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if slices.Contains(addresses, address) {
+			continue
+		}
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		_ = listener.Close()
+		addresses = append(addresses, address)
+	}
+	if len(addresses) < count {
+		return nil, errors.New("there are no free ports")
 	}
 	return addresses, nil
 }
