--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 	"earlier-birth":  earlierBirth,
 	"blocked-advice": blockedAdvice,
 	"renamed-route":  renamedRoute,
+	"cordoned-pool":  cordonedPool,
 	"refused-starts": refusedStarts,
 }
 
