review: case 1, a queue that changes its service runs twice after a takeover

Promise: TWICE, no two runs of one work unit at the same time. Code: allocator.mayHaveOldRuns waits for the workers of the queue's present pool alone.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
-exec timeout --kill-after=5 115 target/review-rig removed-route "$folder"
+exec timeout --kill-after=5 115 target/review-rig moved-queue "$folder"
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -39,6 +39,10 @@
 	// that began beyond the cap of its wave.
 	upkeeps   int
 	overLimit string
+	// cutZone is the zone that is cut off, or empty; its executors are reached under
+	// cutFence alone.
+	cutZone  string
+	cutFence uint64
 	// hasAdvice is true if starts need a ticket.
 	hasAdvice bool
 }
@@ -306,6 +310,14 @@
 }
 
 func (fl *fleet) withLife(rw http.ResponseWriter, rq *http.Request, ma *machine, od order, do func(rw http.ResponseWriter, ma *machine, od order)) {
+	for fl.cutZone == ma.zone && od.FencingToken != fl.cutFence {
+		fl.mu.Unlock()
+		time.Sleep(advanceInterval)
+		fl.mu.Lock()
+		if rq.Context().Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
 	li := ma.life
 	if li == nil {
 		panic(http.ErrAbortHandler)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 	"blocked-advice": blockedAdvice,
 	"renamed-route":  renamedRoute,
 	"cordoned-pool":  cordonedPool,
+	"moved-queue":    movedQueue,
 	"refused-starts": refusedStarts,
 }
 
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -48,9 +49,37 @@
 
 // manager is a process of the project.
 type manager struct {
-	name, front, ready, internal string
-	settings                     string
-	command                      *exec.Cmd
+	name, zone, front, ready, internal string
+	settings                           string
+	command                            *exec.Cmd
+	// storeCut is true while the manager is cut off from the store.
+	storeCut atomic.Bool
+}
+
+// storeHandler is the store as a manager sees it. Behind a cut no call is answered, and
+// none is carried out.
+func (ma *manager) storeHandler(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+		if ma.storeCut.Load() {
+			<-rq.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(&cutWriter{ResponseWriter: rw, isCut: &ma.storeCut}, rq)
+	})
+}
+
+// cutWriter loses answers while there is a cut.
+type cutWriter struct {
+	http.ResponseWriter
+	isCut *atomic.Bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (cw *cutWriter) WriteHeader(status int) {
+	if cw.isCut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	cw.ResponseWriter.WriteHeader(status)
 }
 
 func newRig(rec *record, hasTrouble bool) (*rig, error) {
@@ -68,7 +97,7 @@
 
 // start starts the managers and waits until they are ready and one holds the duty.
 func (rg *rig) start() error {
-	addresses, err := serveAll(rg.store.handler(), rg.fleet.machinesHandler(), rg.adviser.handler())
+	addresses, err := serveAll(rg.fleet.machinesHandler(), rg.adviser.handler())
 	if err != nil {
 		return err
 	}
@@ -77,9 +106,13 @@
 		if err != nil {
 			return err
 		}
-		ma := &manager{name: "edge-" + zone + "-1", front: ports[0], ready: ports[1], internal: ports[2]}
+		ma := &manager{name: "edge-" + zone + "-1", zone: zone, front: ports[0], ready: ports[1], internal: ports[2]}
+		storeAddress, err := serveAll(ma.storeHandler(rg.store.handler()))
+		if err != nil {
+			return err
+		}
 		ma.settings = filepath.Join(rg.folder, ma.name+".toml")
-		if err := os.WriteFile(ma.settings, settings(ma, zone, addresses), 0o600); err != nil {
+		if err := os.WriteFile(ma.settings, settings(ma, append(storeAddress, addresses...)), 0o600); err != nil {
 			return err
 		}
 		if err := rg.startManager(ma); err != nil {
@@ -285,7 +318,7 @@
 }
 
 // settings returns the settings file of a manager, in the layout of DEPLOY.md.
-func settings(ma *manager, zone string, addresses []string) []byte {
+func settings(ma *manager, addresses []string) []byte {
 	_, port, _ := net.SplitHostPort(ma.internal)
 	return fmt.Appendf(nil, `node = %q
 role = "manager"
@@ -351,7 +384,7 @@
 rate_per_s = 64.0
 duties = []
 duty_per_s = 64.0
-`, ma.name, zone, region, port, port, addresses[2], ma.front, ma.ready, addresses[0], addresses[1])
+`, ma.name, ma.zone, region, port, port, addresses[2], ma.front, ma.ready, addresses[0], addresses[1])
 }
 
 // route is a queue in the configuration.
