--- a/review/rig/moved_queue.go
+++ b/review/rig/moved_queue.go
@@ -8,19 +8,22 @@
 
 const (
 	// zoneCutTime is how long a zone is cut off.
-	zoneCutTime = 5500 * time.Millisecond
+	zoneCutTime = 6000 * time.Millisecond
+	// betweenTime is the time from the removal of the route to its return.
+	betweenTime = 500 * time.Millisecond
 	// settledTime is the time from a version's ack to the cut.
 	settledTime = applyTime + 200*time.Millisecond
 	// workTime is how long the work unit works, in milliseconds.
-	workTime = 4200
+	workTime = 4500
 )
 
-// movedQueue lets a version send a queue to another service while a work unit of it is at
-// work, and then cuts off the zone that holds the duty and runs the work unit.
+// movedQueue removes a route and adds it again for another service while a work unit of it
+// is at work, and then cuts off the zone that holds the duty and runs the work unit.
 func movedQueue(rg *rig) (string, error) {
 	const id = "6a09e667bb67ae85"
 	services := []string{"claims", "desk"}
-	rg.configure(1, services, route("r-claims", claimsPath, "claims", 3000))
+	checks := route("r-checks", checksPath, "claims", 3000)
+	rg.configure(1, services, route("r-claims", claimsPath, "claims", 3000), checks)
 	if err := rg.start(); err != nil {
 		return "", err
 	}
@@ -45,7 +48,9 @@
 	if err := rg.await("the work unit runs", 5*time.Second, func() bool { return rg.fleet.isRunningOn("m-1", id) }); err != nil {
 		return "", err
 	}
-	rg.configure(2, services, route("r-claims", claimsPath, "desk", 3000))
+	rg.configure(2, services, checks)
+	time.Sleep(betweenTime)
+	rg.configure(3, services, route("r-claims", claimsPath, "desk", 3000), checks)
 	time.Sleep(settledTime)
 	if rg.holder() != holder {
 		return "", fmt.Errorf("the duty has changed hands before the cut")
