prover: have long work in flight when an entry is killed

TestKilledEntryLeavesTruth failed once beside other tests: no attempt was broken by the kill. Trace: the test asks that at least one is. The checks are as they were.

--- a/standin/internal/prover/graceful_stop_test.go
+++ b/standin/internal/prover/graceful_stop_test.go
@@ -63,9 +63,11 @@
 func TestKilledEntryLeavesTruth(t *testing.T) {
 	ay := assemble(t,
 		assembler.WithEntries(2),
-		assembler.WithTargets(3, target.WithRunner(shortWork)),
+		assembler.WithTargets(3, target.WithRunner(lastingWork)),
 	)
 	cg := loadConfig(ay, seed(t), 2*time.Second, 200)
+	// Long work is in flight at the time of the kill with near certainty.
+	cg.Services[0].LongShare = 0.1
 	lr := runLoad(t, cg, func() {
 		sleep(t, settleIn)
 		ey := ay.Entries()[0]
