allocator: wait for earlier runs in the pools that a job's progress names

Cause: progress records don't say where tasks have been started, so a later holder waited for the workers of the pool to which the present configuration sends the queue. Change: the progress names the pools in which runs may have been started (format 3). A pool is stored before the first start there. A later holder waits for the workers of these pools; records of earlier versions name none, which stands for all. TestProgressFormatStays now has format 3, and TestProgressWithoutPoolsIsDecoded keeps the bytes of format 2.

--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -55,6 +55,8 @@
 type jobVersion struct {
 	job     *job
 	version int
+	// pools is the number of the job's start pools in the batch.
+	pools int
 }
 
 // EndedJob is a job that has ended.
@@ -161,6 +163,7 @@
 		bt.versions = append(bt.versions, jobVersion{
 			job:     jb,
 			version: jb.version,
+			pools:   len(jb.pools.names),
 		})
 		if jb.outcome != "" {
 			bt.Ended = append(bt.Ended, EndedJob{
@@ -188,6 +191,7 @@
 	pg := modeller.Progress{
 		ID:    jb.info.ID,
 		Queue: jb.info.Queue,
+		Pools: slices.Clone(jb.pools.names),
 	}
 	for _, oc := range jb.occurrences {
 		for _, st := range oc.steps {
@@ -260,6 +264,10 @@
 			jb.hasStoredProgress = true
 			al.noteJob(jb)
 		}
+		if jv.pools > jb.pools.stored {
+			jb.pools.stored = jv.pools
+			al.noteJob(jb)
+		}
 		jb.storedVersion = jv.version
 		if jb.version == jv.version || jb.outcome != "" && al.jobs[jb.info.ID] == nil {
 			jb.storedVersion = jb.version
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -32,6 +32,8 @@
 	// confirmsDuty is true while the duty is confirmed whenever time advances.
 	confirmsDuty bool
 	orders       []Order
+	// progress is the stored progress of the jobs.
+	progress map[modeller.JobID]modeller.Progress
 }
 
 func newFixture(t testing.TB) *fixture {
@@ -41,6 +43,7 @@
 		al:           New(begin, testBounds),
 		now:          begin,
 		confirmsDuty: true,
+		progress:     map[modeller.JobID]modeller.Progress{},
 	}
 	fx.apply(ConfigurationLoaded{
 		Configuration: modeller.Configuration{
@@ -172,6 +175,9 @@
 // storeBatch stores the pending batch, if there is one.
 func (fx *fixture) storeBatch() {
 	if batch := fx.al.Batch(fx.now); batch != nil {
+		for _, pg := range batch.Progress {
+			fx.progress[pg.ID] = pg
+		}
 		fx.apply(BatchStored{Batch: batch})
 	}
 }
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -27,6 +27,7 @@
 	// precede the first start, because a later holder starts a job without a
 	// progress record at once.
 	hasStoredProgress bool
+	pools             startPools
 	// coreTime is the estimated core time of all tasks, and criticalPath the
 	// estimated duration of the longest chain of steps.
 	coreTime, criticalPath time.Duration
@@ -73,6 +74,7 @@
 	}
 	jb.hasStarted = len(pg.Tasks) > 0
 	jb.hasStoredProgress = true
+	jb.pools = newInheritedPools(pg.Pools)
 }
 
 func (al *Allocator) addJob(now time.Time, jr modeller.JobRecord) {
@@ -109,6 +111,9 @@
 	if !jb.hasStoredProgress {
 		al.markDirty(jb)
 	}
+	if qu, ok := al.configuration.Queues[jb.info.Queue]; ok {
+		al.addStartPool(jb, qu.Pool)
+	}
 	jb.acceptedAt = now
 	jb.coreTime, jb.criticalPath = estimateWork(jr.Job)
 	al.recordArrival(now, jb)
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -13,7 +13,7 @@
 	for jb, pp := pl.next(); jb != nil; jb, pp = pl.next() {
 		al.effort.jobs++
 		orderCount := len(al.orders)
-		al.placeJob(now, jb, pp)
+		al.placeJob(jb, pp, pl)
 		pp.consider(jb)
 		if len(al.orders) > orderCount && !al.hasRoom(now, pp) {
 			pp.isFull = true
@@ -23,23 +23,14 @@
 }
 
 // placeJob starts a job's waiting tasks.
-func (al *Allocator) placeJob(now time.Time, jb *job, pp *poolPlacement) {
-	if !jb.mayWait() || !jb.hasStoredProgress || !al.mayStart(now, jb) {
+func (al *Allocator) placeJob(jb *job, pp *poolPlacement, pl *placement) {
+	if !jb.mayWait() || !jb.hasStoredProgress || !jb.pools.isStored(pp.name) || !al.mayStart(pl.now, jb) || al.mayHaveOldRuns(jb, pl.oldRuns) {
 		return
 	}
-	if jb.isInherited {
-		if !pp.hasCheckedOldRuns {
-			pp.mayHaveOldRuns = al.mayHaveOldRuns(pp.name)
-			pp.hasCheckedOldRuns = true
-		}
-		if pp.mayHaveOldRuns {
-			return
-		}
-	}
 	for _, oc := range jb.occurrences {
 		for _, st := range oc.steps {
 			if !oc.isDone && st.waitingCount > 0 && oc.areDependenciesDone(st) {
-				al.placeStep(now, st, pp)
+				al.placeStep(pl.now, st, pp)
 			}
 		}
 	}
--- a/shared/jobs/allocator/placement.go
+++ b/shared/jobs/allocator/placement.go
@@ -8,8 +8,9 @@
 
 // placement is one round of placing tasks.
 type placement struct {
-	now   time.Time
-	pools []*poolPlacement
+	now     time.Time
+	pools   []*poolPlacement
+	oldRuns oldRunChecks
 }
 
 // poolPlacement is the part of a placement in one pool.
@@ -31,8 +32,6 @@
 	// full are the demands for which no worker has room. They stay so during a
 	// placement.
 	full map[labelledDemand]struct{}
-	// mayHaveOldRuns is valid once hasCheckedOldRuns is true.
-	mayHaveOldRuns, hasCheckedOldRuns bool
 }
 
 // labelledDemand is what a task requires of a worker, apart from constraints
@@ -46,7 +45,8 @@
 // last one and have waiting tasks and room.
 func (al *Allocator) newPlacement(now time.Time) *placement {
 	pl := &placement{
-		now: now,
+		now:     now,
+		oldRuns: oldRunChecks{},
 	}
 	for pool, wl := range al.waiting {
 		if _, isChanged := al.changes.pools[pool]; !isChanged && !al.changes.isEveryPool || len(wl.ranked) == 0 {
--- a/shared/jobs/allocator/waiting.go
+++ b/shared/jobs/allocator/waiting.go
@@ -30,6 +30,7 @@
 	if !ok || !jb.mayWait() {
 		return
 	}
+	al.addStartPool(jb, qu.Pool)
 	al.changes.note(qu.Pool)
 	wl := al.waiting[qu.Pool]
 	if wl == nil {
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -300,23 +300,6 @@
 	}
 }
 
-// mayHaveOldRuns reports whether unreported runs of earlier holders may
-// continue on a worker of a pool.
-func (al *Allocator) mayHaveOldRuns(pool string) bool {
-	if !al.isLoaded {
-		return true
-	}
-	if al.confirmedAt.After(al.oldRunsExpiry()) {
-		return false
-	}
-	for _, wk := range al.workers.byPool[pool] {
-		if wk.mayHoldOldRuns {
-			return true
-		}
-	}
-	return false
-}
-
 // Roster returns the workers that may have runs.
 func (al *Allocator) Roster() []modeller.Worker {
 	roster := make([]modeller.Worker, 0, len(al.workers.sorted))
--- a/shared/jobs/modeller/progress.go
+++ b/shared/jobs/modeller/progress.go
@@ -6,6 +6,9 @@
 	// ID and Queue identify the job.
 	ID    JobID
 	Queue string
+	// Pools are the pools in which runs of the job may have been started. None
+	// means that they are not known.
+	Pools []string
 	// Tasks are the tasks that have started at least once, in no particular
 	// order.
 	Tasks []TaskProgress
--- a/shared/jobs/modeller/progress_codec.go
+++ b/shared/jobs/modeller/progress_codec.go
@@ -7,9 +7,13 @@
 	"coltsfootwick.example/shared/process/packer"
 )
 
-// progressFormat is the first byte of a stored Progress in the format of package
-// packer. Records of earlier versions are JSON objects, which begin with a brace.
-const progressFormat = 2
+// The first byte of a stored Progress in the format of package packer. Records of
+// earlier versions are JSON objects, which begin with a brace.
+const (
+	// progressWithoutPools is the format of records that don't name the pools.
+	progressWithoutPools = 2
+	progressFormat       = 3
+)
 
 // The bits of a stored task.
 const (
@@ -26,6 +30,10 @@
 	data := []byte{progressFormat}
 	data = packer.AppendString(data, string(pg.ID))
 	data = packer.AppendString(data, pg.Queue)
+	data = packer.AppendUint(data, uint64(len(pg.Pools)))
+	for _, pool := range pg.Pools {
+		data = packer.AppendString(data, pool)
+	}
 	data = packer.AppendUint(data, uint64(len(pg.Tasks)))
 	var last TaskProgress
 	for number, tp := range pg.Tasks {
@@ -76,7 +84,7 @@
 
 // DecodeProgress returns a job's progress from its stored form.
 func DecodeProgress(data []byte) (Progress, error) {
-	if len(data) == 0 || data[0] != progressFormat {
+	if len(data) == 0 || data[0] != progressFormat && data[0] != progressWithoutPools {
 		return decodeProgressObject(data)
 	}
 	rd := packer.NewReader(data[1:])
@@ -84,6 +92,11 @@
 		ID:    JobID(rd.String()),
 		Queue: rd.String(),
 	}
+	if data[0] == progressFormat {
+		for range rd.Length() {
+			pg.Pools = append(pg.Pools, rd.String())
+		}
+	}
 	var last TaskProgress
 	for range rd.Length() {
 		last = readTask(rd, last)
--- a/shared/jobs/modeller/progress_codec_test.go
+++ b/shared/jobs/modeller/progress_codec_test.go
@@ -15,6 +15,7 @@
 var progressOfTwoSteps = Progress{
 	ID:    "5c0e7a21d94b36f8",
 	Queue: "q",
+	Pools: []string{"p", "p2"},
 	Tasks: []TaskProgress{
 		{IsDone: true, Attempt: 1},
 		{Index: 1, IsDone: true, Attempt: 1},
@@ -24,12 +25,31 @@
 }
 
 func TestProgressFormatStays(t *testing.T) {
-	const golden = "02" + "10" + "35633065376132316439346233366638" + "01" + "71" + "04" +
+	must.Eq(t, "03"+goldenJob+"02"+"01"+"70"+"02"+"7032"+goldenTasks, hex.EncodeToString(EncodeProgress(progressOfTwoSteps)))
+}
+
+// The parts of progressOfTwoSteps that all formats of package packer share.
+const (
+	goldenJob   = "10" + "35633065376132316439346233366638" + "01" + "71"
+	goldenTasks = "04" +
 		"01" + "000000" + "01" + // done, first task
 		"09" + "01" + // done, next task
 		"08" + "01" + // next task
 		"06" + "010207" + "03" + "02" + "0102" + "02" + "6331" // failed, with a checkpoint
-	must.Eq(t, golden, hex.EncodeToString(EncodeProgress(progressOfTwoSteps)))
+)
+
+func TestProgressWithoutPoolsIsDecoded(t *testing.T) {
+	data, err := hex.DecodeString("02" + goldenJob + goldenTasks)
+	must.NoError(t, err)
+	decoded, err := DecodeProgress(data)
+	must.NoError(t, err)
+	must.Eq(t, withoutPools(progressOfTwoSteps), decoded)
+}
+
+// withoutPools returns a progress as an earlier version stored it.
+func withoutPools(pg Progress) Progress {
+	pg.Pools = nil
+	return pg
 }
 
 func TestProgressRoundTrip(t *testing.T) {
@@ -45,7 +65,7 @@
 		`{"k":1,"s":2,"i":7,"attempt":3,"failed":[1,2],"checkpoint":"c1"}]}`
 	decoded, err := DecodeProgress([]byte(stored))
 	must.NoError(t, err)
-	must.Eq(t, progressOfTwoSteps, decoded)
+	must.Eq(t, withoutPools(progressOfTwoSteps), decoded)
 }
 
 func FuzzDecodeProgress(f *testing.F) {
--- a/standin/internal/emulator/caller.go
+++ b/standin/internal/emulator/caller.go
@@ -25,7 +25,10 @@
 		return
 	}
 	if sm.random.Float64() < 0.02 {
-		sm.submitJob(sm.randomJob())
+		sj := sm.randomJob()
+		if _, isConfigured := sm.operators.configuration.Queues[sj.job.Queue]; isConfigured {
+			sm.submitJob(sj)
+		}
 	}
 	if sm.random.Float64() < 0.002 {
 		sm.cancelRandomJob()
--- a/standin/internal/emulator/check.go
+++ b/standin/internal/emulator/check.go
@@ -54,7 +54,7 @@
 	if used := nd.ex.Used(); !used.FitsIn(nd.info.Capacity) {
 		sm.recordViolation("LIMIT", "%s raises the resource use of %s to %+v, above its capacity", name, nd.info.ID, used)
 	}
-	if nd.info.Pool != configuration().Queues[sj.job.Queue].Pool {
+	if !sm.operators.pools[sj.job.Queue][nd.info.Pool] {
 		sm.recordViolation("ROUTE", "%s starts on %s of pool %s", name, nd.info.ID, nd.info.Pool)
 	}
 	for _, other := range sm.nodes {
@@ -230,7 +230,7 @@
 			running++
 		}
 	}
-	room := sm.countUp(configuration().Queues[sj.job.Queue].Pool) * step.MaxPerWorker
+	room := sm.countUp(sm.operators.poolOf[sj.job.Queue]) * step.MaxPerWorker
 	if running < min(step.Count, room) {
 		sm.recordViolation("LOST", "%d of %d long-running tasks of job %s run, with room for %d", running, step.Count, sj.job.ID, room)
 	}
--- a/standin/internal/emulator/command.go
+++ b/standin/internal/emulator/command.go
@@ -14,6 +14,9 @@
 	Days  uint64 `help:"How many days are played." default:"1000"`
 	Seed  uint64 `help:"Seed of the first day; the others follow. Zero takes one from the time." default:"0"`
 	Trace bool   `help:"Print the faults and the decisions of each day."`
+	// ChangesConfiguration is an option of its own, so that the seeds keep their
+	// days without it.
+	ChangesConfiguration bool `name:"changing-configuration" help:"Let operators remove queues and add them again for any pool."`
 }
 
 // Run runs the simulations and prints each violated guarantee with its seed. It
@@ -23,13 +26,17 @@
 	if first == 0 {
 		first = uint64(time.Now().UnixNano())
 	}
+	var opts []Option
+	if cd.ChangesConfiguration {
+		opts = append(opts, WithChangingConfiguration())
+	}
 	failed := 0
 	var total Counts
 	for number := range cd.Days {
 		if ctx.Err() != nil {
 			break
 		}
-		simulation := New(first + number)
+		simulation := New(first+number, opts...)
 		if cd.Trace {
 			simulation.Trace(func(line string) { fmt.Println(line) })
 		}
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -63,6 +63,7 @@
 
 // Simulation is one simulated run of a fleet.
 type Simulation struct {
+	seed   uint64
 	random *rand.Rand
 	begin  time.Time
 	now    time.Time
@@ -72,6 +73,7 @@
 	sortedNodes []*node
 	jobs        map[modeller.JobID]*submittedJob
 	store       *store
+	operators   *operators
 	terms       []*term
 	fence       uint64
 	timers      timerQueue
@@ -153,16 +155,18 @@
 }
 
 // New returns the simulation of a seed.
-func New(seed uint64) *Simulation {
+func New(seed uint64, opts ...Option) *Simulation {
 	random := rand.New(rand.NewPCG(seed, 1))
 	begin := time.Unix(1_700_000_000, 0)
 	sm := &Simulation{
+		seed:        seed,
 		random:      random,
 		begin:       begin,
 		now:         begin,
 		nodes:       map[modeller.WorkerID]*node{},
 		jobs:        map[modeller.JobID]*submittedJob{},
 		store:       newStore(),
+		operators:   newOperators(),
 		completions: map[modeller.TaskName][]*completion{},
 		starts:      map[modeller.TaskName][]time.Time{},
 		failures:    map[modeller.TaskName]int{},
@@ -175,6 +179,9 @@
 			sm.addNode(fmt.Sprintf("p%d", pool), fmt.Sprintf("m%d-%d", pool, number), zoneName(number))
 		}
 	}
+	for _, opt := range opts {
+		opt(sm)
+	}
 	return sm
 }
 
--- a/standin/internal/emulator/emulator_test.go
+++ b/standin/internal/emulator/emulator_test.go
@@ -66,3 +66,19 @@
 		}
 	}
 }
+
+// changingSeeds are seeds that have failed before with a changing configuration.
+var changingSeeds = []uint64{
+	// A task was started again after a takeover, since its queue had changed its
+	// pool and the worker that had run it hadn't reported.
+	1971,
+}
+
+func TestChangingSeedsKeepAllPromises(t *testing.T) {
+	for _, seed := range changingSeeds {
+		violations, _ := New(seed, WithChangingConfiguration()).Run()
+		for _, violation := range violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+}
--- a/standin/internal/emulator/store.go
+++ b/standin/internal/emulator/store.go
@@ -94,7 +94,7 @@
 		sm.timers.add(sm.now.Add(loadTime), func() { sm.loadRecords(tm) })
 		return
 	}
-	tm.al.Apply(sm.now, allocator.ConfigurationLoaded{Configuration: configuration()})
+	tm.al.Apply(sm.now, allocator.ConfigurationLoaded{Configuration: sm.operators.configuration})
 	for _, id := range slices.Sorted(maps.Keys(sm.store.progress)) {
 		tm.al.Apply(sm.now, allocator.ProgressLoaded{Progress: sm.store.progress[id]})
 	}
@@ -143,25 +143,3 @@
 		}
 	})
 }
-
-// configuration returns the operators' configuration, the same in all simulations.
-func configuration() modeller.Configuration {
-	cf := modeller.Configuration{
-		Version: 1,
-		Queues:  map[string]modeller.Queue{},
-		Pools:   map[string]modeller.Pool{},
-	}
-	for _, number := range []string{"0", "1"} {
-		cf.Queues["q"+number] = modeller.Queue{
-			Name:        "q" + number,
-			Pool:        "p" + number,
-			MaxAttempts: maxAttempts,
-			Stretch:     1.6,
-			Slack:       600 * time.Millisecond,
-		}
-		cf.Pools["p"+number] = modeller.Pool{
-			Name: "p" + number,
-		}
-	}
-	return cf
-}
