submitter: find jobs by their IDs, whatever their queues are called by now

Cause: the key of a job's record contained the name of the queue that had taken it, and managers looked for the record under the name to which the request's path leads now. A repeated POST was stored as a second job for the same reason, and the count of pending jobs lacked those of the earlier name. Change: records lie under the job's ID alone and name the queue's host and prefix. A POST with the ID of another queue's job is refused with 409; DELETE checks the name or the address of the queue, unless no queue of that name is configured. Records of earlier versions under jobs/QUEUE/ID aren't read (OPERATIONS).

--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -439,7 +439,7 @@
 }
 
 // Pending returns the number of a queue's jobs of which no task has started.
-func (cd *Conductor) Pending(ctx context.Context, queue string) (int, error) {
+func (cd *Conductor) Pending(ctx context.Context, queue modeller.Queue) (int, error) {
 	var pending int
 	var isLoaded bool
 	err := cd.query(ctx, func(al *allocator.Allocator) {
--- a/coltsfootwick-manager/internal/conductor/conductor_test.go
+++ b/coltsfootwick-manager/internal/conductor/conductor_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"coltsfootwick.example/shared/jobs/allocator"
+	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/shared/process/timekeeper"
 )
@@ -34,14 +35,14 @@
 func TestPendingIsUnavailableWhenJobWatchIsStale(t *testing.T) {
 	al := allocator.New(timekeeper.Now(), allocator.Bounds{})
 	cd := newServingConductor(t, al)
-	_, err := cd.Pending(t.Context(), "q")
+	_, err := cd.Pending(t.Context(), modeller.Queue{Name: "q"})
 	must.Eq(t, classifier.JobUnavailable, classifier.CodeOf(err), must.Sprint("the records are not loaded yet"))
 	al.Apply(timekeeper.Now(), allocator.RecordsLoaded{})
 	cd.jobsSyncedAt.Store(timekeeper.Now().Add(-maxJobListAge - time.Second).UnixNano())
-	_, err = cd.Pending(t.Context(), "q")
+	_, err = cd.Pending(t.Context(), modeller.Queue{Name: "q"})
 	must.Eq(t, classifier.JobUnavailable, classifier.CodeOf(err), must.Sprint("the job list is older than maxJobListAge"))
 	cd.jobsSyncedAt.Store(timekeeper.Now().Add(time.Hour).UnixNano())
-	pending, err := cd.Pending(t.Context(), "q")
+	pending, err := cd.Pending(t.Context(), modeller.Queue{Name: "q"})
 	must.NoError(t, err)
 	must.Eq(t, 0, pending)
 }
--- a/coltsfootwick-manager/internal/conductor/load.go
+++ b/coltsfootwick-manager/internal/conductor/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -211,8 +210,10 @@
 }
 
 func (tm *term) handleJobEvent(ctx context.Context, ev storer.Event) {
-	id, isCancel := archiver.ParseJobKey(ev.Entry.Key)
+	id, isCancel, err := archiver.ParseJobKey(ev.Entry.Key)
 	switch {
+	case err != nil:
+		tm.logger.Error("ignoring an invalid job record", zap.Error(err))
 	case ev.Deleted && !isCancel:
 		tm.enqueue(ctx, allocator.JobRemoved{
 			Job: id,
@@ -224,8 +225,8 @@
 		})
 	default:
 		jr, err := modeller.DecodeJob(ev.Entry.Value)
-		if err != nil || !strings.HasSuffix(ev.Entry.Key, string(jr.Job.ID)) {
-			tm.logger.Error("ignoring an invalid job record", zap.String("key", ev.Entry.Key), zap.Error(err))
+		if err != nil || jr.Job.ID != id {
+			tm.logger.Error("ignoring an invalid job record", zap.String("key", ev.Entry.Key), zap.String("job", string(jr.Job.ID)), zap.Error(err))
 			return
 		}
 		tm.enqueue(ctx, allocator.JobRecorded{
--- a/coltsfootwick-manager/internal/peer/client.go
+++ b/coltsfootwick-manager/internal/peer/client.go
@@ -63,9 +63,10 @@
 }
 
 // Pending returns the number of a queue's jobs of which no task has started.
-func (cl *Client) Pending(ctx context.Context, holder netip.AddrPort, queue string) (int, error) {
+func (cl *Client) Pending(ctx context.Context, holder netip.AddrPort, queue modeller.Queue) (int, error) {
 	var response pendingResponse
-	err := cl.get(ctx, holder, "/queues/"+url.PathEscape(queue), &response)
+	address := url.Values{hostField: {queue.Host}, prefixField: {queue.Prefix}}
+	err := cl.get(ctx, holder, "/queues/"+url.PathEscape(queue.Name)+"?"+address.Encode(), &response)
 	return response.Pending, err
 }
 
@@ -83,6 +84,12 @@
 	return err
 }
 
+// The fields of a query for a queue's pending jobs.
+const (
+	hostField   = "host"
+	prefixField = "prefix"
+)
+
 // yieldPath is the path of requests to yield the duty.
 const yieldPath = "/duty/yield"
 
--- a/coltsfootwick-manager/internal/peer/handler.go
+++ b/coltsfootwick-manager/internal/peer/handler.go
@@ -20,7 +20,7 @@
 	// State returns the state of a job.
 	State(ctx context.Context, id modeller.JobID) (modeller.JobState, error)
 	// Pending returns the number of a queue's jobs of which no task has started.
-	Pending(ctx context.Context, queue string) (int, error)
+	Pending(ctx context.Context, queue modeller.Queue) (int, error)
 	// Announce adds a stored job.
 	Announce(ctx context.Context, jr modeller.JobRecord) error
 	// Yield ends the term of a holder that has held the duty for some time.
@@ -37,7 +37,11 @@
 		writeResponse(rw, logger, err, stateResponse{State: string(state)})
 	})
 	mux.HandleFunc("GET /queues/{queue}", func(rw http.ResponseWriter, rq *http.Request) {
-		pending, err := scheduler.Pending(rq.Context(), rq.PathValue("queue"))
+		pending, err := scheduler.Pending(rq.Context(), modeller.Queue{
+			Name:   rq.PathValue("queue"),
+			Host:   rq.FormValue(hostField),
+			Prefix: rq.FormValue(prefixField),
+		})
 		writeResponse(rw, logger, err, pendingResponse{Pending: pending})
 	})
 	mux.HandleFunc("POST "+announcePath, func(rw http.ResponseWriter, rq *http.Request) {
--- /dev/null
+++ b/coltsfootwick-manager/internal/peer/peer_test.go
@@ -0,0 +1,39 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+// pendingScheduler is a Scheduler that only answers Pending.
+type pendingScheduler struct {
+	Scheduler
+	asked modeller.Queue
+}
+
+func (ps *pendingScheduler) Pending(_ context.Context, queue modeller.Queue) (int, error) {
+	ps.asked = queue
+	return 7, nil
+}
+
+func (ps *pendingScheduler) ServeKeeper(http.ResponseWriter, *http.Request) {}
+
+func TestPendingNamesTheQueueAndItsAddress(t *testing.T) {
+	ps := &pendingScheduler{}
+	sr := httptest.NewServer(NewHandler(ps, zap.NewNop()))
+	t.Cleanup(sr.Close)
+	queue := modeller.Queue{Name: "r/1", Host: "jobs.example", Prefix: "/a b/?"}
+	pending, err := NewClient().Pending(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(sr.URL, "http://")), queue)
+	must.NoError(t, err)
+	must.Eq(t, 7, pending)
+	must.Eq(t, queue, ps.asked)
+}
--- a/coltsfootwick-manager/internal/router/router.go
+++ b/coltsfootwick-manager/internal/router/router.go
@@ -97,6 +97,16 @@
 // IsReady reports whether a configuration has been applied.
 func (ro *Router) IsReady() bool { return ro.table.Load() != nil }
 
+// HasQueue reports whether there is a queue with a name.
+func (ro *Router) HasQueue(name string) bool {
+	rt := ro.table.Load()
+	if rt == nil {
+		return false
+	}
+	_, ok := rt.configuration.Queues[name]
+	return ok
+}
+
 // Queue implements adapter.Router.
 func (ro *Router) Queue(host, path string) (modeller.Queue, modeller.Limits, error) {
 	rt := ro.table.Load()
--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -126,11 +126,12 @@
 		leaser.WithPrecedence(func(ctx context.Context) time.Duration { return mg.elector.Delay(ctx) }))
 	locator := peer.NewLocator(store, duty.Key(), log)
 	client := peer.NewClient()
+	queues := router.New(store, log)
 	mg = &manager{
 		settings:    settings,
 		logger:      log,
 		storeHealth: health,
-		router:      router.New(store, log),
+		router:      queues,
 		locator:     locator,
 		attendant: attendant.New(attendant.Settings{
 			Keeper: assigner.Keeper{
@@ -143,7 +144,7 @@
 			Store:   store,
 			Logger:  log,
 		}),
-		submitter: submitter.New(store, client, locator, health, log),
+		submitter: submitter.New(store, client, locator, queues, health, log),
 		leaser:    duty,
 		elector: elector.New(elector.Settings{
 			Store:      store,
--- a/coltsfootwick-manager/internal/submitter/cancel.go
+++ b/coltsfootwick-manager/internal/submitter/cancel.go
@@ -12,13 +12,13 @@
 )
 
 // Cancel implements adapter.Jobs.
-func (sm *Submitter) Cancel(ctx context.Context, queue string, id modeller.JobID) error {
+func (sm *Submitter) Cancel(ctx context.Context, queue modeller.Queue, id modeller.JobID) error {
 	err := sm.cancel(ctx, queue, id)
-	sm.logger.Info("cancellation", zap.String("job", string(id)), zap.String("queue", queue), zap.Error(err))
+	sm.logger.Info("cancellation", zap.String("job", string(id)), zap.String("queue", queue.Name), zap.Error(err))
 	return err
 }
 
-func (sm *Submitter) cancel(ctx context.Context, queue string, id modeller.JobID) error {
+func (sm *Submitter) cancel(ctx context.Context, queue modeller.Queue, id modeller.JobID) error {
 	for {
 		err := sm.cancelOnce(ctx, queue, id)
 		if code := classifier.CodeOf(err); code != classifier.PlatformConflict && code != classifier.PlatformAmbiguous {
@@ -33,8 +33,8 @@
 // cancelOnce stores the cancellation request on the condition that the job's
 // record has not changed since it was read, so that no request remains for a
 // job that has ended in the meantime.
-func (sm *Submitter) cancelOnce(ctx context.Context, queue string, id modeller.JobID) error {
-	et, err := sm.store.Get(ctx, archiver.JobKey(queue, id))
+func (sm *Submitter) cancelOnce(ctx context.Context, queue modeller.Queue, id modeller.JobID) error {
+	et, err := sm.store.Get(ctx, archiver.JobKey(id))
 	switch classifier.CodeOf(err) {
 	case classifier.OK:
 	case classifier.PlatformNotFound:
@@ -46,12 +46,15 @@
 	if err != nil {
 		return classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
 	}
-	if jr.FinalState != "" {
+	switch {
+	case !sm.isAddressedBy(queue, jr.Job):
+		return classifier.New(classifier.JobUnknown, "job %s belongs to queue %s", id, jr.Job.Queue)
+	case jr.FinalState != "":
 		return nil
 	}
 	_, err = sm.store.Commit(ctx, storer.Transaction{
 		Preconditions: []storer.Precondition{{Key: et.Key, Revision: et.Revision}},
-		Writes:        []storer.Write{{Key: archiver.CancelKey(queue, id), Value: []byte("{}")}},
+		Writes:        []storer.Write{{Key: archiver.CancelKey(id), Value: []byte("{}")}},
 	})
 	switch classifier.CodeOf(err) {
 	case classifier.PlatformUnavailable, classifier.PlatformRateLimited:
--- a/coltsfootwick-manager/internal/submitter/state.go
+++ b/coltsfootwick-manager/internal/submitter/state.go
@@ -11,19 +11,19 @@
 // State implements adapter.Jobs. It queries the holder of the scheduler's duty,
 // which has the latest state, and falls back to the store if there is no holder
 // or the query fails.
-func (sm *Submitter) State(ctx context.Context, queue string, id modeller.JobID) (modeller.JobState, error) {
+func (sm *Submitter) State(ctx context.Context, id modeller.JobID) (modeller.JobState, error) {
 	if holder, ok := sm.locator.Holder(); ok {
 		state, err := sm.scheduler.State(ctx, holder, id)
 		if err == nil {
 			return state, nil
 		}
 	}
-	return sm.storedState(ctx, queue, id)
+	return sm.storedState(ctx, id)
 }
 
 // storedState returns the state of a job according to its records in the store.
-func (sm *Submitter) storedState(ctx context.Context, queue string, id modeller.JobID) (modeller.JobState, error) {
-	key := archiver.JobKey(queue, id)
+func (sm *Submitter) storedState(ctx context.Context, id modeller.JobID) (modeller.JobState, error) {
+	key := archiver.JobKey(id)
 	entries, _, err := sm.store.List(ctx, key)
 	if err != nil {
 		return "", classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
@@ -41,7 +41,7 @@
 			if jr.FinalState != "" {
 				state = jr.FinalState
 			}
-		case archiver.CancelKey(queue, id):
+		case archiver.CancelKey(id):
 			isCancelled = true
 		}
 	}
@@ -55,7 +55,7 @@
 }
 
 // Pending implements adapter.Jobs.
-func (sm *Submitter) Pending(ctx context.Context, queue string) (int, error) {
+func (sm *Submitter) Pending(ctx context.Context, queue modeller.Queue) (int, error) {
 	holder, ok := sm.locator.Holder()
 	if !ok {
 		return 0, classifier.New(classifier.JobUnavailable, "no holder of the scheduler's duty is known")
--- a/coltsfootwick-manager/internal/submitter/submission.go
+++ b/coltsfootwick-manager/internal/submitter/submission.go
@@ -36,9 +36,35 @@
 	return batch
 }
 
-// commitBatch stores a batch in one transaction. Jobs that are already stored
-// count as accepted, and the transaction is retried without them.
+// commitBatch stores a batch. Of submissions with one ID, the first is stored, and
+// the others are compared with it.
 func (sm *Submitter) commitBatch(ctx context.Context, batch []*submission) {
+	for len(batch) > 0 {
+		var repeats []*submission
+		batch, repeats = separateRepeats(batch)
+		sm.commitDistinct(ctx, batch)
+		batch = repeats
+	}
+}
+
+// separateRepeats returns the first submission of each key, and the others.
+func separateRepeats(batch []*submission) (distinct, repeats []*submission) {
+	keys := make(map[string]struct{}, len(batch))
+	for _, sub := range batch {
+		if _, isRepeat := keys[sub.key]; isRepeat {
+			repeats = append(repeats, sub)
+			continue
+		}
+		keys[sub.key] = struct{}{}
+		distinct = append(distinct, sub)
+	}
+	return distinct, repeats
+}
+
+// commitDistinct stores submissions with different keys in one transaction. Jobs
+// that are already stored count as accepted, and the transaction is retried without
+// them.
+func (sm *Submitter) commitDistinct(ctx context.Context, batch []*submission) {
 	for len(batch) > 0 {
 		_, err := storer.CommitHedged(ctx, sm.store, transactionOf(batch), &sm.answerTimeout)
 		var conflict *storer.ConflictError
@@ -48,7 +74,7 @@
 			sm.announce(ctx, batch)
 			return
 		case errors.As(err, &conflict):
-			batch = completeStored(batch, conflict.Entries)
+			batch = sm.completeStored(batch, conflict.Entries)
 		case classifier.CodeOf(err) == classifier.PlatformAmbiguous:
 			sm.resolveAmbiguous(ctx, batch)
 			return
@@ -83,13 +109,12 @@
 }
 
 // completeStored completes the submissions whose jobs are already stored and
-// returns the remaining ones. If a job occurs twice in a batch, its first
-// submission stores it.
-func completeStored(batch []*submission, stored map[string]storer.Entry) []*submission {
+// returns the remaining ones.
+func (sm *Submitter) completeStored(batch []*submission, stored map[string]storer.Entry) []*submission {
 	var remaining []*submission
 	for _, sub := range batch {
-		if _, ok := stored[sub.key]; ok {
-			sub.done <- nil
+		if et, ok := stored[sub.key]; ok {
+			sub.done <- sm.checkStored(sub.job, et)
 			continue
 		}
 		remaining = append(remaining, sub)
@@ -115,8 +140,11 @@
 	for sub.ctx.Err() == nil && ctx.Err() == nil {
 		_, err := storer.CommitHedged(ctx, sm.store, transactionOf([]*submission{sub}), &sm.answerTimeout)
 		var conflict *storer.ConflictError
-		if err == nil || errors.As(err, &conflict) {
+		switch {
+		case err == nil:
 			return nil
+		case errors.As(err, &conflict):
+			return sm.checkStored(sub.job, conflict.Entries[sub.key])
 		}
 		// The loop condition checks whether the context is done.
 		_ = storer.Pause(sub.ctx, retryDelay)
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -35,7 +35,7 @@
 	// peer.Client.State.
 	State(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobState, error)
 	// Pending returns the number of a queue's jobs of which no task has started.
-	Pending(ctx context.Context, holder netip.AddrPort, queue string) (int, error)
+	Pending(ctx context.Context, holder netip.AddrPort, queue modeller.Queue) (int, error)
 	// Announce sends the record and the payload of a stored job.
 	Announce(ctx context.Context, holder netip.AddrPort, record []byte, payload string) error
 }
@@ -46,6 +46,12 @@
 	Holder() (netip.AddrPort, bool)
 }
 
+// Queues knows the queues that are configured now.
+type Queues interface {
+	// HasQueue reports whether there is a queue with a name.
+	HasQueue(name string) bool
+}
+
 // StoreHealth reports the availability of the store.
 type StoreHealth interface {
 	// IsUnavailable reports whether recent calls to the store have failed.
@@ -57,6 +63,7 @@
 	store         storer.TransactionStore
 	scheduler     Scheduler
 	locator       Locator
+	queues        Queues
 	storeHealth   StoreHealth
 	logger        *zap.Logger
 	submissions   chan *submission
@@ -65,11 +72,12 @@
 }
 
 // New returns a Submitter.
-func New(store storer.TransactionStore, scheduler Scheduler, locator Locator, storeHealth StoreHealth, logger *zap.Logger) *Submitter {
+func New(store storer.TransactionStore, scheduler Scheduler, locator Locator, queues Queues, storeHealth StoreHealth, logger *zap.Logger) *Submitter {
 	return &Submitter{
 		store:       store,
 		scheduler:   scheduler,
 		locator:     locator,
+		queues:      queues,
 		storeHealth: storeHealth,
 		logger:      logger,
 		submissions: make(chan *submission, jobQueueSize),
@@ -118,7 +126,7 @@
 	sub := &submission{
 		ctx:  ctx,
 		job:  jb,
-		key:  archiver.JobKey(jb.Queue, jb.ID),
+		key:  archiver.JobKey(jb.ID),
 		data: data,
 		done: make(chan error, 1),
 	}
--- a/coltsfootwick-manager/internal/submitter/submitter_test.go
+++ b/coltsfootwick-manager/internal/submitter/submitter_test.go
@@ -16,17 +16,24 @@
 	"coltsfootwick.example/shared/store/keeper"
 )
 
-// fakeScheduler implements Scheduler, Locator and StoreHealth. It has no jobs,
-// and no holder is known.
+// fakeScheduler implements Scheduler, Locator, Queues and StoreHealth. It has no
+// jobs, no holder is known, and there are the queues q and other.
 type fakeScheduler struct{ isStoreUnavailable bool }
 
 func (fakeScheduler) State(context.Context, netip.AddrPort, modeller.JobID) (modeller.JobState, error) {
 	return "", classifier.New(classifier.JobUnknown, "no jobs")
 }
 
-func (fakeScheduler) Pending(context.Context, netip.AddrPort, string) (int, error)   { return 0, nil }
+func (fakeScheduler) Pending(context.Context, netip.AddrPort, modeller.Queue) (int, error) {
+	return 0, nil
+}
+
 func (fakeScheduler) Announce(context.Context, netip.AddrPort, []byte, string) error { return nil }
 
+func (fakeScheduler) HasQueue(name string) bool {
+	return name == queueQ.Name || name == otherQueue.Name
+}
+
 func (fakeScheduler) Holder() (netip.AddrPort, bool) { return netip.AddrPort{}, false }
 func (fs fakeScheduler) IsUnavailable() bool         { return fs.isStoreUnavailable }
 
@@ -36,7 +43,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		kr := keeper.New()
 		fs := fakeScheduler{isStoreUnavailable: isStoreUnavailable}
-		sm := New(kr.Zone("a", keeper.WithCallTimeout(time.Second)), fs, fs, fs, zap.NewNop())
+		sm := New(kr.Zone("a", keeper.WithCallTimeout(time.Second)), fs, fs, fs, fs, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -50,11 +57,20 @@
 	})
 }
 
-func newJob(id string) modeller.Job {
+// The queues of the tests.
+var (
+	queueQ     = modeller.Queue{Name: "q", Host: "h", Prefix: "/q/"}
+	otherQueue = modeller.Queue{Name: "other", Host: "h", Prefix: "/other/"}
+)
+
+func newJob(id string) modeller.Job { return newJobOf(queueQ, id) }
+
+func newJobOf(queue modeller.Queue, id string) modeller.Job {
 	return modeller.Job{
-		ID:    modeller.JobID(id),
-		Queue: "q",
-		Steps: []modeller.Step{{Count: 1}},
+		ID:     modeller.JobID(id),
+		Queue:  queue.Name,
+		Origin: queue,
+		Steps:  []modeller.Step{{Count: 1}},
 	}
 }
 
@@ -68,9 +84,9 @@
 func TestAcceptedJobIsStored(t *testing.T) {
 	runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, kr *keeper.Keeper) {
 		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
-		_, err := kr.Zone("b").Get(t.Context(), archiver.JobKey("q", "j"))
+		_, err := kr.Zone("b").Get(t.Context(), archiver.JobKey("j"))
 		must.NoError(t, err)
-		state, err := sm.State(callerContext(t), "q", "j")
+		state, err := sm.State(callerContext(t), "j")
 		must.NoError(t, err)
 		must.Eq(t, modeller.JobRunning, state)
 	})
@@ -79,9 +95,9 @@
 func TestRepeatedSubmissionIsAccepted(t *testing.T) {
 	runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, kr *keeper.Keeper) {
 		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
-		before, _ := kr.Zone("b").Get(t.Context(), archiver.JobKey("q", "j"))
+		before, _ := kr.Zone("b").Get(t.Context(), archiver.JobKey("j"))
 		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
-		after, _ := kr.Zone("b").Get(t.Context(), archiver.JobKey("q", "j"))
+		after, _ := kr.Zone("b").Get(t.Context(), archiver.JobKey("j"))
 		must.Eq(t, before.Revision, after.Revision)
 	})
 }
@@ -115,7 +131,7 @@
 	runWithSubmitter(t, true, func(t *testing.T, sm *Submitter, kr *keeper.Keeper) {
 		err := sm.Submit(callerContext(t), newJob("j"))
 		must.Eq(t, classifier.JobRefused, classifier.CodeOf(err))
-		_, err = kr.Zone("b").Get(t.Context(), archiver.JobKey("q", "j"))
+		_, err = kr.Zone("b").Get(t.Context(), archiver.JobKey("j"))
 		must.Eq(t, classifier.PlatformNotFound, classifier.CodeOf(err), must.Sprint("a refused job must not be stored"))
 	})
 }
@@ -126,20 +142,20 @@
 		err := sm.Submit(callerContext(t), newJob("j"))
 		must.Eq(t, classifier.JobRefused, classifier.CodeOf(err))
 		must.NoError(t, kr.SetFaults())
-		_, err = sm.State(callerContext(t), "q", "j")
+		_, err = sm.State(callerContext(t), "j")
 		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(err))
 	})
 }
 
 func TestCancellationIsStoredForKnownJobsOnly(t *testing.T) {
 	runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, kr *keeper.Keeper) {
-		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(sm.Cancel(callerContext(t), "q", "j")))
+		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(sm.Cancel(callerContext(t), queueQ, "j")))
 		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
-		must.NoError(t, sm.Cancel(callerContext(t), "q", "j"))
-		state, err := sm.State(callerContext(t), "q", "j")
+		must.NoError(t, sm.Cancel(callerContext(t), queueQ, "j"))
+		state, err := sm.State(callerContext(t), "j")
 		must.NoError(t, err)
 		must.Eq(t, modeller.JobCancelled, state)
-		_, err = kr.Zone("b").Get(t.Context(), archiver.CancelKey("q", "j"))
+		_, err = kr.Zone("b").Get(t.Context(), archiver.CancelKey("j"))
 		must.NoError(t, err)
 	})
 }
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -64,6 +64,9 @@
 	// ID and Queue identify the job.
 	ID    modeller.JobID
 	Queue string
+	// Origin is the queue as it was configured when the job was accepted. It is not
+	// kept for jobs whose records are removed.
+	Origin modeller.Queue
 	// State is the final state.
 	State modeller.JobState
 }
@@ -167,9 +170,10 @@
 		})
 		if jb.outcome != "" {
 			bt.Ended = append(bt.Ended, EndedJob{
-				ID:    jb.info.ID,
-				Queue: jb.info.Queue,
-				State: jb.outcome,
+				ID:     jb.info.ID,
+				Queue:  jb.info.Queue,
+				Origin: jb.info.Origin,
+				State:  jb.outcome,
 			})
 			continue
 		}
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -343,11 +343,13 @@
 	return modeller.JobQueued, true
 }
 
-// Pending returns the number of a queue's jobs of which no task has started.
-func (al *Allocator) Pending(queue string) int {
+// Pending returns the number of a queue's jobs of which no task has started. They
+// include the jobs that were submitted under its address when it had another name.
+func (al *Allocator) Pending(queue modeller.Queue) int {
 	pending := 0
 	for _, jb := range al.jobs {
-		if jb.info.Queue == queue && !jb.hasStarted && jb.outcome == "" && !jb.isCancelled && len(jb.info.Steps) > 0 {
+		isOfQueue := jb.info.Queue == queue.Name || jb.info.Origin.HasAddressOf(queue)
+		if isOfQueue && !jb.hasStarted && jb.outcome == "" && !jb.isCancelled && len(jb.info.Steps) > 0 {
 			pending++
 		}
 	}
--- a/shared/jobs/allocator/job_test.go
+++ b/shared/jobs/allocator/job_test.go
@@ -71,3 +71,18 @@
 	must.Len(t, 1, starts)
 	must.Eq(t, 1, starts[0].Task.Occurrence)
 }
+
+// TestPendingJobsOfARenamedQueueAreCounted guards against a count that lacks the
+// jobs which were submitted under the queue's earlier name.
+func TestPendingJobsOfARenamedQueueAreCounted(t *testing.T) {
+	fx := newFixture(t)
+	before := modeller.Queue{Name: "q", Host: "h", Prefix: "/q/"}
+	record := oneTaskJobRecorded("j")
+	record.Record.Job.Origin = before
+	fx.apply(record)
+	renamed := before
+	renamed.Name = "renamed"
+	must.Eq(t, 1, fx.al.Pending(before))
+	must.Eq(t, 1, fx.al.Pending(renamed))
+	must.Eq(t, 0, fx.al.Pending(modeller.Queue{Name: "other", Host: "h", Prefix: "/other/"}))
+}
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -25,15 +25,12 @@
 // cancelSuffix is the suffix of the keys of cancellation requests.
 const cancelSuffix = "/cancel"
 
-// JobKey returns the key of a job's record.
-func JobKey(queue string, id modeller.JobID) string {
-	return storer.JobPrefix + queue + "/" + string(id)
-}
+// JobKey returns the key of a job's record. It doesn't contain the job's queue,
+// which may have another name later.
+func JobKey(id modeller.JobID) string { return storer.JobPrefix + string(id) }
 
 // CancelKey returns the key of the request to cancel a job.
-func CancelKey(queue string, id modeller.JobID) string {
-	return JobKey(queue, id) + cancelSuffix
-}
+func CancelKey(id modeller.JobID) string { return JobKey(id) + cancelSuffix }
 
 // PayloadKey returns the key of a job's payload.
 func PayloadKey(queue string, id modeller.JobID) string {
@@ -56,10 +53,13 @@
 func WaveKey(number int64) string { return storer.WavePrefix + strconv.FormatInt(number, 10) }
 
 // ParseJobKey returns the job of a key below storer.JobPrefix, and whether the
-// key is a request to cancel it.
-func ParseJobKey(key string) (id modeller.JobID, isCancel bool) {
-	path, isCancel := strings.CutSuffix(strings.TrimPrefix(key, storer.JobPrefix), cancelSuffix)
-	return modeller.JobID(path[strings.LastIndexByte(path, '/')+1:]), isCancel
+// key is a request to cancel it. The error is RecordInvalid for any other key.
+func ParseJobKey(key string) (id modeller.JobID, isCancel bool, err error) {
+	name, isCancel := strings.CutSuffix(strings.TrimPrefix(key, storer.JobPrefix), cancelSuffix)
+	if name == "" || strings.Contains(name, "/") {
+		return "", false, classifier.New(classifier.RecordInvalid, "key %s is not that of a job", key)
+	}
+	return modeller.JobID(name), isCancel, nil
 }
 
 // EncodeStatusFunc returns the key and the value of a wave's status for
@@ -114,7 +114,7 @@
 	}
 	for _, ej := range bt.Expired {
 		parts = append(parts, transactionPart{
-			removed: []string{JobKey(ej.Queue, ej.ID)},
+			removed: []string{JobKey(ej.ID)},
 		})
 	}
 	for _, wp := range bt.Waves {
@@ -143,8 +143,9 @@
 func jobEndPart(ej allocator.EndedJob, endedAtMS int64) (transactionPart, error) {
 	value, err := modeller.EncodeJob(modeller.JobRecord{
 		Job: modeller.Job{
-			ID:    ej.ID,
-			Queue: ej.Queue,
+			ID:     ej.ID,
+			Queue:  ej.Queue,
+			Origin: ej.Origin,
 		},
 		FinalState: ej.State,
 		EndedAtMS:  endedAtMS,
@@ -152,10 +153,10 @@
 	if err != nil {
 		return transactionPart{}, err
 	}
-	part := writePart(JobKey(ej.Queue, ej.ID), value)
+	part := writePart(JobKey(ej.ID), value)
 	part.removed = []string{ProgressKey(ej.Queue, ej.ID), PayloadKey(ej.Queue, ej.ID)}
 	if ej.State == modeller.JobCancelled {
-		part.removed = append(part.removed, CancelKey(ej.Queue, ej.ID))
+		part.removed = append(part.removed, CancelKey(ej.ID))
 	}
 	return part, nil
 }
--- a/shared/jobs/archiver/archiver_test.go
+++ b/shared/jobs/archiver/archiver_test.go
@@ -116,10 +116,16 @@
 }
 
 func TestJobKeysAreParsed(t *testing.T) {
-	id, isCancel := ParseJobKey(JobKey("q", "5c"))
+	id, isCancel, err := ParseJobKey(JobKey("5c"))
+	must.NoError(t, err)
 	must.Eq(t, "5c", id)
 	must.False(t, isCancel)
-	id, isCancel = ParseJobKey(CancelKey("q", "5c"))
+	id, isCancel, err = ParseJobKey(CancelKey("5c"))
+	must.NoError(t, err)
 	must.Eq(t, "5c", id)
 	must.True(t, isCancel)
+	for _, key := range []string{"jobs/", "jobs//cancel", "jobs/q/5c", "jobs/q/5c/cancel"} {
+		_, _, err := ParseJobKey(key)
+		must.Eq(t, classifier.RecordInvalid, classifier.CodeOf(err), must.Sprint(key))
+	}
 }
--- a/shared/jobs/modeller/codec.go
+++ b/shared/jobs/modeller/codec.go
@@ -11,6 +11,9 @@
 type jobRecord struct {
 	ID    string `json:"id"`
 	Queue string `json:"queue"`
+	// Host and Prefix are the address of the queue.
+	Host   string `json:"host,omitempty"`
+	Prefix string `json:"prefix,omitempty"`
 	// Payload is part of the records of earlier versions.
 	Payload string `json:"payload,omitempty"`
 	// IsPayloadSeparate is true if the payload has a key of its own.
@@ -52,6 +55,8 @@
 	rec := jobRecord{
 		ID:          string(jr.Job.ID),
 		Queue:       jr.Job.Queue,
+		Host:        jr.Job.Origin.Host,
+		Prefix:      jr.Job.Origin.Prefix,
 		Occurrences: jr.Job.Occurrences,
 		IntervalMS:  jr.Job.Interval.Milliseconds(),
 		FinalState:  string(jr.FinalState),
@@ -110,6 +115,7 @@
 		Job: Job{
 			ID:          JobID(rec.ID),
 			Queue:       rec.Queue,
+			Origin:      rec.origin(),
 			Payload:     rec.Payload,
 			Occurrences: rec.Occurrences,
 			Interval:    time.Duration(rec.IntervalMS) * time.Millisecond,
@@ -130,6 +136,15 @@
 	return jr, nil
 }
 
+// origin returns the queue as it was configured when the job was accepted.
+func (jr jobRecord) origin() Queue {
+	return Queue{
+		Name:   jr.Queue,
+		Host:   jr.Host,
+		Prefix: jr.Prefix,
+	}
+}
+
 func decodeStep(sr stepRecord) Step {
 	return Step{
 		Count: sr.Count,
--- a/shared/jobs/modeller/job.go
+++ b/shared/jobs/modeller/job.go
@@ -16,8 +16,10 @@
 type Job struct {
 	// ID identifies the job.
 	ID JobID
-	// Queue is the queue's name.
+	// Queue is the name of the queue when the job was accepted.
 	Queue string
+	// Origin is the queue as it was configured then.
+	Origin Queue
 	// Payload is passed unchanged to each task.
 	Payload string
 	// Steps are the job's steps.
--- a/shared/jobs/modeller/queue.go
+++ b/shared/jobs/modeller/queue.go
@@ -23,6 +23,12 @@
 	Advice *Advice
 }
 
+// HasAddressOf reports whether callers address both queues in the same way. A queue
+// without a prefix has no address.
+func (qu Queue) HasAddressOf(other Queue) bool {
+	return qu.Prefix != "" && qu.Prefix == other.Prefix && qu.Host == other.Host
+}
+
 // Advice describes the advice service, which issues tickets to the workers that
 // may run a step.
 type Advice struct {
--- a/shared/process/classifier/code_job.go
+++ b/shared/process/classifier/code_job.go
@@ -17,6 +17,8 @@
 	JobTooLarge Code = 806
 	// QueueUnknown means that no queue has this host and path.
 	QueueUnknown Code = 807
+	// JobIDTaken means that a job of another queue has this ID.
+	JobIDTaken Code = 808
 	// OrderUnanswered means that no answer to an order arrived, so the worker may execute it.
 	OrderUnanswered Code = 811
 	// OrderFenced means that the order was rejected because a later holder has given orders.
@@ -82,6 +84,12 @@
 		Summary: "No queue has this host and path.",
 		Remedy:  "Check the host and the path against the configuration.",
 	},
+	{
+		Code:    JobIDTaken,
+		Name:    "jobIdTaken",
+		Summary: "A job of another queue has this ID.",
+		Remedy:  "Submit the job with another ID.",
+	},
 	{
 		Code:    OrderUnanswered,
 		Name:    "orderUnanswered",
--- a/shared/store/storer/store.go
+++ b/shared/store/storer/store.go
@@ -99,8 +99,8 @@
 	ManagerPrefix = "managers/"
 	// WavePrefix holds the maintenance waves.
 	WavePrefix = "waves/"
-	// JobPrefix holds the jobs by queue and ID. A further key below a job's key
-	// requests its cancellation.
+	// JobPrefix holds the jobs by ID. A further key below a job's key requests its
+	// cancellation.
 	JobPrefix = "jobs/"
 	// PayloadPrefix holds the payloads of live jobs by queue and ID.
 	PayloadPrefix = "payloads/"
