Take no other writer's entry in the directory for a worker

After a takeover, tasks of its pool that had been started before waited for it for the longest lease, 11 s. An entry that can't be decoded unlists its worker and is logged once. The roster names workers that have reported, since no other one gets starts; a later holder waits for these alone, or for all if a part of the roster can't be decoded. Eight tests of the allocator stored the roster before a worker's first report, or named the silent worker in the directory alone; they now store it after the report, and name the worker in the roster. Their checks are as they were.

--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -166,6 +166,9 @@
 	failures    chan error
 	lastBatchAt time.Time
 	monitor     *loadMonitor
+	// invalidEntries are the keys of the directory's present entries that can't be
+	// decoded, so that each is logged once. Only the watch on the directory uses it.
+	invalidEntries map[string]struct{}
 }
 
 // Serve runs the scheduler until the context is done or the duty is lost.
@@ -185,6 +188,8 @@
 		ended:       ctx.Done(),
 		events:      make(chan allocator.Event, eventQueueSize),
 		failures:    make(chan error, 1),
+
+		invalidEntries: map[string]struct{}{},
 	}
 	tm.monitor = newLoadMonitor(timekeeper.Now(), cd.logger, append(slices.Clone(cd.links), Link{
 		Name:    "keepers",
--- a/coltsfootwick-manager/internal/conductor/load.go
+++ b/coltsfootwick-manager/internal/conductor/load.go
@@ -116,11 +116,11 @@
 	}
 	workers, err := archiver.DecodeRoster(et.Value)
 	if err != nil {
-		tm.logger.Error("cannot decode the roster of workers", zap.Error(err))
-		return nil
+		tm.logger.Error("cannot decode the roster of workers; tasks of earlier holders wait for the longest lease", zap.Error(err))
 	}
 	tm.enqueue(ctx, allocator.RosterLoaded{
-		Workers: workers,
+		Workers:      workers,
+		IsIncomplete: err != nil,
 	})
 	return nil
 }
@@ -191,19 +191,28 @@
 	}
 }
 
+// handleWorkerEvent passes on a change of the directory. An entry that can't be
+// decoded names no worker, and neither did it before it was overwritten.
 func (tm *term) handleWorkerEvent(ctx context.Context, ev storer.Event) {
-	id := adapter.WorkerIDFromKey(ev.Entry.Key)
+	key := ev.Entry.Key
+	unlisted := allocator.WorkerUnlisted{
+		Worker: adapter.WorkerIDFromKey(key),
+	}
 	if ev.Deleted {
-		tm.enqueue(ctx, allocator.WorkerUnlisted{
-			Worker: id,
-		})
+		delete(tm.invalidEntries, key)
+		tm.enqueue(ctx, unlisted)
 		return
 	}
-	worker, err := adapter.DecodeWorker(ev.Entry.Key, ev.Entry.Value)
+	worker, err := adapter.DecodeWorker(key, ev.Entry.Value, tm.wallClock())
 	if err != nil {
-		tm.logger.Warn("ignoring an invalid worker entry", zap.Error(err), zap.Uint64("revision", uint64(ev.Entry.Revision)))
+		if _, isKnown := tm.invalidEntries[key]; !isKnown {
+			tm.invalidEntries[key] = struct{}{}
+			tm.logger.Warn("ignoring an invalid worker entry", zap.Error(err), zap.Uint64("revision", uint64(ev.Entry.Revision)))
+		}
+		tm.enqueue(ctx, unlisted)
 		return
 	}
+	delete(tm.invalidEntries, key)
 	tm.enqueue(ctx, allocator.WorkerListed{
 		Worker: worker,
 	})
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -147,7 +147,9 @@
 	// expiryCheckedAt is when expired jobs were last searched for.
 	expiryCheckedAt time.Time
 	isRosterDirty   bool
-	advice          adviceState
+	// isRosterIncomplete is true if workers of earlier holders may be unknown.
+	isRosterIncomplete bool
+	advice             adviceState
 	// laneUsedSince holds, for each lane with a batch in flight, when the batch
 	// was submitted, and zero for the others.
 	laneUsedSince [BatchLanes]time.Time
--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -191,6 +191,7 @@
 	fx.advance(50 * time.Millisecond)
 	fx.report("a", nil, modeller.End{Number: 1, Task: taskName("j", 0), Attempt: 1, Kind: modeller.EndFailed})
 	fx.report("b", nil)
+	fx.storeBatch()
 	fx.advance(50 * time.Millisecond)
 	fx.report("b", nil)
 	must.Len(t, 1, takeOrders[StartOrder](fx))
@@ -220,6 +221,7 @@
 	fx.apply(ProgressLoaded{Progress: modeller.Progress{ID: "begun", Queue: "q"}})
 	fx.submitJob("begun", oneTaskStep())
 	fx.submitJob("waiting", oneTaskStep())
+	fx.apply(RosterLoaded{Workers: []modeller.Worker{{ID: "a", Pool: "p"}, {ID: "silent", Pool: "p"}}})
 	fx.listWorker("a")
 	fx.listWorker("silent")
 	fx.apply(RecordsLoaded{})
@@ -227,6 +229,7 @@
 	for range 2 {
 		fx.advance(50 * time.Millisecond)
 		fx.report("a", nil)
+		fx.storeBatch()
 	}
 	starts := takeOrders[StartOrder](fx)
 	must.Len(t, 1, starts)
@@ -297,6 +300,7 @@
 		fx.advance(50 * time.Millisecond)
 		fx.report("a", nil)
 		fx.report("b", nil)
+		fx.storeBatch()
 	}
 	starts := takeOrders[StartOrder](fx)
 	must.Len(t, 5, starts)
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -148,8 +148,11 @@
 	bt.Waves = al.fleet.changedWaves(now)
 	bt.Expired = al.expiredJobs(now)
 	if al.isRosterDirty {
-		bt.Roster = al.Roster()
 		al.isRosterDirty = false
+		bt.Roster = al.Roster()
+		for _, wk := range al.workers.sorted {
+			wk.isRostered = wk.isRostered && wk.mayHaveRuns()
+		}
 	}
 }
 
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -34,6 +34,9 @@
 type RosterLoaded struct {
 	// Workers are the workers of the roster.
 	Workers []modeller.Worker
+	// IsIncomplete is true if a part of the roster can't be decoded. Then any worker
+	// may have got orders.
+	IsIncomplete bool
 }
 
 // JobRecorded carries the record of a job.
@@ -248,7 +251,7 @@
 	case WorkerUnlisted:
 		al.markUnlisted(ev.Worker)
 	case RosterLoaded:
-		al.loadRoster(now, ev.Workers)
+		al.loadRoster(now, ev)
 	case JobRecorded:
 		al.addJob(now, ev.Record)
 	case JobsSynced:
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -34,6 +34,8 @@
 	orders       []Order
 	// progress is the stored progress of the jobs.
 	progress map[modeller.JobID]modeller.Progress
+	// roster is the stored roster.
+	roster []modeller.Worker
 }
 
 func newFixture(t testing.TB) *fixture {
@@ -140,6 +142,7 @@
 		for _, id := range ids {
 			fx.report(id, nil)
 		}
+		fx.storeBatch()
 	}
 	fx.advance(50 * time.Millisecond)
 	fx.orders = nil
@@ -178,6 +181,9 @@
 		for _, pg := range batch.Progress {
 			fx.progress[pg.ID] = pg
 		}
+		if batch.Roster != nil {
+			fx.roster = batch.Roster
+		}
 		fx.apply(BatchStored{Batch: batch})
 	}
 }
--- a/shared/jobs/allocator/pace_test.go
+++ b/shared/jobs/allocator/pace_test.go
@@ -41,6 +41,7 @@
 		} else {
 			sh.report("a", nil)
 		}
+		sh.storeBatch()
 	}
 	if isAdopted {
 		return sh
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -34,6 +34,7 @@
 		wk.pollAt = now
 		wk.isSynced = true
 		wk.syncedAt = now
+		al.noteFirstReport(wk)
 		al.endTakenDownWorkers(now, al.workers.byVM[wk.info.VM])
 	}
 	wk.mayHoldOldRuns = false
--- a/shared/jobs/allocator/startpools.go
+++ b/shared/jobs/allocator/startpools.go
@@ -76,7 +76,8 @@
 	result, isKnown := checks[pool]
 	if !isKnown {
 		isExpired := al.confirmedAt.After(al.oldRunsExpiry())
-		result = !isExpired && slices.ContainsFunc(workers, func(wk *worker) bool { return wk.mayHoldOldRuns })
+		hasUnreported := slices.ContainsFunc(workers, func(wk *worker) bool { return wk.mayHoldOldRuns })
+		result = !isExpired && (hasUnreported || al.isRosterIncomplete)
 		checks[pool] = result
 	}
 	return result
--- a/shared/jobs/allocator/takeover_test.go
+++ b/shared/jobs/allocator/takeover_test.go
@@ -119,3 +119,30 @@
 	later.keepReporting("b", 5*time.Second)
 	must.Len(t, 0, takeOrders[StartOrder](later))
 }
+
+// TestWorkerThatNeverReportedHoldsUpNoJob guards against jobs that wait for the
+// longest lease after a takeover, since another writer's entry names a worker that
+// doesn't exist.
+func TestWorkerThatNeverReportedHoldsUpNoJob(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a")
+	fx.listWorker("odd")
+	fx.advance(50 * time.Millisecond)
+	fx.report("a", nil)
+	fx.storeBatch()
+	so := fx.startOneTaskJob("j")
+	fx.storeBatch()
+	fx.report("a", []modeller.Run{{Task: so.Task, Attempt: so.Attempt}})
+	later := newFixture(t)
+	later.al = New(fx.now, testBounds)
+	later.now = fx.now
+	later.apply(configurationWith(1, "p"))
+	later.apply(ProgressLoaded{Progress: fx.progress["j"]})
+	later.apply(RosterLoaded{Workers: fx.roster})
+	later.listWorker("a")
+	later.listWorker("odd")
+	later.apply(oneTaskJobRecorded("j"))
+	later.apply(RecordsLoaded{})
+	later.keepReporting("a", 500*time.Millisecond)
+	must.Len(t, 1, takeOrders[StartOrder](later), must.Sprint("worker a doesn't run the task, and no other one ever could"))
+}
--- a/shared/jobs/allocator/wave_test.go
+++ b/shared/jobs/allocator/wave_test.go
@@ -106,6 +106,7 @@
 	for range 2 {
 		fx.advance(50 * time.Millisecond)
 		fx.report("b", nil)
+		fx.storeBatch()
 	}
 	fx.al.handleTakedown(fx.now, fx.al.workers.byID["a"], "VM goes down for maintenance")
 	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("the worker may have started after the maintenance"))
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -18,8 +18,8 @@
 	// later holder waits for the workers of the roster.
 	isRostered bool
 	// isSynced is true once the present incarnation has reported its runs under
-	// the current fencing token.
-	isSynced bool
+	// the current fencing token, and hasReported once any incarnation has.
+	isSynced, hasReported bool
 	// incarnation counts the incarnations that have ended.
 	incarnation int
 	// syncedAt is when the present incarnation first reported.
@@ -27,8 +27,8 @@
 	// startedAtMS is the Unix millisecond at which the reporting incarnation
 	// started.
 	startedAtMS int64
-	// mayHoldOldRuns is true for a worker from before the duty was won, until
-	// it has reported.
+	// mayHoldOldRuns is true for a worker of an earlier holder's roster, until it
+	// has reported.
 	mayHoldOldRuns bool
 	// reportedAt is when the last report arrived.
 	reportedAt time.Time
@@ -90,10 +90,9 @@
 			failedJobs:       map[modeller.JobID]struct{}{},
 			unresolvedStarts: map[modeller.TaskName]int{},
 		}
-		wk.mayHoldOldRuns = !al.isLoaded
+		wk.mayHoldOldRuns = !al.isLoaded && al.isRosterIncomplete
 		wk.info = info
 		al.workers.add(wk)
-		al.isRosterDirty = true
 	}
 	if info.VM == "" {
 		info.VM = wk.info.VM
@@ -128,14 +127,30 @@
 	al.log(LogEntry{Message: "worker no longer listed", Worker: id, Reason: "directory"})
 }
 
-func (al *Allocator) loadRoster(now time.Time, workers []modeller.Worker) {
-	for _, info := range workers {
-		if _, ok := al.workers.byID[info.ID]; !ok {
+func (al *Allocator) loadRoster(now time.Time, ev RosterLoaded) {
+	al.isRosterIncomplete = ev.IsIncomplete
+	for _, info := range ev.Workers {
+		wk := al.workers.byID[info.ID]
+		if wk == nil {
 			al.updateWorker(now, info)
-			al.workers.byID[info.ID].isListed = false
-			al.workers.byID[info.ID].mayHoldOldRuns = true
-			al.workers.byID[info.ID].isRostered = true
+			wk = al.workers.byID[info.ID]
+			wk.isListed = false
 		}
+		wk.mayHoldOldRuns = !wk.isSynced
+		wk.isRostered = wk.hasSameLocation(info)
+	}
+}
+
+// mayHaveRuns reports whether a worker belongs to the roster. One that has never
+// reported gets no starts. Its entry may be another writer's, and a later holder
+// that waits for it would wait in vain.
+func (wk *worker) mayHaveRuns() bool { return wk.hasReported || wk.mayHoldOldRuns }
+
+// noteFirstReport adds a worker to the roster.
+func (al *Allocator) noteFirstReport(wk *worker) {
+	if !wk.hasReported {
+		wk.hasReported = true
+		al.isRosterDirty = true
 	}
 }
 
@@ -304,7 +319,9 @@
 func (al *Allocator) Roster() []modeller.Worker {
 	roster := make([]modeller.Worker, 0, len(al.workers.sorted))
 	for _, wk := range al.workers.sorted {
-		roster = append(roster, wk.info)
+		if wk.mayHaveRuns() {
+			roster = append(roster, wk.info)
+		}
 	}
 	return roster
 }
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -31,6 +31,7 @@
 	moved.Pool = "other"
 	fx.apply(WorkerListed{Worker: moved})
 	fx.apply(RecordsLoaded{})
+	fx.report("a", nil)
 	fx.storeBatch()
 	must.True(t, fx.al.workers.byID["a"].isRostered)
 	fx.listWorker("a")
@@ -43,6 +44,7 @@
 	fx := newFixture(t)
 	fx.listWorker("a")
 	fx.apply(RecordsLoaded{})
+	fx.report("a", nil)
 	batch := fx.al.Batch(fx.now)
 	moved := fx.al.workers.byID["a"].info
 	moved.Pool = "other"
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -16,6 +16,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
@@ -234,17 +236,25 @@
 	return data, nil
 }
 
-// DecodeRoster returns the workers of a stored roster.
+// DecodeRoster returns the workers of a stored roster. With an error it returns those
+// that can be decoded.
 func DecodeRoster(data []byte) ([]modeller.Worker, error) {
-	var records []rosterRecord
+	var records []json.RawMessage
 	if err := json.Unmarshal(data, &records); err != nil {
 		return nil, classifier.Wrap(err, classifier.RecordInvalid, "roster")
 	}
+	var invalid error
 	workers := make([]modeller.Worker, 0, len(records))
-	for _, rec := range records {
-		address, err := netip.ParseAddrPort(rec.Address)
+	for _, data := range records {
+		var rec rosterRecord
+		err := json.Unmarshal(data, &rec)
+		var address netip.AddrPort
+		if err == nil {
+			address, err = netip.ParseAddrPort(rec.Address)
+		}
 		if err != nil {
-			return nil, classifier.Wrap(err, classifier.RecordInvalid, "roster: invalid address of worker %s", rec.ID)
+			invalid = errors.Join(invalid, classifier.Wrap(err, classifier.RecordInvalid, "roster: worker %q", rec.ID))
+			continue
 		}
 		workers = append(workers, modeller.Worker{
 			ID:      modeller.WorkerID(rec.ID),
@@ -254,5 +264,5 @@
 			Zone:    rec.Zone,
 		})
 	}
-	return workers, nil
+	return workers, invalid
 }
