adapter: let an entry that can't be decoded cost itself alone, in every list

Beyond the directory (report of the odd entry), lists were decoded as a whole. On one entry with a number too large, of another type or nested too deeply cost - the whole list of VMs: waves and moves stood still, - the whole answer of the advice service: the step was asked about again and again, - the whole configuration, which then stayed at an earlier version. Change: if a list can't be decoded as a whole, it is split into its entries, whatever their depth, and these are decoded one by one; what is left out is logged. A VM whose entry can't be decoded has an unknown state, so that it isn't taken for a removed one.

--- a/coltsfootwick-manager/internal/conductor/load.go
+++ b/coltsfootwick-manager/internal/conductor/load.go
@@ -171,7 +171,9 @@
 	switch {
 	case ev.Deleted:
 	case key == adapter.ConfigurationKey:
-		cf, err := adapter.DecodeConfiguration(ev.Entry.Value)
+		cf, err := adapter.DecodeConfiguration(ev.Entry.Value, func(err error) {
+			tm.logger.Error("ignoring a part of the configuration that cannot be decoded", zap.Error(err))
+		})
 		if err != nil {
 			tm.logger.Error("cannot decode the configuration; keeping the current one", zap.Error(err))
 			return
--- a/coltsfootwick-manager/internal/provisioner/provisioner.go
+++ b/coltsfootwick-manager/internal/provisioner/provisioner.go
@@ -11,6 +11,7 @@
 	"coltsfootwick.example/coltsfootwick-manager/internal/dispatcher"
 	"coltsfootwick.example/platform/adapter"
 	"coltsfootwick.example/shared/jobs/allocator"
+	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/timekeeper"
 )
 
@@ -126,7 +127,7 @@
 	switch od := od.(type) {
 	case allocator.ListVMsOrder:
 		sentAt := timekeeper.Now()
-		vms, err := pr.vms.List(ctx)
+		vms, err := pr.listVMs(ctx)
 		if err != nil {
 			pr.logger.Warn("listing the VMs failed", zap.Error(err))
 		}
@@ -149,12 +150,30 @@
 	}
 }
 
+// listVMs lists the VMs. Invalid entries are logged with the first of their errors.
+func (pr *Provisioner) listVMs(ctx context.Context) ([]modeller.VM, error) {
+	invalid := 0
+	var first error
+	vms, err := pr.vms.List(ctx, func(err error) {
+		invalid++
+		if first == nil {
+			first = err
+		}
+	})
+	if invalid > 0 {
+		pr.logger.Warn("entries of the list of VMs cannot be decoded", zap.Int("entries", invalid), zap.Error(first))
+	}
+	return vms, err
+}
+
 func (pr *Provisioner) runAdviceOrders(ctx context.Context) {
 	for {
 		select {
 		case ao := <-pr.adviceOrders:
 			timeout := ao.Advice.DecisionTime + time.Duration(len(ao.Workers))*ao.Advice.TimePerWorker + adviceMargin
-			tickets, err := pr.adviser.Advise(ctx, ao.Task.StepName(), ao.Workers, timeout)
+			tickets, err := pr.adviser.Advise(ctx, ao.Task.StepName(), ao.Workers, timeout, func(err error) {
+				pr.logger.Warn("ignoring an invalid row of advice", zap.String("step", ao.Task.StepName()), zap.Error(err))
+			})
 			if err != nil {
 				pr.logger.Warn("advice call failed", zap.String("step", ao.Task.StepName()), zap.Error(err))
 			}
--- a/coltsfootwick-manager/internal/router/router.go
+++ b/coltsfootwick-manager/internal/router/router.go
@@ -70,7 +70,9 @@
 
 // apply replaces the current configuration if the new one has a higher version.
 func (ro *Router) apply(value []byte) {
-	cf, err := adapter.DecodeConfiguration(value)
+	cf, err := adapter.DecodeConfiguration(value, func(err error) {
+		ro.logger.Error("ignoring a part of the configuration that cannot be decoded", zap.Error(err))
+	})
 	if err != nil {
 		ro.logger.Error("cannot decode the configuration; keeping the current one", zap.Error(err))
 		return
--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -57,14 +57,31 @@
 		return
 	}
 	fl.listedAt = ev.RequestedAt
-	clear(fl.vms)
+	before := fl.vms
+	fl.vms = make(map[string]modeller.VM, len(ev.VMs))
 	for _, vm := range ev.VMs {
 		fl.vms[vm.Name] = vm
 		delete(fl.absentSince, vm.Name)
 	}
+	fl.keepUnnamed(before)
 	al.endTakenDownWorkers(now, al.workers.sorted)
 }
 
+// keepUnnamed keeps the VMs of the list before if the present one has an entry
+// without a name, which may be that of any of them.
+func (fl *fleet) keepUnnamed(before map[string]modeller.VM) {
+	if _, isIncomplete := fl.vms[""]; !isIncomplete {
+		return
+	}
+	delete(fl.vms, "")
+	for name, vm := range before {
+		if _, isListed := fl.vms[name]; !isListed {
+			vm.State = modeller.VMUnknown
+			fl.vms[name] = vm
+		}
+	}
+}
+
 // isRemoved reports whether the lists have lacked a VM for minAbsence, counted
 // from the first call that finds it absent.
 func (fl *fleet) isRemoved(vm string) bool {
--- a/shared/jobs/allocator/wave_test.go
+++ b/shared/jobs/allocator/wave_test.go
@@ -122,3 +122,17 @@
 	fx.listVMs(vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
 	must.Len(t, 1, takeOrders[VMOrder](fx))
 }
+
+// TestVMWithUndecodableEntryIsNotRemoved guards against a wave that is completed
+// without a VM, since the list has an entry that can't be decoded in its place.
+func TestVMWithUndecodableEntryIsNotRemoved(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a", "b")
+	fx.addWave(2, vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
+	for range 8 {
+		fx.listVMs(modeller.VM{State: modeller.VMUnknown}, vmOf("b", modeller.VMUp))
+		fx.advance(time.Second)
+		must.False(t, fx.al.fleet.isRemoved("vm-a"))
+	}
+	must.False(t, fx.al.fleet.waves[1].isCompleted)
+}
--- a/shared/jobs/modeller/fleet.go
+++ b/shared/jobs/modeller/fleet.go
@@ -16,7 +16,8 @@
 
 // VM is a machine of the fleet. It belongs to exactly one pool.
 type VM struct {
-	// Name is the VM's name.
+	// Name is the VM's name, or empty if the entry in the list of VMs can't be
+	// decoded.
 	Name string
 	// Pool is the VM's pool.
 	Pool string
