adapter: reject reports whose numbers no later message or record can hold

Report of the odd entry, looked for in what workers say of themselves. On a run named x.0.99999999.0 in one worker's report was accepted by the keeper that polled it, and its message couldn't be decoded by the scheduler's holder ("index is out of range"). The holder then closes the keeper's connection and passes its workers to the next keeper, which reports the same: one worker takes the connections of all keepers down in turn.

--- a/shared/jobs/modeller/job.go
+++ b/shared/jobs/modeller/job.go
@@ -162,16 +162,26 @@
 	return string(tn.Job) + "." + strconv.Itoa(tn.Occurrence) + "." + strconv.Itoa(tn.Step)
 }
 
+// Limits of task names that are parsed, below those of the messages that contain
+// them.
+const (
+	maxJobIDBytes = 200
+	maxTaskNumber = 1 << 24
+)
+
 // ParseTaskName parses a name in the format of TaskName.String.
 func ParseTaskName(text string) (TaskName, error) {
 	parts := strings.Split(text, ".")
 	if len(parts) != 4 || parts[0] == "" {
 		return TaskName{}, classifier.New(classifier.RecordInvalid, "invalid task name %q", text)
 	}
+	if len(parts[0]) > maxJobIDBytes {
+		return TaskName{}, classifier.New(classifier.RecordInvalid, "task name with a job ID of %d bytes", len(parts[0]))
+	}
 	var numbers [3]int
 	for idx, part := range parts[1:] {
 		number, err := strconv.Atoi(part)
-		if err != nil || number < 0 {
+		if err != nil || number < 0 || number > maxTaskNumber {
 			return TaskName{}, classifier.New(classifier.RecordInvalid, "invalid task name %q", text)
 		}
 		numbers[idx] = number
