modeller: check jobs and progress when their records are decoded

On a job record whose step depends on a step that doesn't exist ended the scheduler's holder with a panic (index out of range in estimateWork), and would have ended each holder after it. A progress record that can't be decoded was logged and left out; its job then counted as never started, so tasks that were done started again. Tasks of a job with undecodable progress are not started, and its record is kept; the job can be cancelled. FuzzDecodeProgress no longer excepts negative numbers, which are rejected now.

--- a/coltsfootwick-manager/internal/conductor/load.go
+++ b/coltsfootwick-manager/internal/conductor/load.go
@@ -94,13 +94,13 @@
 		return err
 	}
 	for _, et := range entries {
-		pg, err := modeller.DecodeProgress(et.Value)
+		pg, err := archiver.DecodeProgress(et)
 		if err != nil {
-			tm.logger.Error("cannot decode the progress of a job", zap.String("key", et.Key), zap.Error(err))
-			continue
+			tm.logger.Error("cannot decode the progress of a job, whose tasks won't be started", zap.String("job", string(pg.ID)), zap.Error(err))
 		}
 		tm.enqueue(ctx, allocator.ProgressLoaded{
-			Progress: pg,
+			Progress:  pg,
+			IsInvalid: err != nil,
 		})
 	}
 	return nil
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -63,6 +63,9 @@
 type ProgressLoaded struct {
 	// Progress is the stored progress.
 	Progress modeller.Progress
+	// IsInvalid is true if the record can't be decoded, so that only the job's ID is
+	// known.
+	IsInvalid bool
 }
 
 // CancelRecorded reports that a caller has cancelled a job.
@@ -259,7 +262,7 @@
 	case JobRemoved:
 		delete(al.retained, ev.Job)
 	case ProgressLoaded:
-		al.loadProgress(ev.Progress)
+		al.loadProgress(ev)
 	case CancelRecorded:
 		al.cancelJob(now, ev.Job)
 	case RecordsLoaded:
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -27,6 +27,9 @@
 	// precede the first start, because a later holder starts a job without a
 	// progress record at once.
 	hasStoredProgress bool
+	// isProgressUnknown is true if the stored progress can't be decoded. Then no task
+	// is started, since it may be done, and the record is kept until the job ends.
+	isProgressUnknown bool
 	pools             startPools
 	// coreTime is the estimated core time of all tasks, and criticalPath the
 	// estimated duration of the longest chain of steps.
@@ -51,7 +54,8 @@
 	}
 }
 
-func (al *Allocator) loadProgress(pg modeller.Progress) {
+func (al *Allocator) loadProgress(ev ProgressLoaded) {
+	pg := ev.Progress
 	jb := al.jobs[pg.ID]
 	if jb == nil {
 		jb = &job{
@@ -74,6 +78,7 @@
 	}
 	jb.hasStarted = len(pg.Tasks) > 0
 	jb.hasStoredProgress = true
+	jb.isProgressUnknown = ev.IsInvalid
 	jb.pools = newInheritedPools(pg.Pools)
 }
 
@@ -244,6 +249,9 @@
 
 // markDirty marks a job's progress as changed since it was last stored.
 func (al *Allocator) markDirty(jb *job) {
+	if jb.isProgressUnknown && jb.outcome == "" {
+		return
+	}
 	jb.version++
 	if _, ok := al.dirtyJobs[jb.info.ID]; !ok {
 		al.dirtyQueue = append(al.dirtyQueue, jb)
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -25,7 +25,7 @@
 
 // placeJob starts a job's waiting tasks.
 func (al *Allocator) placeJob(jb *job, pp *poolPlacement, pl *placement) {
-	if !jb.mayWait() || !jb.hasStoredProgress || !jb.pools.isStored(pp.name) || !al.mayStart(pl.now, jb) || al.mayHaveOldRuns(jb, pl.oldRuns) {
+	if !jb.mayWait() || !jb.hasStoredProgress || jb.isProgressUnknown || !jb.pools.isStored(pp.name) || !al.mayStart(pl.now, jb) || al.mayHaveOldRuns(jb, pl.oldRuns) {
 		return
 	}
 	for _, oc := range jb.occurrences {
--- a/shared/jobs/allocator/takeover_test.go
+++ b/shared/jobs/allocator/takeover_test.go
@@ -146,3 +146,48 @@
 	later.keepReporting("a", 500*time.Millisecond)
 	must.Len(t, 1, takeOrders[StartOrder](later), must.Sprint("worker a doesn't run the task, and no other one ever could"))
 }
+
+// TestTasksOfUnknownProgressAreNotStarted guards against second runs of tasks that
+// are done, since the stored progress of their job can't be decoded.
+func TestTasksOfUnknownProgressAreNotStarted(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(ProgressLoaded{Progress: modeller.Progress{ID: "j"}, IsInvalid: true})
+	fx.apply(oneTaskJobRecorded("j"))
+	fx.addReadyWorkers("a")
+	for range 30 {
+		fx.advance(500 * time.Millisecond)
+		fx.report("a", nil)
+		fx.storeBatch()
+	}
+	must.Len(t, 0, takeOrders[StartOrder](fx))
+	must.MapNotContainsKey(t, fx.progress, "j", must.Sprint("the record is kept"))
+	fx.apply(CancelRecorded{Job: "j"})
+	batch := fx.al.Batch(fx.now)
+	must.Len(t, 1, batch.Ended)
+}
+
+// FuzzStoredRecords loads any records that can be decoded, which must not end the
+// process.
+func FuzzStoredRecords(f *testing.F) {
+	f.Add([]byte(`{"id":"j","queue":"q","steps":[{"count":2},{"count":1,"after":[0]}]}`), modeller.EncodeProgress(modeller.Progress{ID: "j", Queue: "q", Tasks: []modeller.TaskProgress{{Attempt: 1, IsDone: true}}}))
+	f.Add([]byte(`{"id":"j","queue":"q","steps":[{"count":1}],"occurrences":3,"firstAtMs":1}`), []byte(`{"id":"j","tasks":[{"k":2,"attempt":7}]}`))
+	f.Fuzz(func(t *testing.T, job, progress []byte) {
+		fx := newFixture(t)
+		if pg, err := modeller.DecodeProgress(progress); err == nil {
+			fx.apply(ProgressLoaded{Progress: pg})
+		}
+		jr, err := modeller.DecodeJob(job)
+		if err != nil || len(jr.Job.Steps) > 10 {
+			return
+		}
+		for _, st := range jr.Job.Steps {
+			if st.Count > 100 {
+				return
+			}
+		}
+		fx.apply(JobRecorded{Record: jr})
+		fx.addReadyWorkers("a")
+		fx.advance(100 * time.Millisecond)
+		fx.storeBatch()
+	})
+}
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -44,6 +44,20 @@
 	return storer.ProgressPrefix + queue + "/" + string(id)
 }
 
+// DecodeProgress decodes the entry of a job's progress. With an error it returns the
+// job that the key names.
+func DecodeProgress(et storer.Entry) (modeller.Progress, error) {
+	id := modeller.JobID(et.Key[strings.LastIndexByte(et.Key, '/')+1:])
+	pg, err := modeller.DecodeProgress(et.Value)
+	if err == nil && pg.ID != id {
+		err = classifier.New(classifier.RecordInvalid, "progress of job %q", pg.ID)
+	}
+	if err != nil {
+		return modeller.Progress{ID: id}, classifier.Wrap(err, classifier.RecordInvalid, "%s", et.Key)
+	}
+	return pg, nil
+}
+
 // SequencePrefix returns the prefix of the keys that order the transactions of
 // a region's holders, one key for each lane.
 func SequencePrefix(region string) string { return storer.SchedulerPrefix + region + "/sequence/" }
--- a/shared/jobs/modeller/codec.go
+++ b/shared/jobs/modeller/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"time"
 
 	"coltsfootwick.example/shared/process/classifier"
@@ -111,6 +112,10 @@
 	if rec.ID == "" || rec.Queue == "" {
 		return JobRecord{}, classifier.New(classifier.RecordInvalid, "job record without id or queue")
 	}
+	finalState := JobState(rec.FinalState)
+	if finalState != "" && !finalState.IsFinal() {
+		return JobRecord{}, classifier.New(classifier.RecordInvalid, "record of job %s with final state %q", rec.ID, rec.FinalState)
+	}
 	jr := JobRecord{
 		Job: Job{
 			ID:          JobID(rec.ID),
@@ -118,10 +123,10 @@
 			Origin:      rec.origin(),
 			Payload:     rec.Payload,
 			Occurrences: rec.Occurrences,
-			Interval:    time.Duration(rec.IntervalMS) * time.Millisecond,
+			Interval:    milliseconds(rec.IntervalMS),
 		},
 		HasPayload: !rec.IsPayloadSeparate && len(rec.Steps) > 0,
-		FinalState: JobState(rec.FinalState),
+		FinalState: finalState,
 		EndedAtMS:  rec.EndedAtMS,
 	}
 	if rec.FirstAtMS != 0 {
@@ -133,9 +138,22 @@
 	for _, sr := range rec.Steps {
 		jr.Job.Steps = append(jr.Job.Steps, decodeStep(sr))
 	}
+	if finalState == "" {
+		if err := jr.Job.Validate(); err != nil {
+			return JobRecord{}, classifier.Wrap(err, classifier.RecordInvalid, "record of job %s", rec.ID)
+		}
+	}
 	return jr, nil
 }
 
+// milliseconds returns a duration, which is negative if it is out of range.
+func milliseconds(number int64) time.Duration {
+	if number < 0 || number > math.MaxInt64/int64(time.Millisecond) {
+		return -1
+	}
+	return time.Duration(number) * time.Millisecond
+}
+
 // origin returns the queue as it was configured when the job was accepted.
 func (jr jobRecord) origin() Queue {
 	return Queue{
@@ -153,7 +171,7 @@
 			MemoryMB:     sr.MemoryMB,
 			Accelerators: sr.Accelerators,
 		},
-		Estimate:        time.Duration(sr.EstimateMS) * time.Millisecond,
+		Estimate:        milliseconds(sr.EstimateMS),
 		DependsOn:       sr.DependsOn,
 		IsCheckpointing: sr.IsCheckpointing,
 		IsGang:          sr.IsGang,
@@ -165,7 +183,7 @@
 		PreferredRack:   sr.PreferredRack,
 		MaxPerWorker:    sr.MaxPerWorker,
 		Image:           sr.Image,
-		LatencyTarget:   time.Duration(sr.LatencyTargetMS) * time.Millisecond,
+		LatencyTarget:   milliseconds(sr.LatencyTargetMS),
 		MaxUnavailable:  sr.MaxUnavailable,
 	}
 }
--- a/shared/jobs/modeller/progress_codec.go
+++ b/shared/jobs/modeller/progress_codec.go
@@ -105,7 +105,24 @@
 	if err := rd.Err(); err != nil {
 		return Progress{}, classifier.Wrap(err, classifier.RecordInvalid, "progress record")
 	}
-	return pg, nil
+	return pg, pg.validate()
+}
+
+// maxAttempt limits the numbers of attempts.
+const maxAttempt = 1 << 31
+
+// validate returns a RecordInvalid error if a number is out of range.
+func (pg Progress) validate() error {
+	for _, tp := range pg.Tasks {
+		isValid := min(tp.Occurrence, tp.Step, tp.Index, tp.Attempt) >= 0 && max(tp.Occurrence, tp.Step, tp.Index) <= maxTaskNumber && tp.Attempt <= maxAttempt
+		for _, attempt := range tp.FailedAttempts {
+			isValid = isValid && attempt >= 0 && attempt <= maxAttempt
+		}
+		if !isValid {
+			return classifier.New(classifier.RecordInvalid, "progress record of job %s: a number of task %d.%d.%d is out of range", pg.ID, tp.Occurrence, tp.Step, tp.Index)
+		}
+	}
+	return nil
 }
 
 func readTask(rd *packer.Reader, last TaskProgress) TaskProgress {
@@ -164,5 +181,5 @@
 	for _, tr := range rec.Tasks {
 		pg.Tasks = append(pg.Tasks, TaskProgress(tr))
 	}
-	return pg, nil
+	return pg, pg.validate()
 }
--- a/shared/jobs/modeller/progress_codec_test.go
+++ b/shared/jobs/modeller/progress_codec_test.go
@@ -83,24 +83,8 @@
 		if len(pg.Tasks) == 0 {
 			pg.Tasks, again.Tasks = nil, nil
 		}
-		if !reflect.DeepEqual(pg, again) && !hasNegativeNumber(pg) {
+		if !reflect.DeepEqual(pg, again) {
 			t.Errorf("decoded %+v, and after encoding %+v", pg, again)
 		}
 	})
 }
-
-// hasNegativeNumber reports whether a record of an earlier version has a number
-// that no scheduler writes.
-func hasNegativeNumber(pg Progress) bool {
-	for _, tp := range pg.Tasks {
-		if tp.Occurrence < 0 || tp.Step < 0 || tp.Index < 0 || tp.Attempt < 0 {
-			return true
-		}
-		for _, attempt := range tp.FailedAttempts {
-			if attempt < 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
