Let no job or record that can't be stored hold up others

Queues that one entry can hold up, looked for beside the odd entry: - Jobs that arrive together are stored in one transaction. Change: a transaction that is refused for its content is divided into its jobs. Transactions of records stay within 1 MB; a progress that is larger is stored without checkpoints; failures of long-running tasks are kept as far as they are of use. The demo of the whole path with processes now runs beside odd entries of the directory and the waves.

--- a/coltsfootwick-manager/internal/linker/linker_test.go
+++ b/coltsfootwick-manager/internal/linker/linker_test.go
@@ -107,6 +107,8 @@
 		Path + "?node=&zone=z&capacity=1",
 		Path + "?node=n&zone=z&capacity=0",
 		Path + "?node=n&zone=z&capacity=NaN",
+		Path + "?node=n&zone=z&capacity=Inf",
+		Path + "?node=n&zone=z&capacity=1e300",
 		Path,
 	} {
 		rq := httptest.NewRequestWithContext(context.Background(), http.MethodGet, target, nil)
--- a/coltsfootwick-manager/internal/linker/upgrade.go
+++ b/coltsfootwick-manager/internal/linker/upgrade.go
@@ -24,6 +24,9 @@
 	epochHeader = "Coltsfootwick-Epoch"
 	// dialTimeout bounds the time to open a connection.
 	dialTimeout = 500 * time.Millisecond
+	// maxKeeperCapacity is the greatest plausible capacity of a keeper; sums of
+	// capacities have to be finite.
+	maxKeeperCapacity = 1e12
 	// bufferBytes is the size of the read buffer.
 	bufferBytes = 16 << 10
 )
@@ -134,7 +137,7 @@
 	}
 	query := rq.URL.Query()
 	capacity, err := strconv.ParseFloat(query.Get("capacity"), 64)
-	if err != nil || !(capacity > 0) || query.Get("node") == "" {
+	if err != nil || !(capacity > 0 && capacity <= maxKeeperCapacity) || query.Get("node") == "" {
 		return assigner.Keeper{}, errors.Errorf("invalid keeper: node %q, capacity %q", query.Get("node"), query.Get("capacity"))
 	}
 	return assigner.Keeper{
--- a/coltsfootwick-manager/internal/submitter/submission.go
+++ b/coltsfootwick-manager/internal/submitter/submission.go
@@ -78,13 +78,34 @@
 		case classifier.CodeOf(err) == classifier.PlatformAmbiguous:
 			sm.resolveAmbiguous(ctx, batch)
 			return
+		case len(batch) > 1 && !isUnavailable(err):
+			// One of the jobs can't be stored, which must not cost the others.
+			for _, sub := range batch {
+				sm.commitDistinct(ctx, []*submission{sub})
+			}
+			return
 		default:
-			completeAll(batch, classifier.Wrap(err, classifier.JobRefused, "the job was not stored"))
+			completeAll(batch, refusal(err))
 			return
 		}
 	}
 }
 
+// isUnavailable reports whether an error says nothing of the transaction, which can
+// be repeated later.
+func isUnavailable(err error) bool {
+	code := classifier.CodeOf(err)
+	return code == classifier.PlatformUnavailable || code == classifier.PlatformRateLimited
+}
+
+// refusal returns the answer for a job that was not stored.
+func refusal(err error) error {
+	if classifier.CodeOf(err) == classifier.PlatformTooLarge {
+		return classifier.Wrap(err, classifier.JobTooLarge, "the job can't be stored")
+	}
+	return classifier.Wrap(err, classifier.JobRefused, "the job was not stored")
+}
+
 func transactionOf(batch []*submission) storer.Transaction {
 	var tx storer.Transaction
 	for _, sub := range batch {
--- a/coltsfootwick-manager/internal/submitter/submitter_test.go
+++ b/coltsfootwick-manager/internal/submitter/submitter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
 // fakeScheduler implements Scheduler, Locator, Queues and StoreHealth. It has no
@@ -159,3 +161,27 @@
 		must.NoError(t, err)
 	})
 }
+
+// TestJobThatCannotBeStoredCostsItselfAlone guards against jobs that are refused
+// since one that arrived with them is too large for the store.
+func TestJobThatCannotBeStoredCostsItselfAlone(t *testing.T) {
+	runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, _ *keeper.Keeper) {
+		answers := make(chan error, 3)
+		for _, id := range []string{"a", "large", "b"} {
+			jb := newJob(id)
+			if id == "large" {
+				jb.Steps[0].Image = strings.Repeat("x", 2*storer.MaxValueBytes)
+			}
+			go func() {
+				err := sm.Submit(callerContext(t), jb)
+				if id == "large" && classifier.CodeOf(err) == classifier.JobTooLarge {
+					err = nil
+				}
+				answers <- err
+			}()
+		}
+		for range 3 {
+			must.NoError(t, <-answers)
+		}
+	})
+}
--- a/shared/jobs/allocator/batch_test.go
+++ b/shared/jobs/allocator/batch_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"coltsfootwick.example/shared/jobs/modeller"
 )
 
 // storeRoundTrip is the time that a slow store takes for a transaction.
@@ -136,3 +138,16 @@
 	must.NotNil(t, next)
 	must.Eq(t, batch.Lane, next.Lane)
 }
+
+// TestProgressOfFailingLongRunningTasksStaysSmall guards against records that grow
+// with each failure, until the store refuses them.
+func TestProgressOfFailingLongRunningTasksStaysSmall(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a")
+	fx.submitJob("l", longRunningStep(1))
+	for number := range int64(100) {
+		fx.report("a", nil, modeller.End{Number: number + 1, Task: taskName("l", 0), Attempt: int(number) + 1, Kind: modeller.EndFailed})
+		fx.storeBatch()
+	}
+	must.LessEq(t, 100, len(modeller.EncodeProgress(fx.progress["l"])))
+}
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -184,7 +184,7 @@
 		al.finishTask(now, tk, wk, end)
 	case modeller.EndFailed:
 		if !slices.Contains(tk.failedAttempts, end.Attempt) {
-			tk.failedAttempts = append(tk.failedAttempts, end.Attempt)
+			tk.addFailedAttempt(end.Attempt)
 			al.recordFailure(now, wk, tk)
 		}
 	default:
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -64,6 +64,18 @@
 	tk.checkpoint = tp.Checkpoint
 }
 
+// maxKeptFailures is the number of failed attempts of a long-running task that are
+// kept. It has no limit of attempts, and each record of its job contains them.
+const maxKeptFailures = 8
+
+// addFailedAttempt records a failed attempt.
+func (tk *task) addFailedAttempt(attempt int) {
+	tk.failedAttempts = append(tk.failedAttempts, attempt)
+	if excess := len(tk.failedAttempts) - maxKeptFailures; tk.step.spec.IsLongRunning && excess > 0 {
+		tk.failedAttempts = slices.Clone(tk.failedAttempts[excess:])
+	}
+}
+
 // avoid records that the task has failed or stalled on a worker, which it then
 // avoids for a time.
 func (tk *task) avoid(now time.Time, wk *worker) {
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -12,6 +12,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -88,10 +89,23 @@
 	removed []string
 }
 
+// bytes returns the size of the part's values.
+func (tp transactionPart) bytes() int {
+	total := 0
+	for _, wr := range tp.writes {
+		total += len(wr.Value)
+	}
+	return total
+}
+
 // fenceEntries is the number of entries that the fences take up in a
 // transaction.
 const fenceEntries = 3
 
+// maxTransactionBytes limits the values of a transaction, unless a single one is
+// larger.
+const maxTransactionBytes = storer.MaxValueBytes
+
 // Transactions returns the changes of a batch as transactions that stay, with
 // the entries of their fences, within storer.MaxTransactionEntries. nowMS is
 // the current time in Unix milliseconds.
@@ -102,11 +116,15 @@
 	}
 	var transactions []storer.Transaction
 	var current storer.Transaction
+	currentBytes := 0
 	for _, part := range parts {
-		if current.Size()+len(part.writes)+len(part.removed) > storer.MaxTransactionEntries-fenceEntries {
+		isFull := current.Size()+len(part.writes)+len(part.removed) > storer.MaxTransactionEntries-fenceEntries
+		if isFull || current.Size() > 0 && currentBytes+part.bytes() > maxTransactionBytes {
 			transactions = append(transactions, current)
 			current = storer.Transaction{}
+			currentBytes = 0
 		}
+		currentBytes += part.bytes()
 		current.Writes = append(current.Writes, part.writes...)
 		current.Deletes = append(current.Deletes, part.removed...)
 	}
@@ -119,7 +137,7 @@
 func batchParts(bt *allocator.Batch, region string, nowMS int64, status EncodeStatusFunc) ([]transactionPart, error) {
 	var parts []transactionPart
 	for _, pg := range bt.Progress {
-		parts = append(parts, writePart(ProgressKey(pg.Queue, pg.ID), modeller.EncodeProgress(pg)))
+		parts = append(parts, writePart(ProgressKey(pg.Queue, pg.ID), encodeProgress(pg)))
 	}
 	for _, ej := range bt.Ended {
 		part, err := jobEndPart(ej, nowMS)
@@ -150,6 +168,22 @@
 	return parts, nil
 }
 
+// encodeProgress returns the stored form of a job's progress. It leaves out the
+// checkpoints of a job that has too many, since a record that is too large would hold
+// up those after it.
+func encodeProgress(pg modeller.Progress) []byte {
+	data := modeller.EncodeProgress(pg)
+	if len(data) <= storer.MaxValueBytes {
+		return data
+	}
+	tasks := slices.Clone(pg.Tasks)
+	for idx := range tasks {
+		tasks[idx].Checkpoint = ""
+	}
+	pg.Tasks = tasks
+	return modeller.EncodeProgress(pg)
+}
+
 func writePart(key string, value []byte) transactionPart {
 	return transactionPart{
 		writes: []storer.Write{{Key: key, Value: value}},
--- a/shared/jobs/archiver/archiver_test.go
+++ b/shared/jobs/archiver/archiver_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -129,3 +130,33 @@
 		must.Eq(t, classifier.RecordInvalid, classifier.CodeOf(err), must.Sprint(key))
 	}
 }
+
+// TestLargeProgressHoldsUpNoOtherRecord guards against records that the store refuses
+// for their size again and again, while those of other jobs wait behind them.
+func TestLargeProgressHoldsUpNoOtherRecord(t *testing.T) {
+	large := modeller.Progress{ID: "large", Queue: "q"}
+	for index := range 1000 {
+		large.Tasks = append(large.Tasks, modeller.TaskProgress{Index: index, Attempt: 1, Checkpoint: strings.Repeat("c", 4000)})
+	}
+	batch := &allocator.Batch{Progress: []modeller.Progress{large}}
+	for number := range 5 {
+		medium := modeller.Progress{ID: modeller.JobID(fmt.Sprintf("medium%d", number)), Queue: "q"}
+		for index := range 150 {
+			medium.Tasks = append(medium.Tasks, modeller.TaskProgress{Index: index, Attempt: 1, Checkpoint: strings.Repeat("c", 4000)})
+		}
+		batch.Progress = append(batch.Progress, medium)
+	}
+	transactions, err := Transactions(batch, "r", 0, nil)
+	must.NoError(t, err)
+	stored := 0
+	for _, tx := range transactions {
+		bytes := 0
+		for _, wr := range tx.Writes {
+			bytes += len(wr.Value)
+			stored++
+		}
+		must.LessEq(t, storer.MaxValueBytes, bytes)
+	}
+	must.Eq(t, 6, stored)
+	must.Eq(t, 1000, len(large.Tasks[999].Checkpoint)/4, must.Sprint("the progress itself keeps its checkpoints"))
+}
--- a/standin/internal/rehearser/stage.go
+++ b/standin/internal/rehearser/stage.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"coltsfootwick.example/shared/jobs/modeller"
@@ -73,9 +74,34 @@
 		return nil, err
 	}
 	se.provider.Put("op/config", configuration())
+	se.putOddEntries()
 	return se, se.startManagers()
 }
 
+// oddDepth is a depth that JSON decoders don't accept.
+const oddDepth = 100_000
+
+// putOddEntries leaves entries of another writer beside those of the workers and the
+// operators. No process may end or stop following the others because of them.
+func (se *stage) putOddEntries() {
+	deep := strings.Repeat("[", oddDepth) + strings.Repeat("]", oddDepth)
+	worker := func(address, cpu string) string {
+		return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","state":"ready","capacity":{"cpu":%s,"mem_mb":32000},"machine":"m-odd","born":1}`, pools[0], address, cpu)
+	}
+	for key, value := range map[string]string{
+		"servers/odd-bytes":    "\x00\xff",
+		"servers/odd-depth":    `{"labels":` + deep + `}`,
+		"servers/odd-number":   worker("127.0.0.1:9", "1e400"),
+		"servers/odd-capacity": worker("127.0.0.1:9", "9223372036854775807"),
+		"servers/odd-port":     worker("127.0.0.1:99999", "8000"),
+		"servers/odd-nobody":   worker("127.0.0.1:9", "8000"),
+		"op/wave/odd":          deep,
+		"op/wave/7":            `{"wave":7,"machines":` + deep + `,"duration_s":1e400,"cap":1}`,
+	} {
+		se.provider.Put(key, []byte(value))
+	}
+}
+
 // serve serves a handler on a loopback address.
 func (se *stage) serve(handler http.Handler) (netip.AddrPort, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
