allocator: run the jobs of queues that were removed

Cause: the allocator found all that it needs of a job's queue in the present configuration: pool, priority, objective, limit of attempts, advice. Change: a job has its queue as configured, or as it was last; records contain the queue's settings for holders that have never known it. Pools with such jobs take part in moves, and a lower limit of attempts holds at once.

--- a/shared/jobs/allocator/arrival.go
+++ b/shared/jobs/allocator/arrival.go
@@ -19,8 +19,8 @@
 // demand. Jobs from before the duty was won and long-running ones are no measure
 // of the jobs to come.
 func (al *Allocator) recordArrival(now time.Time, jb *job) {
-	qu, ok := al.configuration.Queues[jb.info.Queue]
-	if !ok || !al.isLoaded || jb.isInherited || jb.info.Occurrences > 0 {
+	pool := jb.queue.Pool
+	if pool == "" || !al.isLoaded || jb.isInherited || jb.info.Occurrences > 0 {
 		return
 	}
 	var work time.Duration
@@ -30,10 +30,10 @@
 		}
 		work += reservedCoreTime(st)
 	}
-	fc := al.arrivals[qu.Pool]
+	fc := al.arrivals[pool]
 	if fc == nil {
 		fc = &forecaster.Forecaster{}
-		al.arrivals[qu.Pool] = fc
+		al.arrivals[pool] = fc
 	}
 	fc.Add(now, work)
 }
--- a/shared/jobs/allocator/change.go
+++ b/shared/jobs/allocator/change.go
@@ -17,8 +17,8 @@
 
 // noteJob records that tasks of a job may have become ready.
 func (al *Allocator) noteJob(jb *job) {
-	if qu, ok := al.configuration.Queues[jb.info.Queue]; ok {
-		al.changes.note(qu.Pool)
+	if jb.queue.Pool != "" {
+		al.changes.note(jb.queue.Pool)
 	}
 }
 
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -11,6 +11,9 @@
 // job is a job that has not ended, or whose end is not stored yet.
 type job struct {
 	info modeller.Job
+	// queue is the job's queue as it is configured, or as it was last while it isn't.
+	// It has no pool if it has never been known.
+	queue modeller.Queue
 	// occurrences are the occurrences that are due or have begun.
 	occurrences []*occurrence
 	// isInherited is true for a job that an earlier holder may have started.
@@ -48,9 +51,29 @@
 }
 
 func (al *Allocator) setConfiguration(now time.Time, cf modeller.Configuration) {
-	if cf.Version >= al.configuration.Version {
-		al.configuration = cf
-		al.enlistAll(now)
+	if cf.Version < al.configuration.Version {
+		return
+	}
+	al.configuration = cf
+	for _, jb := range al.jobs {
+		al.resolveQueue(jb)
+	}
+	al.enlistAll(now)
+	for _, jb := range al.jobs {
+		// The limit of attempts may be lower now.
+		al.updateOutcome(now, jb)
+	}
+}
+
+// resolveQueue updates a job's queue. An accepted job goes on when its queue is
+// removed, by the settings that it had last.
+func (al *Allocator) resolveQueue(jb *job) {
+	qu, isConfigured := al.configuration.Queues[jb.info.Queue]
+	switch {
+	case isConfigured:
+		jb.queue = qu
+	case jb.queue.Pool == "":
+		jb.queue = jb.info.Origin
 	}
 }
 
@@ -116,9 +139,8 @@
 	if !jb.hasStoredProgress {
 		al.markDirty(jb)
 	}
-	if qu, ok := al.configuration.Queues[jb.info.Queue]; ok {
-		al.addStartPool(jb, qu.Pool)
-	}
+	al.resolveQueue(jb)
+	al.addStartPool(jb)
 	jb.acceptedAt = now
 	jb.coreTime, jb.criticalPath = estimateWork(jr.Job)
 	al.recordArrival(now, jb)
@@ -271,7 +293,7 @@
 			return
 		}
 		jb.outcome = modeller.JobCancelled
-	case jb.hasExhaustedTask(al.maxAttempts(jb)):
+	case jb.hasExhaustedTask(jb.queue.MaxAttempts):
 		jb.outcome = modeller.JobFailed
 		al.stopJobRuns(now, jb)
 	case jb.isDone():
@@ -283,14 +305,6 @@
 	al.markDirty(jb)
 }
 
-func (al *Allocator) maxAttempts(jb *job) int {
-	qu, ok := al.configuration.Queues[jb.info.Queue]
-	if !ok {
-		return 0
-	}
-	return qu.MaxAttempts
-}
-
 func (jb *job) isDone() bool {
 	for _, oc := range jb.occurrences {
 		if !oc.isDone {
@@ -301,7 +315,7 @@
 }
 
 // hasExhaustedTask reports whether a task has failed maxAttempts times. Zero
-// means that the job's queue is no longer configured.
+// means that the job's queue has never been known.
 func (jb *job) hasExhaustedTask(maxAttempts int) bool {
 	if maxAttempts == 0 {
 		return false
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -294,18 +294,25 @@
 	return false
 }
 
-// poolNeeds returns the available and required VMs of each pool with queues.
+// poolNeeds returns the available and required VMs of each pool with queues, or
+// with jobs of queues that were removed.
 func (al *Allocator) poolNeeds(now time.Time, standby string) []poolNeed {
 	byPool := map[string]*poolNeed{}
-	for _, qu := range al.configuration.Queues {
-		if pool := al.configuration.Pools[qu.Pool]; !pool.IsStandby && byPool[qu.Pool] == nil {
-			byPool[qu.Pool] = &poolNeed{
-				name: qu.Pool,
+	addPool := func(name string) {
+		if !al.configuration.Pools[name].IsStandby && byPool[name] == nil {
+			byPool[name] = &poolNeed{
+				name: name,
 			}
 		}
 	}
 	capacity := al.averageCapacity()
 	demand := al.demandByPool(now)
+	for _, qu := range al.configuration.Queues {
+		addPool(qu.Pool)
+	}
+	for pool := range demand {
+		addPool(pool)
+	}
 	fleetSize := 0
 	for _, wk := range al.workers.sorted {
 		pn := byPool[wk.info.Pool]
@@ -390,13 +397,12 @@
 func (al *Allocator) demandByPool(now time.Time) map[string]demand {
 	demands := map[string]demand{}
 	for _, jb := range al.jobs {
-		qu, ok := al.configuration.Queues[jb.info.Queue]
-		if !ok || jb.outcome != "" || jb.isCancelled {
+		if jb.queue.Pool == "" || jb.outcome != "" || jb.isCancelled {
 			continue
 		}
-		class, _ := jb.serviceClass(now, qu)
+		class, _ := jb.serviceClass(now)
 		isOnTime := class <= classOnTime
-		dm := demands[qu.Pool]
+		dm := demands[jb.queue.Pool]
 		for _, oc := range jb.occurrences {
 			for _, st := range oc.steps {
 				if oc.isDone || !oc.areDependenciesDone(st) {
@@ -414,7 +420,7 @@
 				}
 			}
 		}
-		demands[qu.Pool] = dm
+		demands[jb.queue.Pool] = dm
 	}
 	return demands
 }
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -63,10 +63,9 @@
 // placeStep starts a step's waiting tasks, and has the advice service asked about
 // those that remain.
 func (al *Allocator) placeStep(st *step, pp *poolPlacement, pl *placement) {
-	qu := al.configuration.Queues[st.job.info.Queue]
-	st.updateAdvice(qu)
+	st.updateAdvice()
 	al.startTasks(pl.now, st, pp)
-	al.considerAdvice(pl, pp, st, qu)
+	al.considerAdvice(pl, pp, st)
 }
 
 // startTasks starts a step's waiting tasks, as far as there are workers for them.
--- a/shared/jobs/allocator/rank.go
+++ b/shared/jobs/allocator/rank.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"time"
-
-	"coltsfootwick.example/shared/jobs/modeller"
 )
 
 // rankedJob is a job with the keys of the service order.
@@ -39,12 +37,12 @@
 const maxLateFactor = 3
 
 // newRankedJob returns a job with its present keys.
-func newRankedJob(now time.Time, jb *job, qu modeller.Queue) rankedJob {
-	class, until := jb.serviceClass(now, qu)
+func newRankedJob(now time.Time, jb *job) rankedJob {
+	class, until := jb.serviceClass(now)
 	return rankedJob{
 		job:      jb,
 		class:    class,
-		priority: qu.Priority,
+		priority: jb.queue.Priority,
 		coreTime: jb.coreTime,
 		until:    until,
 	}
@@ -67,7 +65,7 @@
 
 // serviceClass returns the service class of the job, and the time until which
 // the class stays unless a step ends, or zero.
-func (jb *job) serviceClass(now time.Time, qu modeller.Queue) (class serviceClass, until time.Time) {
+func (jb *job) serviceClass(now time.Time) (class serviceClass, until time.Time) {
 	for _, st := range jb.info.Steps {
 		if st.IsLongRunning {
 			return classLongRunning, time.Time{}
@@ -76,7 +74,7 @@
 	if jb.info.Occurrences > 0 {
 		return classOnTime, time.Time{}
 	}
-	objective := time.Duration(qu.Stretch*float64(jb.criticalPath)) + qu.Slack
+	objective := time.Duration(jb.queue.Stretch*float64(jb.criticalPath)) + jb.queue.Slack
 	remaining := jb.remainingCriticalPath()
 	if until := jb.acceptedAt.Add(objective - remaining); !now.After(until) {
 		return classOnTime, until
--- a/shared/jobs/allocator/startpools.go
+++ b/shared/jobs/allocator/startpools.go
@@ -42,9 +42,10 @@
 	return sp.isUnknown || slices.Contains(sp.names[:sp.stored], pool)
 }
 
-// addStartPool adds a pool to those in which runs of a job may be started.
-func (al *Allocator) addStartPool(jb *job, pool string) {
-	if jb.pools.add(pool) {
+// addStartPool adds the pool of a job's queue to those in which its runs may be
+// started.
+func (al *Allocator) addStartPool(jb *job) {
+	if jb.queue.Pool != "" && jb.pools.add(jb.queue.Pool) {
 		al.markDirty(jb)
 	}
 }
--- a/shared/jobs/allocator/ticket.go
+++ b/shared/jobs/allocator/ticket.go
@@ -136,9 +136,9 @@
 }
 
 // updateAdvice begins or ends the use of tickets for a step, as its queue asks.
-func (st *step) updateAdvice(qu modeller.Queue) {
+func (st *step) updateAdvice() {
 	switch {
-	case qu.Advice == nil:
+	case st.job.queue.Advice == nil:
 		st.advice = nil
 	case st.advice == nil:
 		st.advice = &stepAdvice{
@@ -149,7 +149,7 @@
 
 // considerAdvice proposes a request for a step with waiting tasks, if there are
 // workers that the advice service has to be asked about.
-func (al *Allocator) considerAdvice(pl *placement, pp *poolPlacement, st *step, qu modeller.Queue) {
+func (al *Allocator) considerAdvice(pl *placement, pp *poolPlacement, st *step) {
 	if st.advice == nil || st.waitingCount == 0 || !al.advice.isReady(pl.now) || pl.now.Before(st.advice.notBefore) {
 		return
 	}
@@ -163,7 +163,7 @@
 	}
 	request := &adviceRequest{
 		step:    st,
-		advice:  *qu.Advice,
+		advice:  *st.job.queue.Advice,
 		workers: workers,
 		hasRoom: st.fitsOn(workers[0]),
 		isLate:  st.job.rank.class > classOnTime,
@@ -262,7 +262,7 @@
 		return
 	}
 	sa.failures = 0
-	advice := al.configuration.Queues[tk.step.job.info.Queue].Advice
+	advice := tk.step.job.queue.Advice
 	if advice == nil {
 		return
 	}
--- a/shared/jobs/allocator/waiting.go
+++ b/shared/jobs/allocator/waiting.go
@@ -26,21 +26,21 @@
 // enlist adds a job to the waiting list of its pool, or updates the list if it
 // contains the job.
 func (al *Allocator) enlist(now time.Time, jb *job) {
-	qu, ok := al.configuration.Queues[jb.info.Queue]
-	if !ok || !jb.mayWait() {
+	pool := jb.queue.Pool
+	if pool == "" || !jb.mayWait() {
 		return
 	}
-	al.addStartPool(jb, qu.Pool)
-	al.changes.note(qu.Pool)
-	wl := al.waiting[qu.Pool]
+	al.addStartPool(jb)
+	al.changes.note(pool)
+	wl := al.waiting[pool]
 	if wl == nil {
 		wl = &waitingList{}
-		al.waiting[qu.Pool] = wl
+		al.waiting[pool] = wl
 	}
-	wl.hasAdvice = wl.hasAdvice || qu.Advice != nil
+	wl.hasAdvice = wl.hasAdvice || jb.queue.Advice != nil
 	wl.smallest = smallestDemand(jb, wl.smallest, len(wl.ranked) == 0)
 	if jb.list == nil {
-		wl.insert(newRankedJob(now, jb, qu))
+		wl.insert(newRankedJob(now, jb))
 		al.effort.jobs++
 	}
 }
@@ -85,7 +85,7 @@
 	}
 	al.effort.jobs++
 	jb.withdraw()
-	wl.insert(newRankedJob(now, jb, al.configuration.Queues[jb.info.Queue]))
+	wl.insert(newRankedJob(now, jb))
 }
 
 // rerankDue updates the places of the jobs whose service class has changed with
--- a/shared/jobs/modeller/codec.go
+++ b/shared/jobs/modeller/codec.go
@@ -12,9 +12,10 @@
 type jobRecord struct {
 	ID    string `json:"id"`
 	Queue string `json:"queue"`
-	// Host and Prefix are the address of the queue.
-	Host   string `json:"host,omitempty"`
-	Prefix string `json:"prefix,omitempty"`
+	// Host and Prefix are the address of the queue, and Origin its settings.
+	Host   string       `json:"host,omitempty"`
+	Prefix string       `json:"prefix,omitempty"`
+	Origin *queueRecord `json:"origin,omitempty"`
 	// Payload is part of the records of earlier versions.
 	Payload string `json:"payload,omitempty"`
 	// IsPayloadSeparate is true if the payload has a key of its own.
@@ -28,6 +29,23 @@
 	EndedAtMS         int64        `json:"endedAtMs,omitempty"`
 }
 
+// queueRecord is the stored form of the settings of a queue.
+type queueRecord struct {
+	Pool        string        `json:"pool"`
+	Priority    int           `json:"priority,omitempty"`
+	MaxAttempts int           `json:"maxAttempts,omitempty"`
+	Stretch     float64       `json:"stretch,omitempty"`
+	SlackMS     int64         `json:"slackMs,omitempty"`
+	Advice      *adviceRecord `json:"advice,omitempty"`
+}
+
+// adviceRecord is the stored form of the settings of a queue's advice service.
+type adviceRecord struct {
+	DecisionMS  int64 `json:"decisionMs,omitempty"`
+	PerWorkerMS int64 `json:"perWorkerMs,omitempty"`
+	ValidityMS  int64 `json:"validityMs,omitempty"`
+}
+
 // stepRecord is the stored form of a Step.
 type stepRecord struct {
 	Count           int    `json:"count"`
@@ -73,6 +91,9 @@
 		rec.Steps = append(rec.Steps, encodeStep(st))
 	}
 	rec.IsPayloadSeparate = len(rec.Steps) > 0
+	if len(rec.Steps) > 0 && jr.Job.Origin.Pool != "" {
+		rec.Origin = encodeQueue(jr.Job.Origin)
+	}
 	data, err := json.Marshal(rec)
 	if err != nil {
 		return nil, classifier.Wrap(err, classifier.Internal, "job %s", jr.Job.ID)
@@ -154,13 +175,48 @@
 	return time.Duration(number) * time.Millisecond
 }
 
-// origin returns the queue as it was configured when the job was accepted.
+func encodeQueue(qu Queue) *queueRecord {
+	rec := &queueRecord{
+		Pool:        qu.Pool,
+		Priority:    qu.Priority,
+		MaxAttempts: qu.MaxAttempts,
+		Stretch:     qu.Stretch,
+		SlackMS:     qu.Slack.Milliseconds(),
+	}
+	if qu.Advice != nil {
+		rec.Advice = &adviceRecord{
+			DecisionMS:  qu.Advice.DecisionTime.Milliseconds(),
+			PerWorkerMS: qu.Advice.TimePerWorker.Milliseconds(),
+			ValidityMS:  qu.Advice.Validity.Milliseconds(),
+		}
+	}
+	return rec
+}
+
+// origin returns the queue as it was configured when the job was accepted. It has no
+// pool in records of earlier versions and of jobs that have ended.
 func (jr jobRecord) origin() Queue {
-	return Queue{
+	qu := Queue{
 		Name:   jr.Queue,
 		Host:   jr.Host,
 		Prefix: jr.Prefix,
 	}
+	if jr.Origin == nil {
+		return qu
+	}
+	qu.Pool = jr.Origin.Pool
+	qu.Priority = jr.Origin.Priority
+	qu.MaxAttempts = jr.Origin.MaxAttempts
+	qu.Stretch = jr.Origin.Stretch
+	qu.Slack = milliseconds(jr.Origin.SlackMS)
+	if advice := jr.Origin.Advice; advice != nil {
+		qu.Advice = &Advice{
+			DecisionTime:  milliseconds(advice.DecisionMS),
+			TimePerWorker: milliseconds(advice.PerWorkerMS),
+			Validity:      milliseconds(advice.ValidityMS),
+		}
+	}
+	return qu
 }
 
 func decodeStep(sr stepRecord) Step {
--- a/shared/jobs/modeller/codec_test.go
+++ b/shared/jobs/modeller/codec_test.go
@@ -13,7 +13,10 @@
 
 func TestJobRecordRoundTrip(t *testing.T) {
 	for _, jr := range []JobRecord{
-		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q", Host: "h", Prefix: "/p/"}, Steps: []Step{{Count: 2, DependsOn: nil, Estimate: time.Second}, {Count: 1, DependsOn: []int{0}}}}},
+		{Job: Job{ID: "j", Queue: "q", Origin: Queue{
+			Name: "q", Host: "h", Prefix: "/p/", Pool: "p", Priority: 1, MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond,
+			Advice: &Advice{DecisionTime: 5 * time.Millisecond, TimePerWorker: 2 * time.Millisecond, Validity: 3 * time.Second},
+		}, Steps: []Step{{Count: 2, DependsOn: nil, Estimate: time.Second}, {Count: 1, DependsOn: []int{0}}}}},
 		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q"}}, FinalState: JobCompleted, EndedAtMS: 7},
 	} {
 		data, err := EncodeJob(jr)
--- a/standin/internal/emulator/caller.go
+++ b/standin/internal/emulator/caller.go
@@ -26,7 +26,8 @@
 	}
 	if sm.random.Float64() < 0.02 {
 		sj := sm.randomJob()
-		if _, isConfigured := sm.operators.configuration.Queues[sj.job.Queue]; isConfigured {
+		if qu, isConfigured := sm.operators.configuration.Queues[sj.job.Queue]; isConfigured {
+			sj.job.Origin = qu
 			sm.submitJob(sj)
 		}
 	}
--- a/standin/internal/emulator/configuration.go
+++ b/standin/internal/emulator/configuration.go
@@ -14,13 +14,15 @@
 const (
 	maxChanges = 4
 	maxGap     = 3 * time.Second
+	// removedForGood is the number of removals of which one is not taken back.
+	removedForGood = 4
 )
 
 // Option is an option of New.
 type Option func(*Simulation)
 
-// WithChangingConfiguration lets operators remove queues while their jobs run, and
-// add them again for any pool.
+// WithChangingConfiguration lets operators remove queues while their jobs run, for
+// good or to add them again for any pool.
 func WithChangingConfiguration() Option {
 	return func(sm *Simulation) { sm.drawChanges(rand.New(rand.NewPCG(sm.seed, 2))) }
 }
@@ -90,11 +92,15 @@
 
 // drawChanges draws the changes of the configuration.
 func (sm *Simulation) drawChanges(random *rand.Rand) {
+	removals := rand.New(rand.NewPCG(sm.seed, 3))
 	for range 1 + random.IntN(maxChanges) {
 		at := sm.begin.Add(time.Second + time.Duration(random.Int64N(int64(submissionTime-2*time.Second))))
 		gap := time.Duration(random.Int64N(int64(maxGap)))
 		name, pool := fmt.Sprintf("q%d", random.IntN(pools)), fmt.Sprintf("p%d", random.IntN(pools))
 		sm.timers.add(at, func() { sm.configure(sm.operators.queuesWithout(name)) })
+		if removals.IntN(removedForGood) == 0 {
+			continue
+		}
 		sm.timers.add(at.Add(gap), func() {
 			queues := sm.operators.queuesWithout(name)
 			queues[name] = newQueue(name, pool)
--- a/standin/internal/emulator/emulator_test.go
+++ b/standin/internal/emulator/emulator_test.go
@@ -9,7 +9,15 @@
 // fixedSeeds is the number of seeds that the test simulates.
 const fixedSeeds = 300
 
-func TestDaysKeepAllPromises(t *testing.T) {
+func TestDaysKeepAllPromises(t *testing.T) { playFixedSeeds(t) }
+
+// TestDaysWithChangingConfigurationKeepAllPromises guards against jobs that stop, or
+// whose tasks run again, when their queue is removed or has another pool.
+func TestDaysWithChangingConfigurationKeepAllPromises(t *testing.T) {
+	playFixedSeeds(t, WithChangingConfiguration())
+}
+
+func playFixedSeeds(t *testing.T, opts ...Option) {
 	var total Counts
 	var mu sync.Mutex
 	var days sync.WaitGroup
@@ -17,7 +25,7 @@
 	for range runtime.GOMAXPROCS(0) {
 		days.Go(func() {
 			for seed := range seeds {
-				violations, counts := New(seed).Run()
+				violations, counts := New(seed, opts...).Run()
 				mu.Lock()
 				for _, promise := range violations {
 					t.Errorf("seed %d: %s", seed, promise)
