allocator: count a job as started once a worker has begun a task

Cause: a job counted as started when a start was decided, and for the next holder when the stored progress had an attempt. Change: an accepted start, a reported run or a reported end marks the job. Format 3 of the progress, which isn't released, says so; earlier formats are read as before. Failed first: TestJobWhoseStartsAreRefusedStaysPending, TestStartedJobIsNotPending.

--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -196,9 +196,10 @@
 // progress returns the progress of a job's tasks.
 func (jb *job) progress() modeller.Progress {
 	pg := modeller.Progress{
-		ID:    jb.info.ID,
-		Queue: jb.info.Queue,
-		Pools: slices.Clone(jb.pools.names),
+		ID:         jb.info.ID,
+		Queue:      jb.info.Queue,
+		Pools:      slices.Clone(jb.pools.names),
+		HasStarted: jb.hasStarted,
 	}
 	for _, oc := range jb.occurrences {
 		for _, st := range oc.steps {
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -22,7 +22,8 @@
 	acceptedAt  time.Time
 	isCancelled bool
 	// outcome is the final state, or empty while the job has not ended.
-	outcome    modeller.JobState
+	outcome modeller.JobState
+	// hasStarted is true once a worker is known to have begun a task.
 	hasStarted bool
 	// hasPayload is true if info contains the payload.
 	hasPayload bool
@@ -99,7 +100,7 @@
 		}
 		jb.loadedProgress[name] = tp
 	}
-	jb.hasStarted = len(pg.Tasks) > 0
+	jb.hasStarted = pg.HasStarted
 	jb.hasStoredProgress = true
 	jb.isProgressUnknown = ev.IsInvalid
 	jb.pools = newInheritedPools(pg.Pools)
--- a/shared/jobs/allocator/job_test.go
+++ b/shared/jobs/allocator/job_test.go
@@ -86,3 +86,53 @@
 	must.Eq(t, 1, fx.al.Pending(renamed))
 	must.Eq(t, 0, fx.al.Pending(modeller.Queue{Name: "other", Host: "h", Prefix: "/other/"}))
 }
+
+// TestJobWhoseStartsAreRefusedStaysPending guards against jobs that are shown as
+// running, and not counted as pending, although no worker has begun a task of them.
+func TestJobWhoseStartsAreRefusedStaysPending(t *testing.T) {
+	queue := modeller.Queue{Name: "q"}
+	fx := newFixture(t)
+	fx.addReadyWorkers("a")
+	fx.submitJob("j", oneTaskStep())
+	starts := takeOrders[StartOrder](fx)
+	must.Len(t, 1, starts)
+	for _, outcome := range []Outcome{Unhealthy, Unanswered} {
+		must.Eq(t, 1, fx.al.Pending(queue), must.Sprint("the order is in flight"))
+		fx.apply(StartResult{Worker: "a", Task: starts[0].Task, Attempt: starts[0].Attempt, Outcome: outcome})
+		state, _ := fx.al.State("j")
+		must.Eq(t, modeller.JobQueued, state)
+		must.Eq(t, 1, fx.al.Pending(queue), must.Sprint(outcome))
+		fx.storeBatch()
+		later := fx.takeOver(configurationWith(1, "p"), oneTaskJobRecorded("j"))
+		must.Eq(t, 1, later.al.Pending(queue), must.Sprint("the next holder counts it too"))
+		fx.advance(time.Second)
+		fx.report("a", nil)
+		if again := takeOrders[StartOrder](fx); len(again) > 0 {
+			starts = again
+		}
+	}
+	fx.report("a", []modeller.Run{{Task: starts[0].Task, Attempt: starts[0].Attempt}})
+	must.Eq(t, 0, fx.al.Pending(queue), must.Sprint("a report shows the run"))
+	state, _ := fx.al.State("j")
+	must.Eq(t, modeller.JobRunning, state)
+}
+
+// TestStartedJobIsNotPending covers the other signs of a start: an accepted order and
+// the end of a run.
+func TestStartedJobIsNotPending(t *testing.T) {
+	queue := modeller.Queue{Name: "q"}
+	fx := newFixture(t)
+	fx.addReadyWorkers("a", "b")
+	accepted := fx.startOneTaskJob("accepted")
+	must.Eq(t, 0, fx.al.Pending(queue))
+	fx.submitJob("ended", oneTaskStep())
+	starts := takeOrders[StartOrder](fx)
+	must.Len(t, 1, starts)
+	fx.apply(StartResult{Worker: starts[0].Worker.ID, Task: starts[0].Task, Attempt: 1, Outcome: Unanswered})
+	must.Eq(t, 1, fx.al.Pending(queue))
+	fx.report(string(starts[0].Worker.ID), nil, modeller.End{Number: 1, Task: starts[0].Task, Attempt: 1, Kind: modeller.EndFailed})
+	must.Eq(t, 0, fx.al.Pending(queue))
+	fx.storeBatch()
+	later := fx.takeOver(configurationWith(1, "p"), oneTaskJobRecorded("ended"), oneTaskJobRecorded(string(accepted.Task.Job)))
+	must.Eq(t, 0, later.al.Pending(queue), must.Sprint("the record says that tasks have started"))
+}
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -95,6 +95,7 @@
 		al.stopRun(now, rn)
 		return
 	}
+	tk.step.job.hasStarted = true
 	if reported.Checkpoint != "" {
 		tk.checkpoint = reported.Checkpoint
 	}
@@ -178,6 +179,7 @@
 	tk.attempt = max(tk.attempt, end.Attempt)
 	tk.endedAttempt = max(tk.endedAttempt, end.Attempt)
 	jb := tk.step.job
+	jb.hasStarted = true
 	switch end.Kind {
 	case modeller.EndDone:
 		al.recordSuccess(wk)
@@ -281,6 +283,9 @@
 		rn.state = runRunning
 		rn.confirmedAt = now
 		rn.progressAt = now
+		if rn.task != nil {
+			rn.task.step.job.hasStarted = true
+		}
 	case Unanswered:
 		rn.state = runUnconfirmed
 		rn.sentAt = now
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -159,7 +159,6 @@
 	tk.attempt = max(tk.attempt, rn.attempt)
 	tk.step.waitingCount--
 	tk.step.runsPerWorker[rn.worker.info.ID]++
-	tk.step.job.hasStarted = true
 }
 
 // completeTask marks a task as done.
--- a/shared/jobs/modeller/progress.go
+++ b/shared/jobs/modeller/progress.go
@@ -9,8 +9,10 @@
 	// Pools are the pools in which runs of the job may have been started. None
 	// means that they are not known.
 	Pools []string
-	// Tasks are the tasks that have started at least once, in no particular
-	// order.
+	// HasStarted is true if a worker was known to have begun a task.
+	HasStarted bool
+	// Tasks are the tasks of which a start was ordered at least once, in no
+	// particular order.
 	Tasks []TaskProgress
 }
 
--- a/shared/jobs/modeller/progress_codec.go
+++ b/shared/jobs/modeller/progress_codec.go
@@ -10,7 +10,8 @@
 // The first byte of a stored Progress in the format of package packer. Records of
 // earlier versions are JSON objects, which begin with a brace.
 const (
-	// progressWithoutPools is the format of records that don't name the pools.
+	// progressWithoutPools is the format of records that don't name the pools, and
+	// count ordered starts as ones that took place.
 	progressWithoutPools = 2
 	progressFormat       = 3
 )
@@ -30,6 +31,7 @@
 	data := []byte{progressFormat}
 	data = packer.AppendString(data, string(pg.ID))
 	data = packer.AppendString(data, pg.Queue)
+	data = packer.AppendBool(data, pg.HasStarted)
 	data = packer.AppendUint(data, uint64(len(pg.Pools)))
 	for _, pool := range pg.Pools {
 		data = packer.AppendString(data, pool)
@@ -93,6 +95,7 @@
 		Queue: rd.String(),
 	}
 	if data[0] == progressFormat {
+		pg.HasStarted = rd.Bool()
 		for range rd.Length() {
 			pg.Pools = append(pg.Pools, rd.String())
 		}
@@ -105,6 +108,9 @@
 	if err := rd.Err(); err != nil {
 		return Progress{}, classifier.Wrap(err, classifier.RecordInvalid, "progress record")
 	}
+	if data[0] == progressWithoutPools {
+		pg.HasStarted = len(pg.Tasks) > 0
+	}
 	return pg, pg.validate()
 }
 
@@ -181,5 +187,6 @@
 	for _, tr := range rec.Tasks {
 		pg.Tasks = append(pg.Tasks, TaskProgress(tr))
 	}
+	pg.HasStarted = len(pg.Tasks) > 0
 	return pg, pg.validate()
 }
--- a/shared/jobs/modeller/progress_codec_test.go
+++ b/shared/jobs/modeller/progress_codec_test.go
@@ -13,9 +13,10 @@
 // progressOfTwoSteps is the progress of a job with a step of three tasks, of which
 // two are done, and a checkpointed task of a later step that has failed.
 var progressOfTwoSteps = Progress{
-	ID:    "5c0e7a21d94b36f8",
-	Queue: "q",
-	Pools: []string{"p", "p2"},
+	ID:         "5c0e7a21d94b36f8",
+	Queue:      "q",
+	Pools:      []string{"p", "p2"},
+	HasStarted: true,
 	Tasks: []TaskProgress{
 		{IsDone: true, Attempt: 1},
 		{Index: 1, IsDone: true, Attempt: 1},
@@ -25,7 +26,7 @@
 }
 
 func TestProgressFormatStays(t *testing.T) {
-	must.Eq(t, "03"+goldenJob+"02"+"01"+"70"+"02"+"7032"+goldenTasks, hex.EncodeToString(EncodeProgress(progressOfTwoSteps)))
+	must.Eq(t, "03"+goldenJob+"01"+"02"+"01"+"70"+"02"+"7032"+goldenTasks, hex.EncodeToString(EncodeProgress(progressOfTwoSteps)))
 }
 
 // The parts of progressOfTwoSteps that all formats of package packer share.
