allocator: tell a worker's incarnations by the order of polls, not by their start times

Cause: a report with an earlier start time than the last one was dropped as outdated, however late its poll was sent. Change: a poll that was sent after a report is answered by that incarnation or by a later one, so another start time means a later one. The directory's start time of the ended incarnation is ignored. Failed first: TestIncarnationWithAnEarlierStartTimeIsTheLaterOne.

--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -21,10 +21,13 @@
 	wk.isPollInFlight = false
 	wk.pollAt = now.Add(minPollInterval)
 	if wk.isSynced && ev.Report.StartedAtMS != wk.startedAtMS {
-		if ev.Report.StartedAtMS < wk.startedAtMS {
+		// Start times don't tell which incarnation is the later one, since a worker's
+		// wall clock may jump. A poll that was sent after a report of one is answered by
+		// that one or by a later one.
+		if ev.SentAt.Before(wk.reportedAt) {
 			return
 		}
-		al.endIncarnation(now, wk, "report has a later start time")
+		al.endIncarnation(now, wk, "report has another start time")
 	}
 	if wk.clockAt.IsZero() || !wk.isSynced || ev.Report.Clock > wk.clock {
 		wk.clock = ev.Report.Clock
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -25,8 +25,8 @@
 	// syncedAt is when the present incarnation first reported.
 	syncedAt time.Time
 	// startedAtMS is the Unix millisecond at which the reporting incarnation
-	// started.
-	startedAtMS int64
+	// started, and endedStartedAtMS that of the one before.
+	startedAtMS, endedStartedAtMS int64
 	// mayHoldOldRuns is true for a worker of an earlier holder's roster, until it
 	// has reported.
 	mayHoldOldRuns bool
@@ -100,7 +100,7 @@
 	if info.IsDraining && (!ok || !wk.info.IsDraining) {
 		al.log(LogEntry{Message: "worker draining", Worker: info.ID, Reason: "directory"})
 	}
-	if wk.isSynced && info.StartedAtMS != 0 && wk.startedAtMS != 0 && info.StartedAtMS > wk.startedAtMS {
+	if wk.isSynced && info.StartedAtMS != 0 && wk.startedAtMS != 0 && info.StartedAtMS > wk.startedAtMS && info.StartedAtMS != wk.endedStartedAtMS {
 		al.endIncarnation(now, wk, "directory lists a later start time")
 	}
 	if !wk.hasSameLocation(info) {
@@ -210,6 +210,9 @@
 	wk.lastStoredEnd = 0
 	wk.unstoredEnds = nil
 	wk.leaseEnd = 0
+	if wk.startedAtMS != 0 {
+		wk.endedStartedAtMS = wk.startedAtMS
+	}
 	wk.startedAtMS = 0
 	wk.unresolvedStarts = map[modeller.TaskName]int{}
 	wk.failedJobs = map[modeller.JobID]struct{}{}
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -157,3 +157,50 @@
 	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("no run of the worker is lost"))
 	must.True(t, fx.al.workers.byID["a"].isSynced)
 }
+
+// reportOf applies a report of an incarnation with a start time, to a poll that was
+// sent 1 ms ago.
+func (fx *fixture) reportOf(id string, startedAtMS int64, clock time.Duration, running []modeller.Run) {
+	fx.apply(ReportReceived{
+		Worker:     modeller.WorkerID(id),
+		SentAt:     fx.now.Add(-time.Millisecond),
+		ReceivedAt: fx.now,
+		Report:     modeller.Report{StartedAtMS: startedAtMS, Clock: clock, Running: running},
+	})
+}
+
+// TestIncarnationWithAnEarlierStartTimeIsTheLaterOne guards against tasks that never
+// start again: a worker's clock has jumped back, so that its restart seems to precede
+// the start before, and its reports were taken for outdated ones.
+func TestIncarnationWithAnEarlierStartTimeIsTheLaterOne(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a", "b")
+	so := fx.startOneTaskJob("j")
+	id := string(so.Worker.ID)
+	fx.advance(50 * time.Millisecond)
+	fx.report(id, []modeller.Run{{Task: so.Task, Attempt: so.Attempt}})
+	fx.advance(50 * time.Millisecond)
+	fx.reportOf(id, -999, time.Millisecond, nil)
+	fx.storeBatch()
+	fx.report("a", nil)
+	must.Len(t, 1, takeOrders[StartOrder](fx), must.Sprint("the run ended with the incarnation before"))
+	wk := fx.al.workers.byID[so.Worker.ID]
+	before := wk.incarnation
+	fx.listWorker(id)
+	must.Eq(t, before, wk.incarnation, must.Sprint("the directory still lists the incarnation before"))
+}
+
+// TestReportOfAnEarlierPollIsOutdated guards against an answer that is overtaken by a
+// later one of the next incarnation.
+func TestReportOfAnEarlierPollIsOutdated(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a")
+	fx.advance(50 * time.Millisecond)
+	sentAt := fx.now
+	fx.advance(50 * time.Millisecond)
+	fx.reportOf("a", 7, time.Millisecond, nil)
+	before := fx.al.workers.byID["a"].incarnation
+	fx.reportPollSentAt(sentAt, "a", nil)
+	must.Eq(t, before, fx.al.workers.byID["a"].incarnation)
+	must.Eq(t, 7, fx.al.workers.byID["a"].startedAtMS)
+}
