allocator: grant no lease by the clock of an incarnation that is over

A worker had restarted under its ID; 6 s later it was cut off for 5.8 s. The holder took its lease for expired after 5 s and started its tasks elsewhere, while the worker still ran them. Cause: a poll to a worker that hasn't answered carries the end of its lease. If the next incarnation receives it, whose clock begins anew, the lease lasts for up to hold_max (10 s), and the holder knows of 5 s. Change: a poll to an unresponsive worker leaves the lease as it is. If an incarnation answers the first poll after a restart between two polls, its lease is taken to be what that poll has granted. Open: an order that an earlier incarnation was sent and that the next one carries out seconds later may still extend its lease by the clock before.

--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -164,6 +164,7 @@
 			Node:    settings.Node,
 			Bounds: allocator.Bounds{
 				RunLease:        min(runLease, settings.Bounds.MaxRunLease),
+				MaxRunLease:     settings.Bounds.MaxRunLease,
 				MaxOverrun:      dutyOverrun,
 				PollWait:        pollWait,
 				DutyLease:       ttl,
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -28,6 +28,8 @@
 	// RunLease is how long a worker keeps its runs after a holder has last
 	// extended its lease.
 	RunLease time.Duration
+	// MaxRunLease is the longest lease that a worker accepts.
+	MaxRunLease time.Duration
 	// MaxOverrun is how long a holder may still act after its duty lease has
 	// expired.
 	MaxOverrun time.Duration
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -14,6 +14,7 @@
 
 var testBounds = Bounds{
 	RunLease:        5 * time.Second,
+	MaxRunLease:     10 * time.Second,
 	MaxOverrun:      6 * time.Second,
 	PollWait:        time.Second,
 	DutyLease:       1500 * time.Millisecond,
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -28,6 +28,8 @@
 			return
 		}
 		al.endIncarnation(now, wk, "report has another start time")
+		// The poll has extended the lease of the incarnation that answers it.
+		wk.leaseEnd = min(wk.polledLeaseEnd, ev.Report.Clock+al.bounds.MaxRunLease)
 	}
 	if wk.clockAt.IsZero() || !wk.isSynced || ev.Report.Clock > wk.clock {
 		wk.clock = ev.Report.Clock
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -46,6 +46,8 @@
 	// the last of those was ordered that got no report.
 	isPollInFlight                 bool
 	pollAt, polledAt, failedPollAt time.Time
+	// polledLeaseEnd is the end of the lease in the last poll.
+	polledLeaseEnd time.Duration
 	// repeatInterval is the time from a report with unstored ends to the next
 	// poll if the ends are not stored earlier.
 	repeatInterval time.Duration
@@ -286,10 +288,15 @@
 				wk.leaseEnd = max(wk.leaseEnd, al.estimateClock(now, wk)+al.bounds.RunLease)
 				po.Wait = al.bounds.PollWait
 			}
-			po.LeaseEnd = wk.leaseEnd
+			// The next incarnation may answer a worker that was unresponsive. It has
+			// another clock, by which the end of the lease is far away.
+			if !wk.isUnresponsive {
+				po.LeaseEnd = wk.leaseEnd
+			}
 		}
 		wk.isPollInFlight = true
 		wk.polledAt = now
+		wk.polledLeaseEnd = po.LeaseEnd
 		al.orders = append(al.orders, po)
 	}
 }
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -204,3 +204,36 @@
 	must.Eq(t, before, fx.al.workers.byID["a"].incarnation)
 	must.Eq(t, 7, fx.al.workers.byID["a"].startedAtMS)
 }
+
+// TestNextIncarnationGetsNoLeaseOfTheOneBefore guards against a lease that outlasts
+// what the holder has granted: the clock of a restarted worker begins anew, and a poll
+// with the end of the lease by the clock before extends it for too long.
+func TestNextIncarnationGetsNoLeaseOfTheOneBefore(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a")
+	fx.report("a", nil)
+	fx.advance(50 * time.Millisecond)
+	polls := takeOrders[PollOrder](fx)
+	must.Len(t, 1, polls)
+	must.Positive(t, polls[0].LeaseEnd)
+	fx.apply(PollFailed{Worker: "a", Outcome: Unanswered})
+	fx.advance(time.Second)
+	for _, po := range takeOrders[PollOrder](fx) {
+		must.Zero(t, po.LeaseEnd, must.Sprint("the poll may reach the next incarnation"))
+	}
+}
+
+// TestLeaseGrantedToTheNextIncarnationIsAwaited guards against tasks that are started
+// again while the worker runs them: it has restarted between two polls, and the second
+// one has extended its lease by the clock before.
+func TestLeaseGrantedToTheNextIncarnationIsAwaited(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a")
+	fx.report("a", nil)
+	fx.advance(50 * time.Millisecond)
+	polls := takeOrders[PollOrder](fx)
+	must.Len(t, 1, polls)
+	must.Positive(t, polls[0].LeaseEnd)
+	fx.reportOf("a", 7, time.Millisecond, nil)
+	must.Eq(t, time.Millisecond+testBounds.MaxRunLease, fx.al.workers.byID["a"].leaseEnd)
+}
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -52,6 +52,7 @@
 // bounds are the bounds of the standard deployments.
 var bounds = allocator.Bounds{
 	RunLease:        5 * time.Second,
+	MaxRunLease:     10 * time.Second,
 	MaxOverrun:      6 * time.Second,
 	PollWait:        time.Second,
 	DutyLease:       1500 * time.Millisecond,
