allocator: store that a VM's maintenance is ordered before it is

Cause: nothing about an order was stored before it was sent, so the next holder didn't count its VM, and the VM interface checks fencing tokens for each VM separately. Change: the wave's progress names the VMs that may be ordered down, and the order follows once that is stored. A later holder counts them as down and repeats their orders once no task runs there. Failed first: TestMaintenanceIsStoredBeforeItIsOrdered, TestOrderedMaintenanceWaitsForTheWorker (both use a field that is new), TestDaysWithLateVMOrdersKeepAllPromises. Six tests of waves now store the progress before they expect the order; their checks are as they were.

--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -202,9 +202,9 @@
 	fx.listWorker("a")
 	fx.apply(RecordsLoaded{})
 	fx.addWave(1, vmOf("a", modeller.VMUp))
-	must.Len(t, 0, takeOrders[VMOrder](fx))
+	must.Len(t, 0, fx.takeMaintenance())
 	fx.report("a", nil)
-	must.Len(t, 1, takeOrders[VMOrder](fx))
+	must.Len(t, 1, fx.takeMaintenance())
 }
 
 func TestJobStartsOnceItsProgressRecordIsStored(t *testing.T) {
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -77,6 +77,9 @@
 	Number int64
 	// Maintained are the VMs that have been maintained.
 	Maintained []string
+	// Ordered are the VMs whose maintenance may have been ordered and is not known to
+	// have been accepted.
+	Ordered []string
 	// IsCompleted is true once all VMs of the wave have been maintained.
 	IsCompleted bool
 	// Elapsed is how long the wave has run.
@@ -260,6 +263,9 @@
 	for _, ended := range bt.Expired {
 		delete(al.retained, ended.ID)
 	}
+	for _, wp := range bt.Waves {
+		al.fleet.noteStored(wp)
+	}
 	for _, info := range bt.Roster {
 		if wk := al.workers.byID[info.ID]; wk != nil && wk.hasSameLocation(info) {
 			wk.isRostered = true
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -170,8 +170,9 @@
 type WaveProgressLoaded struct {
 	// Number is the number of the wave.
 	Number int64
-	// Maintained are the VMs that have been maintained.
-	Maintained []string
+	// Maintained are the VMs that have been maintained, and Ordered those whose
+	// maintenance an earlier holder may have ordered.
+	Maintained, Ordered []string
 	// Elapsed is how long the wave has run.
 	Elapsed time.Duration
 }
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -35,8 +35,9 @@
 	orders       []Order
 	// progress is the stored progress of the jobs.
 	progress map[modeller.JobID]modeller.Progress
-	// roster is the stored roster.
+	// roster is the stored roster, and waves the stored progress of the waves.
 	roster []modeller.Worker
+	waves  map[int64]WaveProgress
 }
 
 func newFixture(t testing.TB) *fixture {
@@ -47,6 +48,7 @@
 		now:          begin,
 		confirmsDuty: true,
 		progress:     map[modeller.JobID]modeller.Progress{},
+		waves:        map[int64]WaveProgress{},
 	}
 	fx.apply(ConfigurationLoaded{
 		Configuration: modeller.Configuration{
@@ -182,6 +184,9 @@
 		for _, pg := range batch.Progress {
 			fx.progress[pg.ID] = pg
 		}
+		for _, wp := range batch.Waves {
+			fx.waves[wp.Number] = wp
+		}
 		if batch.Roster != nil {
 			fx.roster = batch.Roster
 		}
@@ -189,6 +194,14 @@
 	}
 }
 
+// takeMaintenance stores what is to be stored before maintenance is ordered, and
+// returns the VM orders since the last call.
+func (fx *fixture) takeMaintenance() []VMOrder {
+	fx.advance(25 * time.Millisecond)
+	fx.storeBatch()
+	return takeOrders[VMOrder](fx)
+}
+
 // oneTaskStep returns a step of one task.
 func oneTaskStep() modeller.Step {
 	return modeller.Step{
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -38,7 +38,7 @@
 type wave struct {
 	info       modeller.Wave
 	maintained map[string]struct{}
-	// down are the VMs whose maintenance was ordered and that have not
+	// down are the VMs whose maintenance was or will be ordered and that have not
 	// returned.
 	down map[string]*downVM
 	// evacuating are the VMs that get no work until their maintenance, with the
@@ -51,9 +51,15 @@
 	isCompleted bool
 }
 
-// downVM is a VM whose maintenance was ordered.
+// downVM is a VM whose maintenance was ordered, or will be once that is stored.
 type downVM struct {
 	worker modeller.WorkerID
+	// isStored is true once the stored progress of the wave contains the VM. An order
+	// that gets no answer may be carried out seconds later, and a later holder has to
+	// count its VM among those that are down.
+	isStored bool
+	// isInherited is true if an earlier holder may have sent the order.
+	isInherited bool
 	// isAccepted is true once the order was accepted, at acceptedAt.
 	isAccepted bool
 	acceptedAt time.Time
@@ -94,12 +100,32 @@
 			wp.Maintained = append(wp.Maintained, vm)
 		}
 		slices.Sort(wp.Maintained)
+		for vm, dv := range wv.down {
+			if !dv.isAccepted {
+				wp.Ordered = append(wp.Ordered, vm)
+			}
+		}
+		slices.Sort(wp.Ordered)
 		wv.isDirty = false
 		changed = append(changed, wp)
 	}
 	return changed
 }
 
+// noteStored records that the progress of a wave is stored, so that its orders may be
+// sent.
+func (fl *fleet) noteStored(wp WaveProgress) {
+	wv := fl.waves[wp.Number]
+	if wv == nil {
+		return
+	}
+	for _, vm := range wp.Ordered {
+		if dv := wv.down[vm]; dv != nil {
+			dv.isStored = true
+		}
+	}
+}
+
 func (al *Allocator) addWave(now time.Time, info modeller.Wave) {
 	wv := al.fleet.wave(info.Number)
 	if wv.info.Number == info.Number && !wv.startedAt.IsZero() {
@@ -117,6 +143,12 @@
 	for _, vm := range ev.Maintained {
 		wv.maintained[vm] = struct{}{}
 	}
+	for _, vm := range ev.Ordered {
+		wv.down[vm] = &downVM{
+			isStored:    true,
+			isInherited: true,
+		}
+	}
 }
 
 func (fl *fleet) waveNumbers() []int64 {
@@ -155,7 +187,7 @@
 }
 
 // removeReturned removes the VMs that have returned from those that are down,
-// and repeats maintenance orders that were not accepted.
+// and sends the maintenance orders that are stored and were not accepted.
 func (al *Allocator) removeReturned(now time.Time, wv *wave) {
 	fl := al.fleet
 	for _, name := range slices.Sorted(maps.Keys(wv.down)) {
@@ -167,12 +199,24 @@
 			delete(wv.down, name)
 			al.uncordon(dv.worker)
 		}
-		if !dv.isAccepted && !dv.isInFlight && now.Sub(dv.sentAt) >= vmOrderRetryInterval {
+		isDue := !dv.isAccepted && dv.isStored && !dv.isInFlight && now.Sub(dv.sentAt) >= vmOrderRetryInterval
+		if isDue && (!dv.isInherited || al.isReadyForRepetition(now, vm, dv)) {
 			al.orderMaintenance(now, wv, name, dv)
 		}
 	}
 }
 
+// isReadyForRepetition reports whether an order of an earlier holder may be repeated.
+// Its VM may have been maintained since, and have got work.
+func (al *Allocator) isReadyForRepetition(now time.Time, vm modeller.VM, dv *downVM) bool {
+	if vm.State != modeller.VMUp {
+		return false
+	}
+	dv.worker = vm.Worker
+	wk := al.workers.byID[vm.Worker]
+	return wk == nil || al.evacuate(now, wk, false)
+}
+
 func (al *Allocator) uncordon(id modeller.WorkerID) {
 	if wk := al.workers.byID[id]; wk != nil {
 		wk.isCordoned = false
@@ -262,8 +306,8 @@
 	return cost
 }
 
-// orderDueMaintenance evacuates the chosen VMs and orders the maintenance of
-// those that are empty, up to MaxDown at a time.
+// orderDueMaintenance evacuates the chosen VMs and prepares the maintenance of
+// those that are empty, up to MaxDown at a time. It is ordered once that is stored.
 func (al *Allocator) orderDueMaintenance(now time.Time, wv *wave) {
 	names := make([]string, 0, len(wv.evacuating))
 	for name := range wv.evacuating {
@@ -289,11 +333,10 @@
 		if al.fleet.downCount(wv) >= wv.info.MaxDown || now.Sub(al.fleet.listedAt) > maxVMListAge {
 			continue
 		}
-		dv := &downVM{
+		wv.down[name] = &downVM{
 			worker: vm.Worker,
 		}
-		wv.down[name] = dv
-		al.orderMaintenance(now, wv, name, dv)
+		wv.isDirty = true
 	}
 }
 
--- a/shared/jobs/allocator/wave_test.go
+++ b/shared/jobs/allocator/wave_test.go
@@ -13,7 +13,7 @@
 	fx := newFixture(t)
 	fx.addReadyWorkers("a", "b")
 	fx.addWave(1, vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
-	first := takeOrders[VMOrder](fx)
+	first := fx.takeMaintenance()
 	must.Len(t, 1, first)
 	fx.apply(VMOrderResult{Order: first[0], Outcome: Accepted})
 	fx.advance(2 * time.Second)
@@ -22,7 +22,7 @@
 	fx.listVMs(vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
 	fx.advance(50 * time.Millisecond)
 	fx.report("b", nil)
-	must.Len(t, 1, takeOrders[VMOrder](fx))
+	must.Len(t, 1, fx.takeMaintenance())
 }
 
 func TestWaveWaitsForVMMissingFromStaleList(t *testing.T) {
@@ -64,11 +64,11 @@
 		fx.report("a", nil)
 		fx.advance(100 * time.Millisecond)
 	}
-	must.Len(t, 0, takeOrders[VMOrder](fx), must.Sprint("the pool has no surplus"))
+	must.Len(t, 0, fx.takeMaintenance(), must.Sprint("the pool has no surplus"))
 	fx.listVMs(vmOf("a", modeller.VMUp))
 	fx.report("a", nil)
 	fx.advance(time.Second)
-	must.Len(t, 1, takeOrders[VMOrder](fx))
+	must.Len(t, 1, fx.takeMaintenance())
 }
 
 // orderMaintenanceBeforeListing returns the maintenance order of a VM whose
@@ -76,7 +76,7 @@
 func orderMaintenanceBeforeListing(fx *fixture) VMOrder {
 	fx.addWave(1, vmOf("new", modeller.VMUp))
 	fx.advance(100 * time.Millisecond)
-	orders := takeOrders[VMOrder](fx)
+	orders := fx.takeMaintenance()
 	must.Len(fx.t, 1, orders)
 	fx.addReadyWorkers("new")
 	return orders[0]
@@ -118,9 +118,9 @@
 	fx := newFixture(t)
 	fx.addReadyWorkers("a")
 	fx.addWave(1, vmOf("a", modeller.VMUp), vmOf("b", modeller.VMMaintenance))
-	must.Len(t, 0, takeOrders[VMOrder](fx))
+	must.Len(t, 0, fx.takeMaintenance())
 	fx.listVMs(vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
-	must.Len(t, 1, takeOrders[VMOrder](fx))
+	must.Len(t, 1, fx.takeMaintenance())
 }
 
 // TestVMWithUndecodableEntryIsNotRemoved guards against a wave that is completed
@@ -136,3 +136,65 @@
 	}
 	must.False(t, fx.al.fleet.waves[1].isCompleted)
 }
+
+// TestMaintenanceIsStoredBeforeItIsOrdered guards against a later holder that doesn't
+// know of an order: it takes another VM down, and the order is carried out after that.
+func TestMaintenanceIsStoredBeforeItIsOrdered(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a", "b")
+	fx.addWave(1, vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
+	must.Len(t, 0, takeOrders[VMOrder](fx), must.Sprint("the store doesn't know of the order"))
+	fx.submitJob("j", oneTaskStep())
+	batch := fx.al.Batch(fx.now)
+	must.Eq(t, []string{"vm-a"}, fx.waves[1].Ordered)
+	must.Nil(t, batch, must.Sprint("the batch is stored by submitJob"))
+	first := takeOrders[VMOrder](fx)
+	must.Len(t, 1, first)
+	must.Eq(t, "vm-a", first[0].VM)
+
+	later := newFixture(t)
+	later.al = New(fx.now, testBounds)
+	later.now = fx.now
+	later.apply(configurationWith(1, "p"))
+	later.apply(WaveProgressLoaded{Number: 1, Ordered: fx.waves[1].Ordered})
+	later.addReadyWorkers("a", "b")
+	later.addWave(1, vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
+	later.storeBatch()
+	again := takeOrders[VMOrder](later)
+	must.Eq(t, first, again, must.Sprint("the earlier holder's order counts, and is repeated with the later holder's fencing token"))
+	later.apply(VMOrderResult{Order: again[0], Outcome: Unanswered})
+	later.report("b", nil)
+	must.Len(t, 0, takeOrders[VMOrder](later))
+	later.apply(VMOrderResult{Order: again[0], Outcome: Accepted})
+	later.advance(2 * time.Second)
+	later.listWorker("a")
+	later.report("a", nil)
+	later.report("b", nil)
+	later.listVMs(vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
+	later.advance(50 * time.Millisecond)
+	later.storeBatch()
+	next := takeOrders[VMOrder](later)
+	must.Len(t, 1, next)
+	must.Eq(t, "vm-b", next[0].VM)
+}
+
+// TestOrderedMaintenanceWaitsForTheWorker guards against a repeated order that ends
+// tasks: the VM may have been maintained and got work before the later holder.
+func TestOrderedMaintenanceWaitsForTheWorker(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(WaveProgressLoaded{Number: 1, Ordered: []string{"vm-a"}})
+	fx.apply(ProgressLoaded{Progress: modeller.Progress{ID: "j", Queue: "q", Pools: []string{"p"}, Tasks: []modeller.TaskProgress{{Attempt: 1}}}})
+	fx.apply(oneTaskJobRecorded("j"))
+	fx.listWorker("a")
+	fx.apply(RecordsLoaded{})
+	fx.addWave(1, vmOf("a", modeller.VMUp))
+	for range 20 {
+		fx.advance(50 * time.Millisecond)
+		fx.report("a", []modeller.Run{{Task: taskName("j", 0), Attempt: 1}})
+		fx.storeBatch()
+		fx.listVMs(vmOf("a", modeller.VMUp))
+	}
+	must.Len(t, 0, takeOrders[VMOrder](fx))
+	fx.report("a", nil, modeller.End{Number: 1, Task: taskName("j", 0), Attempt: 1, Kind: modeller.EndDone})
+	must.Len(t, 1, takeOrders[VMOrder](fx))
+}
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -214,6 +214,7 @@
 func wavePart(wp allocator.WaveProgress, nowMS int64, status EncodeStatusFunc) (transactionPart, error) {
 	value, err := json.Marshal(waveRecord{
 		Maintained:  wp.Maintained,
+		Ordered:     wp.Ordered,
 		StartedAtMS: nowMS - wp.Elapsed.Milliseconds(),
 	})
 	if err != nil {
@@ -234,6 +235,7 @@
 // waveRecord is the stored form of a wave's progress.
 type waveRecord struct {
 	Maintained []string `json:"maintained"`
+	Ordered    []string `json:"ordered,omitempty"`
 	// StartedAtMS is the Unix millisecond at which the wave started.
 	StartedAtMS int64 `json:"begunAtMs"`
 }
@@ -252,6 +254,7 @@
 	return allocator.WaveProgressLoaded{
 		Number:     number,
 		Maintained: rec.Maintained,
+		Ordered:    rec.Ordered,
 		Elapsed:    time.Duration(nowMS-rec.StartedAtMS) * time.Millisecond,
 	}, nil
 }
--- a/standin/internal/emulator/command.go
+++ b/standin/internal/emulator/command.go
@@ -14,8 +14,8 @@
 	Days  uint64 `help:"How many days are played." default:"1000"`
 	Seed  uint64 `help:"Seed of the first day; the others follow. Zero takes one from the time." default:"0"`
 	Trace bool   `help:"Print the faults and the decisions of each day."`
-	// ChangesConfiguration is an option of its own, so that the seeds keep their
-	// days without it.
+	// The days of a seed without these options stay as they are.
+	HasLateVMOrders      bool `name:"late-vm-orders" help:"Start a wave, and carry orders to the VM interface out late."`
 	ChangesConfiguration bool `name:"changing-configuration" help:"Let operators remove queues and add them again for any pool."`
 }
 
@@ -30,6 +30,9 @@
 	if cd.ChangesConfiguration {
 		opts = append(opts, WithChangingConfiguration())
 	}
+	if cd.HasLateVMOrders {
+		opts = append(opts, WithLateVMOrders())
+	}
 	failed := 0
 	var total Counts
 	for number := range cd.Days {
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -75,10 +75,12 @@
 	jobs        map[modeller.JobID]*submittedJob
 	store       *store
 	operators   *operators
-	terms       []*term
-	fence       uint64
-	timers      timerQueue
-	nextID      int
+	// vmRandom decides which VM orders are carried out late; nil if none is.
+	vmRandom *rand.Rand
+	terms    []*term
+	fence    uint64
+	timers   timerQueue
+	nextID   int
 	// nextElectionAt is when the next holder is elected; zero if no election is due.
 	nextElectionAt time.Time
 	managers       []*manager
--- a/standin/internal/emulator/emulator_test.go
+++ b/standin/internal/emulator/emulator_test.go
@@ -17,6 +17,12 @@
 	playFixedSeeds(t, WithChangingConfiguration())
 }
 
+// TestDaysWithLateVMOrdersKeepAllPromises guards against orders that a holder sends
+// and its successor doesn't know of.
+func TestDaysWithLateVMOrdersKeepAllPromises(t *testing.T) {
+	playFixedSeeds(t, WithLateVMOrders())
+}
+
 func playFixedSeeds(t *testing.T, opts ...Option) {
 	var total Counts
 	var mu sync.Mutex
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -79,7 +79,7 @@
 func (sm *Simulation) sendFleetOrder(tm *term, od allocator.Order) {
 	switch od := od.(type) {
 	case allocator.VMOrder:
-		sm.timers.add(sm.now.Add(messageDelay), func() { sm.carryOutVM(tm, od) })
+		sm.sendVMOrder(tm, od)
 	case allocator.ListVMsOrder:
 		sm.listVMs(tm)
 	case allocator.AdviceOrder:
@@ -260,28 +260,3 @@
 	}
 	sm.notify(tm, 2*messageDelay, allocator.VMsListed{VMs: vms, RequestedAt: asked})
 }
-
-func (sm *Simulation) carryOutVM(tm *term, vo allocator.VMOrder) {
-	for _, nd := range sm.nodes {
-		if nd.info.VM != vo.VM {
-			continue
-		}
-		if !nd.isUp {
-			sm.notify(tm, messageDelay, allocator.VMOrderResult{Order: vo, Outcome: allocator.Busy})
-			return
-		}
-		if nd.isMaintained {
-			sm.notify(tm, messageDelay, allocator.VMOrderResult{Order: vo, Outcome: allocator.Accepted})
-			return
-		}
-		sm.checkMaintenance(nd)
-		nd.isMaintained = true
-		nd.isUp = false
-		nd.state = modeller.VMMaintenance
-		sm.abandonPoll(nd)
-		nd.restartAt = sm.now.Add(bounds.MaintenanceTime)
-		sm.unlistWorker(nd)
-		sm.notify(tm, messageDelay, allocator.VMOrderResult{Order: vo, Outcome: allocator.Accepted})
-		return
-	}
-}
--- a/standin/internal/emulator/node.go
+++ b/standin/internal/emulator/node.go
@@ -26,6 +26,8 @@
 	// isMaintained is true once the wave has started maintenance of the VM.
 	isMaintained bool
 	incarnation  int
+	// vmFence is the highest fencing token of an order for the VM.
+	vmFence uint64
 	// side is the side of a partition that the node is on.
 	side int
 	// poll is the pending long poll, or nil.
--- a/standin/internal/emulator/store.go
+++ b/standin/internal/emulator/store.go
@@ -103,6 +103,7 @@
 		tm.al.Apply(sm.now, allocator.WaveProgressLoaded{
 			Number:     number,
 			Maintained: wp.Maintained,
+			Ordered:    wp.Ordered,
 			Elapsed:    wp.Elapsed,
 		})
 	}
