allocator: stop a long-running task for maintenance only if it has another place

Cause: VMs are cordoned without regard to what their pool has besides, and long-running tasks were stopped without looking for their next place. One stopped task then used up the disruption budget of the others on its worker, which never became empty. Change: such a task is stopped if another worker can take it, or if the VM goes down at once; the last open worker of a pool isn't cordoned while others are. Busy VMs don't keep idle ones from being maintained, and a VM that goes down frees its place in the wave.

--- a/shared/jobs/allocator/evict.go
+++ b/shared/jobs/allocator/evict.go
@@ -6,19 +6,22 @@
 
 // evacuate stops the worker's long-running tasks as far as the disruption
 // budgets of their steps permit and, if isUrgent is true, its checkpointing
-// tasks. It reports whether the worker has no runs left.
-func (al *Allocator) evacuate(now time.Time, wk *worker, isUrgent bool) bool {
+// tasks. It reports whether the worker has no runs left. A long-running task that
+// no other worker can take is stopped only if the VM can go down as soon as the
+// worker is empty, and that is at once.
+func (al *Allocator) evacuate(now time.Time, wk *worker, isUrgent, canGoDown bool) bool {
 	if !wk.isSynced {
 		return al.confirmedAt.After(al.leaseExpiry(wk))
 	}
 	if len(wk.runs) == 0 {
 		return true
 	}
+	emptiesAtOnce := canGoDown && wk.canBeEmptiedAtOnce()
 	for _, rn := range wk.sortedRuns() {
 		switch {
 		case rn.isStopping || rn.task == nil:
 		case rn.task.step.spec.IsLongRunning:
-			if al.haveOldStopsEnded(now) && rn.task.step.canEvict(rn) {
+			if al.haveOldStopsEnded(now) && rn.task.step.canEvict(rn) && (emptiesAtOnce || al.hasOtherPlace(now, rn)) {
 				al.stopRun(now, rn)
 			}
 		case isUrgent && rn.task.step.spec.IsCheckpointing:
@@ -28,6 +31,37 @@
 	return false
 }
 
+// hasOtherPlace reports whether another worker of the pool can take the task of a run
+// now.
+func (al *Allocator) hasOtherPlace(now time.Time, rn *run) bool {
+	wk := al.chooseWorker(now, rn.task, al.workers.byPool[rn.worker.info.Pool], "")
+	return wk != nil && wk != rn.worker
+}
+
+// canBeEmptiedAtOnce reports whether all runs of the worker are those of long-running
+// tasks, and the disruption budgets permit to stop all of them together.
+func (wk *worker) canBeEmptiedAtOnce() bool {
+	stopped := map[*step]int{}
+	for _, rn := range wk.runs {
+		if rn.task == nil || !rn.task.step.spec.IsLongRunning {
+			return false
+		}
+		stopped[rn.task.step]++
+	}
+	for st, count := range stopped {
+		unavailable := 0
+		for _, tk := range st.tasks {
+			if (tk.run == nil || tk.run.worker != wk) && !isAvailable(tk.run) {
+				unavailable++
+			}
+		}
+		if unavailable+count > max(st.spec.MaxUnavailable, 1) {
+			return false
+		}
+	}
+	return true
+}
+
 // haveOldStopsEnded reports whether the stops that an earlier holder ordered
 // have taken effect. Until then, workers report the runs that they are stopping
 // as running.
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -214,7 +214,7 @@
 	}
 	dv.worker = vm.Worker
 	wk := al.workers.byID[vm.Worker]
-	return wk == nil || al.evacuate(now, wk, false)
+	return wk == nil || al.evacuate(now, wk, false, true)
 }
 
 func (al *Allocator) uncordon(id modeller.WorkerID) {
@@ -274,15 +274,51 @@
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name))
 	})
 	for _, ca := range candidates {
-		if len(wv.evacuating) >= cordonFactor*wv.info.MaxDown {
+		wk := al.workers.byID[al.fleet.vms[ca.name].Worker]
+		isIdle := wk == nil || len(wk.runs) == 0
+		if al.countEvacuating(wv, isIdle) >= cordonFactor*wv.info.MaxDown {
 			return
 		}
+		if wk == nil {
+			wv.evacuating[ca.name] = now
+			continue
+		}
+		if al.isLastOpen(wk) {
+			continue
+		}
 		wv.evacuating[ca.name] = now
-		if wk := al.workers.byID[al.fleet.vms[ca.name].Worker]; wk != nil {
-			wk.isCordoned = true
-			al.log(LogEntry{Message: "worker cordoned", Worker: wk.info.ID, Reason: "maintenance is due"})
+		wk.isCordoned = true
+		al.log(LogEntry{Message: "worker cordoned", Worker: wk.info.ID, Reason: "maintenance is due"})
+	}
+}
+
+// countEvacuating counts the VMs that a wave is evacuating, or only those that are
+// idle: a further idle one need not wait for the others.
+func (al *Allocator) countEvacuating(wv *wave, isIdleOnly bool) int {
+	count := 0
+	for name := range wv.evacuating {
+		wk := al.workers.byID[al.fleet.vms[name].Worker]
+		if !isIdleOnly || wk == nil || len(wk.runs) == 0 {
+			count++
 		}
 	}
+	return count
+}
+
+// isLastOpen reports whether a worker is the only one of its pool that gets tasks,
+// and others are evacuated. Their tasks would have no place.
+func (al *Allocator) isLastOpen(wk *worker) bool {
+	isOtherCordoned := false
+	for _, other := range al.workers.byPool[wk.info.Pool] {
+		if other == wk || !other.isListed {
+			continue
+		}
+		if !other.isCordoned && !other.info.IsDraining {
+			return false
+		}
+		isOtherCordoned = isOtherCordoned || other.isCordoned
+	}
+	return isOtherCordoned
 }
 
 // longRunningCost is the evacuation cost of a long-running task; any other task
@@ -316,18 +352,25 @@
 	slices.SortFunc(names, func(a, b string) int {
 		return cmp.Or(wv.evacuating[a].Compare(wv.evacuating[b]), cmp.Compare(a, b))
 	})
+	canGoDown := al.fleet.downCount(wv) < wv.info.MaxDown
 	isUrgent := now.Sub(wv.startedAt) > time.Duration(urgentTimeShare*float64(wv.info.Duration))
 	listed := al.listedWorkers()
 	for _, name := range names {
 		vm, ok := al.fleet.vms[name]
 		wk := al.workers.byID[vm.Worker]
-		if !ok || vm.State != modeller.VMUp || wv.down[name] != nil || isOutdated(vm, listed) {
+		if wv.down[name] != nil || isOutdated(vm, listed) {
+			continue
+		}
+		if !ok || vm.State != modeller.VMUp {
+			// Another VM takes its place until it is back.
+			delete(wv.evacuating, name)
+			al.uncordon(vm.Worker)
 			continue
 		}
 		if wk != nil && !wk.isCordoned {
 			wk.isCordoned = true
 		}
-		if wk != nil && !al.evacuate(now, wk, isUrgent) {
+		if wk != nil && !al.evacuate(now, wk, isUrgent, canGoDown) {
 			continue
 		}
 		if al.fleet.downCount(wv) >= wv.info.MaxDown || now.Sub(al.fleet.listedAt) > maxVMListAge {
