allocator: name new workers in the roster before their first report again

TestWorkerThatNeverReportedHoldsUpNoJob has the failed poll of the worker that doesn't exist; its check is as it was.

--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -154,7 +154,7 @@
 		al.isRosterDirty = false
 		bt.Roster = al.Roster()
 		for _, wk := range al.workers.sorted {
-			wk.isRostered = wk.isRostered && wk.mayHaveRuns()
+			wk.isRostered = wk.isRostered && !wk.hasNeverAnswered
 		}
 	}
 }
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -39,7 +39,7 @@
 		wk.pollAt = now
 		wk.isSynced = true
 		wk.syncedAt = now
-		al.noteFirstReport(wk)
+		al.setNeverAnswered(wk, false)
 		al.endTakenDownWorkers(now, al.workers.byVM[wk.info.VM])
 	}
 	wk.mayHoldOldRuns = false
@@ -257,6 +257,9 @@
 		wk.pollAt = now.Add(minPollInterval)
 		return
 	}
+	if wk.clockAt.IsZero() && !wk.mayHoldOldRuns {
+		al.setNeverAnswered(wk, true)
+	}
 	wk.failedPollAt = wk.polledAt
 	wk.isUnresponsive = true
 	wk.pollAt = now.Add(min(pollBackoff<<wk.failedPolls, maxPollBackoff))
--- a/shared/jobs/allocator/takeover_test.go
+++ b/shared/jobs/allocator/takeover_test.go
@@ -129,6 +129,7 @@
 	fx.listWorker("odd")
 	fx.advance(50 * time.Millisecond)
 	fx.report("a", nil)
+	fx.failPendingPolls("odd")
 	fx.storeBatch()
 	so := fx.startOneTaskJob("j")
 	fx.storeBatch()
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -18,8 +18,11 @@
 	// later holder waits for the workers of the roster.
 	isRostered bool
 	// isSynced is true once the present incarnation has reported its runs under
-	// the current fencing token, and hasReported once any incarnation has.
-	isSynced, hasReported bool
+	// the current fencing token.
+	isSynced bool
+	// hasNeverAnswered is true from the first failed poll of a worker that has not
+	// reported yet until it does.
+	hasNeverAnswered bool
 	// incarnation counts the incarnations that have ended.
 	incarnation int
 	// syncedAt is when the present incarnation first reported.
@@ -95,6 +98,7 @@
 		wk.mayHoldOldRuns = !al.isLoaded && al.isRosterIncomplete
 		wk.info = info
 		al.workers.add(wk)
+		al.isRosterDirty = true
 	}
 	if info.VM == "" {
 		info.VM = wk.info.VM
@@ -143,15 +147,12 @@
 	}
 }
 
-// mayHaveRuns reports whether a worker belongs to the roster. One that has never
-// reported gets no starts. Its entry may be another writer's, and a later holder
-// that waits for it would wait in vain.
-func (wk *worker) mayHaveRuns() bool { return wk.hasReported || wk.mayHoldOldRuns }
-
-// noteFirstReport adds a worker to the roster.
-func (al *Allocator) noteFirstReport(wk *worker) {
-	if !wk.hasReported {
-		wk.hasReported = true
+// setNeverAnswered removes a worker from the roster, or adds it again. The entry of a
+// worker that has never answered may be another writer's. It gets no starts, and a
+// later holder would wait for it in vain.
+func (al *Allocator) setNeverAnswered(wk *worker, hasNeverAnswered bool) {
+	if wk.hasNeverAnswered != hasNeverAnswered {
+		wk.hasNeverAnswered = hasNeverAnswered
 		al.isRosterDirty = true
 	}
 }
@@ -329,7 +330,7 @@
 func (al *Allocator) Roster() []modeller.Worker {
 	roster := make([]modeller.Worker, 0, len(al.workers.sorted))
 	for _, wk := range al.workers.sorted {
-		if wk.mayHaveRuns() {
+		if !wk.hasNeverAnswered {
 			roster = append(roster, wk.info)
 		}
 	}
