allocator: plan nothing by the entry of a worker that has never answered

Looked for beside the odd entry: a well-formed entry of another writer, of which nobody answers. A VM that it names beside its real worker counted as one that has arrived in another pool, or not, by the order of a map; so it was neither moved nor maintained. Its pool counted a worker too many. Change: the workers of VMs, arrivals, needs and averages leave such entries out. Whether a long-running task has another place is looked up in the pool of its queue.

--- a/shared/jobs/allocator/evict.go
+++ b/shared/jobs/allocator/evict.go
@@ -31,10 +31,10 @@
 	return false
 }
 
-// hasOtherPlace reports whether another worker of the pool can take the task of a run
-// now.
+// hasOtherPlace reports whether another worker can take the task of a run now. Its
+// queue may have another pool by now.
 func (al *Allocator) hasOtherPlace(now time.Time, rn *run) bool {
-	wk := al.chooseWorker(now, rn.task, al.workers.byPool[rn.worker.info.Pool], "")
+	wk := al.chooseWorker(now, rn.task, al.workers.byPool[rn.task.step.job.queue.Pool], "")
 	return wk != nil && wk != rn.worker
 }
 
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -198,7 +198,7 @@
 		}
 	}
 	for _, wk := range al.workers.byID {
-		if wk.isListed {
+		if wk.isPresent() {
 			listed++
 		}
 	}
@@ -232,7 +232,7 @@
 func (al *Allocator) listedWorkers() map[string]modeller.WorkerID {
 	listed := make(map[string]modeller.WorkerID, len(al.workers.byID))
 	for id, wk := range al.workers.byID {
-		if wk.isListed && wk.info.VM != "" {
+		if wk.isPresent() && wk.info.VM != "" {
 			listed[wk.info.VM] = id
 		}
 	}
@@ -287,7 +287,7 @@
 // hasListedWorker reports whether a VM's worker is listed in a pool.
 func (al *Allocator) hasListedWorker(vm, pool string) bool {
 	for _, wk := range al.workers.byVM[vm] {
-		if wk.info.Pool == pool && wk.isListed {
+		if wk.info.Pool == pool && wk.isPresent() {
 			return true
 		}
 	}
@@ -316,7 +316,7 @@
 	fleetSize := 0
 	for _, wk := range al.workers.sorted {
 		pn := byPool[wk.info.Pool]
-		if pn == nil || !wk.isListed || wk.info.IsDraining || wk.isCordoned {
+		if pn == nil || !wk.isPresent() || wk.info.IsDraining || wk.isCordoned {
 			continue
 		}
 		fleetSize++
@@ -360,10 +360,14 @@
 // averageCapacity returns the average capacity of a worker.
 func (al *Allocator) averageCapacity() modeller.Resources {
 	var sum modeller.Resources
+	count := 0
 	for _, wk := range al.workers.byID {
-		sum = sum.Plus(wk.info.Capacity)
+		if !wk.hasNeverAnswered {
+			sum = sum.Plus(wk.info.Capacity)
+			count++
+		}
 	}
-	count := max(len(al.workers.byID), 1)
+	count = max(count, 1)
 	return modeller.Resources{
 		MilliCores: max(sum.MilliCores/count, 1),
 		MemoryMB:   max(sum.MemoryMB/count, 1),
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -310,7 +310,7 @@
 func (al *Allocator) isLastOpen(wk *worker) bool {
 	isOtherCordoned := false
 	for _, other := range al.workers.byPool[wk.info.Pool] {
-		if other == wk || !other.isListed {
+		if other == wk || !other.isPresent() {
 			continue
 		}
 		if !other.isCordoned && !other.info.IsDraining {
--- a/shared/jobs/allocator/wave_test.go
+++ b/shared/jobs/allocator/wave_test.go
@@ -198,3 +198,23 @@
 	fx.report("a", nil, modeller.End{Number: 1, Task: taskName("j", 0), Attempt: 1, Kind: modeller.EndDone})
 	must.Len(t, 1, takeOrders[VMOrder](fx))
 }
+
+// TestEntryOfNobodyKeepsNoVMFromMaintenance guards against a wave that waits for a VM
+// for which another writer's entry names a further worker, and against a pool that
+// counts this worker among its own.
+func TestEntryOfNobodyKeepsNoVMFromMaintenance(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a", "b")
+	odd := workerIn("odd", "p")
+	odd.VM = "vm-a"
+	fx.apply(WorkerListed{Worker: odd})
+	fx.advance(50 * time.Millisecond)
+	fx.failPendingPolls("odd")
+	fx.addWave(1, vmOf("a", modeller.VMUp))
+	orders := fx.takeMaintenance()
+	must.Len(t, 1, orders)
+	must.Eq(t, "vm-a", orders[0].VM)
+	needs := fx.al.poolNeeds(fx.now, "")
+	must.Len(t, 1, needs)
+	must.LessEq(t, 2, needs[0].workers)
+}
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -147,6 +147,10 @@
 	}
 }
 
+// isPresent reports whether the directory lists the worker, and not only an entry of
+// which nobody ever answers.
+func (wk *worker) isPresent() bool { return wk.isListed && !wk.hasNeverAnswered }
+
 // setNeverAnswered removes a worker from the roster, or adds it again. The entry of a
 // worker that has never answered may be another writer's. It gets no starts, and a
 // later holder would wait for it in vain.
