--- a/coltsfootwick-manager/internal/provisioner/provisioner.go
+++ b/coltsfootwick-manager/internal/provisioner/provisioner.go
@@ -176,6 +176,8 @@
 			})
 			if err != nil {
 				pr.logger.Warn("advice call failed", zap.String("step", ao.Task.StepName()), zap.Error(err))
+			} else {
+				pr.logger.Info("advice received", zap.String("step", ao.Task.StepName()), zap.Int("workers", len(ao.Workers)), zap.Int("permitted", len(tickets)))
 			}
 			pr.emit(allocator.AdviceResult{
 				Task:    ao.Task,
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -205,10 +205,9 @@
 	must.Eq(t, 7, fx.al.workers.byID["a"].startedAtMS)
 }
 
-// TestNextIncarnationGetsNoLeaseOfTheOneBefore guards against a lease that outlasts
-// what the holder has granted: the clock of a restarted worker begins anew, and a poll
-// with the end of the lease by the clock before extends it for too long.
-func TestNextIncarnationGetsNoLeaseOfTheOneBefore(t *testing.T) {
+// newPolledFixture returns a fixture with a worker that has a poll in flight, which
+// extends its lease.
+func newPolledFixture(t *testing.T) *fixture {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a")
 	fx.report("a", nil)
@@ -216,6 +215,14 @@
 	polls := takeOrders[PollOrder](fx)
 	must.Len(t, 1, polls)
 	must.Positive(t, polls[0].LeaseEnd)
+	return fx
+}
+
+// TestNextIncarnationGetsNoLeaseOfTheOneBefore guards against a lease that outlasts
+// what the holder has granted: the clock of a restarted worker begins anew, and a poll
+// with the end of the lease by the clock before extends it for too long.
+func TestNextIncarnationGetsNoLeaseOfTheOneBefore(t *testing.T) {
+	fx := newPolledFixture(t)
 	fx.apply(PollFailed{Worker: "a", Outcome: Unanswered})
 	fx.advance(time.Second)
 	for _, po := range takeOrders[PollOrder](fx) {
@@ -227,13 +234,7 @@
 // again while the worker runs them: it has restarted between two polls, and the second
 // one has extended its lease by the clock before.
 func TestLeaseGrantedToTheNextIncarnationIsAwaited(t *testing.T) {
-	fx := newFixture(t)
-	fx.addReadyWorkers("a")
-	fx.report("a", nil)
-	fx.advance(50 * time.Millisecond)
-	polls := takeOrders[PollOrder](fx)
-	must.Len(t, 1, polls)
-	must.Positive(t, polls[0].LeaseEnd)
+	fx := newPolledFixture(t)
 	fx.reportOf("a", 7, time.Millisecond, nil)
 	must.Eq(t, time.Millisecond+testBounds.MaxRunLease, fx.al.workers.byID["a"].leaseEnd)
 }
