submitter: store jobs without waiting for the announcements of others

Queues that one entry can hold up: four batches of jobs are stored at a time, and each kept its place until the holder had answered the announcements of all its jobs, one after the other, for up to 250 ms each. Change: batches are announced apart from their storing, up to eight at a time; beyond that the holder's watch delivers the jobs. Failed first: TestSilentHolderHoldsUpNoSubmission, whose holder never answers.

--- a/coltsfootwick-manager/internal/submitter/submission.go
+++ b/coltsfootwick-manager/internal/submitter/submission.go
@@ -71,7 +71,7 @@
 		switch {
 		case err == nil:
 			completeAll(batch, nil)
-			sm.announce(ctx, batch)
+			sm.startAnnouncing(ctx, batch)
 			return
 		case errors.As(err, &conflict):
 			batch = sm.completeStored(batch, conflict.Entries)
@@ -173,6 +173,20 @@
 	return classifier.New(classifier.JobOutcomeUnknown, "job %s: the store did not confirm that the job is stored", sub.job.ID)
 }
 
+// startAnnouncing announces newly stored jobs, unless too many announcements wait for
+// the holder: its watch delivers the jobs as well, and no job waits for them to be
+// stored.
+func (sm *Submitter) startAnnouncing(ctx context.Context, batch []*submission) {
+	select {
+	case sm.announceSlots <- struct{}{}:
+		go func() {
+			defer func() { <-sm.announceSlots }()
+			sm.announce(ctx, batch)
+		}()
+	default:
+	}
+}
+
 // announce sends newly stored jobs to the holder of the scheduler's duty. A
 // failure only delays the jobs, since the holder's watch delivers them as well.
 func (sm *Submitter) announce(ctx context.Context, batch []*submission) {
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -23,6 +23,9 @@
 	maxBatchJobs = storer.MaxTransactionEntries / 3
 	// maxConcurrentCommits is the maximum number of batches being stored at once.
 	maxConcurrentCommits = 4
+	// maxConcurrentAnnouncements is the maximum number of batches being announced at
+	// once.
+	maxConcurrentAnnouncements = 8
 	// retryDelay is the pause before a transaction with an unknown outcome, or a
 	// cancellation with a conflict, is retried.
 	retryDelay = 100 * time.Millisecond
@@ -68,20 +71,22 @@
 	logger        *zap.Logger
 	submissions   chan *submission
 	commitSlots   chan struct{}
+	announceSlots chan struct{}
 	answerTimeout storer.AdaptiveTimeout
 }
 
 // New returns a Submitter.
 func New(store storer.TransactionStore, scheduler Scheduler, locator Locator, queues Queues, storeHealth StoreHealth, logger *zap.Logger) *Submitter {
 	return &Submitter{
-		store:       store,
-		scheduler:   scheduler,
-		locator:     locator,
-		queues:      queues,
-		storeHealth: storeHealth,
-		logger:      logger,
-		submissions: make(chan *submission, jobQueueSize),
-		commitSlots: make(chan struct{}, maxConcurrentCommits),
+		store:         store,
+		scheduler:     scheduler,
+		locator:       locator,
+		queues:        queues,
+		storeHealth:   storeHealth,
+		logger:        logger,
+		submissions:   make(chan *submission, jobQueueSize),
+		commitSlots:   make(chan struct{}, maxConcurrentCommits),
+		announceSlots: make(chan struct{}, maxConcurrentAnnouncements),
 	}
 }
 
--- a/coltsfootwick-manager/internal/submitter/submitter_test.go
+++ b/coltsfootwick-manager/internal/submitter/submitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"strings"
 	"testing"
@@ -185,3 +186,31 @@
 		}
 	})
 }
+
+// silentScheduler is a fakeScheduler whose holder is known and answers no announcement.
+type silentScheduler struct{ fakeScheduler }
+
+func (silentScheduler) Holder() (netip.AddrPort, bool) { return netip.AddrPort{}, true }
+
+func (silentScheduler) Announce(ctx context.Context, _ netip.AddrPort, _ []byte, _ string) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestSilentHolderHoldsUpNoSubmission guards against jobs that wait to be stored, since
+// the announcements of others get no answer.
+func TestSilentHolderHoldsUpNoSubmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ss := silentScheduler{}
+		sm := New(keeper.New().Zone("a", keeper.WithCallTimeout(time.Second)), ss, ss, ss, ss, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- sm.Run(ctx) }()
+		for number := range 3 * maxConcurrentCommits {
+			must.NoError(t, sm.Submit(callerContext(t), newJob(fmt.Sprintf("j%d", number))))
+		}
+		cancel()
+		<-ended
+		synctest.Wait()
+	})
+}
