allocator: what the read-through of this change found

- An incarnation that the directory has ended before its successor answers a poll: the poll's lease is taken into account there, too.
- Maintenance that an earlier holder has ordered for a VM that is gone, or stays down, kept its place in the wave forever.
- A new configuration took the jobs in the order of a map; the same events have to give the same batches.
Failed first: TestLeaseIsAwaitedWhenTheDirectoryShowsTheRestartFirst, TestOrderedMaintenanceOfALostVMEnds.

--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -56,11 +56,12 @@
 		return
 	}
 	al.configuration = cf
-	for _, jb := range al.jobs {
+	clear(al.waiting)
+	for _, id := range slices.Sorted(maps.Keys(al.jobs)) {
+		jb := al.jobs[id]
 		al.resolveQueue(jb)
-	}
-	al.enlistAll(now)
-	for _, jb := range al.jobs {
+		jb.list = nil
+		al.enlist(now, jb)
 		// The limit of attempts may be lower now.
 		al.updateOutcome(now, jb)
 	}
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -28,8 +28,6 @@
 			return
 		}
 		al.endIncarnation(now, wk, "report has another start time")
-		// The poll has extended the lease of the incarnation that answers it.
-		wk.leaseEnd = min(wk.polledLeaseEnd, ev.Report.Clock+al.bounds.MaxRunLease)
 	}
 	if wk.clockAt.IsZero() || !wk.isSynced || ev.Report.Clock > wk.clock {
 		wk.clock = ev.Report.Clock
@@ -39,6 +37,9 @@
 		wk.pollAt = now
 		wk.isSynced = true
 		wk.syncedAt = now
+		// The poll may have been sent to the incarnation before, and has extended the lease
+		// of the one that answers it.
+		wk.leaseEnd = min(wk.polledLeaseEnd, ev.Report.Clock+al.bounds.MaxRunLease)
 		al.setNeverAnswered(wk, false)
 		al.endTakenDownWorkers(now, al.workers.byVM[wk.info.VM])
 	}
--- a/shared/jobs/allocator/waiting.go
+++ b/shared/jobs/allocator/waiting.go
@@ -96,15 +96,6 @@
 	}
 }
 
-// enlistAll builds the waiting lists anew.
-func (al *Allocator) enlistAll(now time.Time) {
-	clear(al.waiting)
-	for _, jb := range al.jobs {
-		jb.list = nil
-		al.enlist(now, jb)
-	}
-}
-
 // smallestDemand returns the smaller of a demand and those of a job's waiting
 // tasks, in each resource. It ignores the given demand if isFirst is true.
 func smallestDemand(jb *job, smallest modeller.Resources, isFirst bool) modeller.Resources {
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -20,6 +20,9 @@
 	// maxVMListAge is the greatest age of the list of VMs at which maintenance
 	// is ordered.
 	maxVMListAge = 2 * time.Second
+	// maxOrderDelay is the time after which an order of an earlier holder is no longer
+	// carried out. Until then its VM counts as down, even if it can't be taken down.
+	maxOrderDelay = 15 * time.Second
 	// vmOrderRetryInterval is the time after which a refused or unanswered VM
 	// order is sent again.
 	vmOrderRetryInterval = 400 * time.Millisecond
@@ -199,6 +202,11 @@
 			delete(wv.down, name)
 			al.uncordon(dv.worker)
 		}
+		if dv.isInherited && !dv.isAccepted && !isBack && now.Sub(al.startedAt) > maxOrderDelay {
+			delete(wv.down, name)
+			wv.isDirty = true
+			continue
+		}
 		isDue := !dv.isAccepted && dv.isStored && !dv.isInFlight && now.Sub(dv.sentAt) >= vmOrderRetryInterval
 		if isDue && (!dv.isInherited || al.isReadyForRepetition(now, vm, dv)) {
 			al.orderMaintenance(now, wv, name, dv)
--- a/shared/jobs/allocator/wave_test.go
+++ b/shared/jobs/allocator/wave_test.go
@@ -218,3 +218,29 @@
 	must.Len(t, 1, needs)
 	must.LessEq(t, 2, needs[0].workers)
 }
+
+// TestOrderedMaintenanceOfALostVMEnds guards against a wave that waits forever for a
+// VM whose maintenance an earlier holder has ordered, and which is gone or stays down.
+func TestOrderedMaintenanceOfALostVMEnds(t *testing.T) {
+	for name, lost := range map[string][]modeller.VM{"gone": nil, "down": {vmOf("lost", modeller.VMDown)}} {
+		fx := newFixture(t)
+		fx.apply(WaveProgressLoaded{Number: 1, Ordered: []string{"vm-lost"}})
+		fx.addReadyWorkers("a", "b", "c")
+		fx.addWave(1, vmOf("lost", modeller.VMUp), vmOf("a", modeller.VMUp))
+		var orders []VMOrder
+		for range 40 {
+			fx.listVMs(append(lost, vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp), vmOf("c", modeller.VMUp))...)
+			for _, id := range []string{"a", "b", "c"} {
+				fx.report(id, nil)
+			}
+			fx.advance(500 * time.Millisecond)
+			fx.storeBatch()
+			for _, vo := range takeOrders[VMOrder](fx) {
+				if vo.VM == "vm-a" {
+					orders = append(orders, vo)
+				}
+			}
+		}
+		must.Positive(t, len(orders), must.Sprint(name))
+	}
+}
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -238,3 +238,14 @@
 	fx.reportOf("a", 7, time.Millisecond, nil)
 	must.Eq(t, time.Millisecond+testBounds.MaxRunLease, fx.al.workers.byID["a"].leaseEnd)
 }
+
+// TestLeaseIsAwaitedWhenTheDirectoryShowsTheRestartFirst covers the same if the
+// directory has ended the incarnation before the poll was answered.
+func TestLeaseIsAwaitedWhenTheDirectoryShowsTheRestartFirst(t *testing.T) {
+	fx := newPolledFixture(t)
+	restarted := fx.al.workers.byID["a"].info
+	restarted.StartedAtMS = 7
+	fx.apply(WorkerListed{Worker: restarted})
+	fx.reportOf("a", 7, time.Millisecond, nil)
+	must.Eq(t, time.Millisecond+testBounds.MaxRunLease, fx.al.workers.byID["a"].leaseEnd)
+}
