--- a/standin/internal/rehearser/stage.go
+++ b/standin/internal/rehearser/stage.go
@@ -23,6 +23,8 @@
 	managers   = 3
 	poolVMs    = 3
 	standbyVMs = 2
+	// routeTimeout bounds callers' requests.
+	routeTimeout = 3 * time.Second
 	// headerTimeout bounds the headers of calls to the stand-ins.
 	headerTimeout = 5 * time.Second
 )
@@ -73,7 +75,7 @@
 	if err := se.addVMs(); err != nil {
 		return nil, err
 	}
-	se.provider.Put("op/config", configuration())
+	se.provider.Put("op/config", configuration(1, routeTimeout))
 	se.putOddEntries()
 	return se, se.startManagers()
 }
@@ -145,16 +147,16 @@
 	return nil
 }
 
-// configuration returns the operators' configuration.
-func configuration() []byte {
+// configuration returns a version of the operators' configuration.
+func configuration(version int, timeout time.Duration) []byte {
 	var routes, services []map[string]any
 	for _, pool := range pools {
 		routes = append(routes, map[string]any{"name": "r-" + pool, "host": "jobs.example", "prefix": "/" + pool + "/", "service": pool,
-			"timeout_ms": 3000, "slo_ms": 600, "priority": 0, "max_attempts": 3, "stretch": 1.6})
+			"timeout_ms": timeout.Milliseconds(), "slo_ms": 600, "priority": 0, "max_attempts": 3, "stretch": 1.6})
 		services = append(services, map[string]any{"name": pool})
 	}
 	services = append(services, map[string]any{"name": provider.StandbyPool, "standby": true})
-	value, err := json.Marshal(map[string]any{"version": 1, "routes": routes, "services": services, "limits": map[string]int{"max_body_bytes": 262_144}})
+	value, err := json.Marshal(map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]int{"max_body_bytes": 262_144}})
 	if err != nil {
 		panic("rehearser: " + err.Error())
 	}
