runner, server: log requests that a stop leaves without an answer

A cut request left no line, so logs couldn't tell a stop that cuts from a caller that left. A manager now logs that it starts, how many callers' requests are in progress when it closes their connections, and each that gets no answer, with method, path and age. No change of behaviour but the order in which the servers are shut down: the callers' one first.

--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		return err
 	}
+	log.Info("manager starting")
 	settings, err := adapter.LoadSettings()
 	if err != nil {
 		log.Error("cannot load the settings", zap.Error(err))
@@ -108,6 +109,8 @@
 	conductor      *conductor.Conductor
 	attendant      *attendant.Attendant
 	leaser         *leaser.Leaser
+	tracker        *requestTracker
+	callers        *server.Server
 	servers        []*server.Server
 	isShuttingDown atomic.Bool
 }
@@ -131,6 +134,7 @@
 		settings:    settings,
 		logger:      log,
 		storeHealth: health,
+		tracker:     newRequestTracker(log),
 		router:      queues,
 		locator:     locator,
 		attendant: attendant.New(attendant.Settings{
@@ -201,15 +205,17 @@
 	if err != nil {
 		return err
 	}
-	callers, err := server.New(mg.settings.Front, mg.closeOnShutdown(callerHandler), opts...)
+	callers, err := server.New(mg.settings.Front, mg.tracker.track(mg.closeOnShutdown(callerHandler)),
+		append(opts, server.WithCloseNotify(mg.tracker.logUnanswered))...)
 	if err != nil {
 		return err
 	}
+	mg.callers = callers
 	peers, err := server.New(mg.settings.Internal, peer.NewHandler(mg.conductor, mg.logger), opts...)
 	if err != nil {
 		return err
 	}
-	mg.servers = []*server.Server{ready, callers, peers}
+	mg.servers = []*server.Server{ready, peers}
 	return nil
 }
 
@@ -237,6 +243,10 @@
 // component fails.
 func (mg *manager) run() error {
 	var group run.Group
+	group.Add(mg.callers.Execute, func(err error) {
+		mg.logger.Info("closing callers' connections", zap.Int("requestsInProgress", mg.tracker.count()))
+		mg.callers.Interrupt(err)
+	})
 	for _, sr := range mg.servers {
 		group.Add(sr.Execute, sr.Interrupt)
 	}
--- a/shared/process/server/server.go
+++ b/shared/process/server/server.go
@@ -44,6 +44,12 @@
 	return func(sr *Server) { sr.isDrainFirst = true }
 }
 
+// WithCloseNotify sets a function that is called before a server that is shutting down
+// closes connections with requests in progress.
+func WithCloseNotify(notify func()) Option {
+	return func(sr *Server) { sr.notifyClose = notify }
+}
+
 // Server is an HTTP server on one address. Its methods Execute and Interrupt form an
 // actor of an oklog/run group.
 type Server struct {
@@ -55,6 +61,7 @@
 	// isDrainFirst delays the cancellation of the requests' contexts until the
 	// grace period ends.
 	isDrainFirst bool
+	notifyClose  func()
 }
 
 // New listens on an address and returns a Server that serves once Execute is called.
@@ -73,9 +80,10 @@
 			IdleTimeout:       idleTimeout,
 			BaseContext:       func(net.Listener) context.Context { return ctx },
 		},
-		grace:  defaultGrace,
-		cancel: cancel,
-		ended:  make(chan struct{}),
+		grace:       defaultGrace,
+		cancel:      cancel,
+		ended:       make(chan struct{}),
+		notifyClose: func() {},
 	}
 	for _, opt := range opts {
 		opt(sr)
@@ -114,6 +122,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), sr.grace)
 	defer cancel()
 	if sr.http.Shutdown(ctx) != nil {
+		sr.notifyClose()
 		_ = sr.http.Close()
 	}
 	sr.cancel()
