runner, server: answer all requests before the platform's grace period ends

Callers saw connections that a stop closed without an answer: with a store that takes up to 2.6 s an answer, a POST 4.20 s after SIGTERM and 2.36 s after it had been sent, a DELETE 4.21 s and 2.19 s.

Cause: the time for requests in progress was a constant of 2 s that began 2.2 s after the signal, though a request may take 2.85 s and the platform leaves 6 s (ShutdownGrace was read and never used). It also began only when the duty had been released, up to 1 s later with a slow store, and each server had its own 2 s, one after the other, so a holder could still be draining at SIGKILL. And when the time was over the connections were closed while the handlers could still have answered.

Now one point in time, 0.5 s before the grace period ends, bounds the shutdown of all servers, the 2.2 s run from the signal, and 250 ms before the end the contexts of the requests that are left are cancelled, so that each is answered that its outcome isn't known.

Class: a step of the shutdown whose bound is not derived from the time that the process has.

TestDrainLeavesNoRequestWithoutAnswer failed before with EOF.

--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -57,8 +57,12 @@
 	// SIGTERM: the platform checks readiness every second and stops sending
 	// callers after two failed checks.
 	deregistrationDelay = 2200 * time.Millisecond
-	// drainTimeout bounds the wait for requests in flight after that.
-	drainTimeout = 2 * time.Second
+	// exitTime is the part of the platform's grace period in which the process ends
+	// after all callers' connections have been closed.
+	exitTime = 500 * time.Millisecond
+	// failureGrace bounds the wait for requests in progress when the manager ends
+	// because one of its components has failed.
+	failureGrace = 3 * time.Second
 )
 
 const (
@@ -113,6 +117,9 @@
 	callers        *server.Server
 	servers        []*server.Server
 	isShuttingDown atomic.Bool
+	// closeBy is the time by which callers' connections are closed, or nil unless the
+	// manager is shutting down.
+	closeBy atomic.Pointer[time.Time]
 }
 
 func newManager(settings adapter.Settings, log *zap.Logger) (*manager, error) {
@@ -200,7 +207,8 @@
 // listen opens the listeners for readiness checks, callers and peers.
 func (mg *manager) listen() error {
 	callerHandler := adapter.NewCallerHandler(mg.submitter, mg.router, time.Now)
-	opts := []server.Option{server.WithTimeouts(headerTimeout, idleTimeout), server.WithGrace(drainTimeout), server.WithDrainFirst()}
+	opts := []server.Option{server.WithTimeouts(headerTimeout, idleTimeout), server.WithDrainFirst(),
+		server.WithGrace(failureGrace), server.WithDeadline(mg.closeDeadline)}
 	ready, err := server.New(mg.settings.Ready, http.HandlerFunc(mg.serveReadiness), opts...)
 	if err != nil {
 		return err
@@ -253,41 +261,60 @@
 	// The duty is released as soon as a signal arrives; all other components
 	// continue while requests may still arrive.
 	dutyContext, releaseDuty := context.WithCancel(context.Background())
+	runContext, interrupt := context.WithCancel(context.Background())
 	for _, actor := range []func(ctx context.Context) error{mg.router.Run, mg.locator.Run, mg.submitter.Run, mg.elector.Run, mg.attendant.Run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return actor(ctx) }, func(error) { cancel() })
 	}
 	group.Add(func() error {
 		err := mg.leaser.Run(dutyContext, mg.conductor.Serve)
-		<-dutyContext.Done()
-		if mg.isShuttingDown.Load() {
-			time.Sleep(deregistrationDelay)
-			return nil
-		}
+		<-runContext.Done()
 		return err
 	}, func(error) { releaseDuty() })
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	go mg.handleSignals(signals, releaseDuty)
+	group.Add(func() error { return mg.handleSignals(runContext, signals, releaseDuty) }, func(error) { interrupt() })
 	mg.logger.Info("manager started", zap.String("zone", mg.settings.Zone), zap.Stringer("front", mg.settings.Front), zap.Stringer("internal", mg.settings.Internal))
 	err := group.Run()
 	mg.logger.Info("manager stopped", zap.Error(err))
 	return err
 }
 
-// handleSignals starts the shutdown at the first SIGTERM or SIGINT. SIGHUP is
-// only logged.
-func (mg *manager) handleSignals(signals <-chan os.Signal, releaseDuty func()) {
-	for sg := range signals {
-		mg.logger.Info("signal", zap.Stringer("signal", sg))
-		if sg == syscall.SIGHUP {
-			continue
+// handleSignals starts the shutdown at the first SIGTERM or SIGINT, and returns once
+// no more callers' requests are expected. SIGHUP is only logged.
+func (mg *manager) handleSignals(ctx context.Context, signals <-chan os.Signal, releaseDuty func()) error {
+	var deregistered <-chan time.Time
+	for {
+		select {
+		case sg := <-signals:
+			mg.logger.Info("signal", zap.Stringer("signal", sg))
+			if sg == syscall.SIGHUP || deregistered != nil {
+				continue
+			}
+			grace := mg.settings.Bounds.ShutdownGrace
+			closeBy := time.Now().Add(grace - min(exitTime, grace/2))
+			mg.closeBy.Store(&closeBy)
+			mg.isShuttingDown.Store(true)
+			releaseDuty()
+			deregistered = time.After(min(deregistrationDelay, grace/2))
+		case <-deregistered:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
 		}
-		mg.isShuttingDown.Store(true)
-		releaseDuty()
 	}
 }
 
+// closeDeadline returns the time by which the servers have closed their connections,
+// or the zero time if no signal has started a shutdown.
+func (mg *manager) closeDeadline() time.Time {
+	closeBy := mg.closeBy.Load()
+	if closeBy == nil {
+		return time.Time{}
+	}
+	return *closeBy
+}
+
 // logDutyNotice logs the acquisition or loss of the scheduler's duty.
 func logDutyNotice(log *zap.Logger, nt leaser.Notice) {
 	switch nt := nt.(type) {
--- a/shared/process/server/server.go
+++ b/shared/process/server/server.go
@@ -15,7 +15,10 @@
 
 // The defaults of a Server.
 const (
-	defaultGrace      = 2 * time.Second
+	defaultGrace = 2 * time.Second
+	// answerTime is the part of the grace period that is left for answers to requests
+	// whose contexts have been cancelled.
+	answerTime        = 250 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 )
@@ -38,8 +41,15 @@
 	}
 }
 
+// WithDeadline sets a function that returns the time by which a server that is shutting
+// down has closed its connections. It is called when the shutdown starts, and replaces
+// the grace period unless it returns the zero time.
+func WithDeadline(deadline func() time.Time) Option {
+	return func(sr *Server) { sr.deadline = deadline }
+}
+
 // WithDrainFirst lets requests in progress complete during the grace period: their
-// contexts are cancelled only when it ends.
+// contexts are cancelled shortly before it ends, so that they can still be answered.
 func WithDrainFirst() Option {
 	return func(sr *Server) { sr.isDrainFirst = true }
 }
@@ -61,6 +71,7 @@
 	// isDrainFirst delays the cancellation of the requests' contexts until the
 	// grace period ends.
 	isDrainFirst bool
+	deadline     func() time.Time
 	notifyClose  func()
 }
 
@@ -83,6 +94,7 @@
 		grace:       defaultGrace,
 		cancel:      cancel,
 		ended:       make(chan struct{}),
+		deadline:    func() time.Time { return time.Time{} },
 		notifyClose: func() {},
 	}
 	for _, opt := range opts {
@@ -111,20 +123,28 @@
 	return classifier.Wrap(err, classifier.ListenFailed, "%s", sr.listener.Addr())
 }
 
-// Interrupt shuts the server down: it cancels the contexts of requests in progress, so
-// that waiting requests are answered, and closes the remaining connections after the
-// grace period.
+// Interrupt shuts the server down. It cancels the contexts of requests in progress, at
+// once or, with WithDrainFirst, shortly before the grace period ends, so that waiting
+// requests are answered. It closes the remaining connections when the grace period ends.
 func (sr *Server) Interrupt(error) {
 	defer close(sr.ended)
-	if !sr.isDrainFirst {
-		sr.cancel()
+	deadline := sr.deadline()
+	if deadline.IsZero() {
+		deadline = time.Now().Add(sr.grace)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), sr.grace)
-	defer cancel()
-	if sr.http.Shutdown(ctx) != nil {
+	isDrained := sr.isDrainFirst && sr.shutDown(deadline.Add(-answerTime)) == nil
+	sr.cancel()
+	if !isDrained && sr.shutDown(deadline) != nil {
 		sr.notifyClose()
 		_ = sr.http.Close()
 	}
-	sr.cancel()
 	_ = sr.listener.Close()
 }
+
+// shutDown closes the listener and the idle connections, and waits until the deadline
+// for the requests in progress.
+func (sr *Server) shutDown(deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return sr.http.Shutdown(ctx)
+}
--- a/shared/process/server/server_test.go
+++ b/shared/process/server/server_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -13,13 +14,28 @@
 )
 
 func TestInterruptCancelsWaitingRequests(t *testing.T) {
+	must.Eq(t, "ended", interruptWaitingRequest(t))
+}
+
+// TestDrainLeavesNoRequestWithoutAnswer guards against connections that are closed
+// before requests that waited for the whole grace period have been answered.
+func TestDrainLeavesNoRequestWithoutAnswer(t *testing.T) {
+	closeBy := func() time.Time { return time.Now().Add(time.Second) }
+	must.Eq(t, "ended", interruptWaitingRequest(t, server.WithDrainFirst(), server.WithGrace(time.Second)))
+	must.Eq(t, "ended", interruptWaitingRequest(t, server.WithDrainFirst(), server.WithGrace(0), server.WithDeadline(closeBy)))
+}
+
+// interruptWaitingRequest interrupts a server with a request that waits until its
+// context is done, and returns the body of the answer.
+func interruptWaitingRequest(t *testing.T, opts ...server.Option) string {
+	t.Helper()
 	arrived := make(chan struct{})
 	handler := http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
 		close(arrived)
 		<-rq.Context().Done()
 		_, _ = io.WriteString(rw, "ended")
 	})
-	sr, err := server.New(netip.MustParseAddrPort("127.0.0.1:0"), handler)
+	sr, err := server.New(netip.MustParseAddrPort("127.0.0.1:0"), handler, opts...)
 	must.NoError(t, err)
 	executed := make(chan error)
 	go func() { executed <- sr.Execute() }()
@@ -37,7 +53,7 @@
 	<-arrived
 	sr.Interrupt(nil)
 	must.NoError(t, <-executed)
-	must.Eq(t, "ended", <-bodies)
+	return <-bodies
 }
 
 func TestAddressInUse(t *testing.T) {
