modeller: keep the first occurrence of a schedule from the first millisecond of 1970

Callers saw a job with repetitions and without a start time answered with 200; it never ran, and each query for its state was answered with 503. The record left the time out, since its number is 0; decoded, it was the year 1, which the check of records rejects since, so that the scheduler ignored the job. Without that check the job began at once.

Records of jobs with occurrences now always have the time, and a missing one is the millisecond 0, so that jobs that are stored already are run as well. The year is that of UTC: a manager west of it rejected such jobs as malformed.

--- a/shared/jobs/modeller/codec.go
+++ b/shared/jobs/modeller/codec.go
@@ -81,7 +81,7 @@
 		FinalState:  string(jr.FinalState),
 		EndedAtMS:   jr.EndedAtMS,
 	}
-	if !jr.Job.FirstAt.IsZero() {
+	if jr.Job.Occurrences > 0 {
 		rec.FirstAtMS = jr.Job.FirstAt.UnixMilli()
 	}
 	if !jr.Job.AcceptedAt.IsZero() {
@@ -150,7 +150,7 @@
 		FinalState: finalState,
 		EndedAtMS:  rec.EndedAtMS,
 	}
-	if rec.FirstAtMS != 0 {
+	if rec.Occurrences > 0 {
 		jr.Job.FirstAt = time.UnixMilli(rec.FirstAtMS)
 	}
 	if rec.AcceptedAtMS != 0 {
--- a/shared/jobs/modeller/validate.go
+++ b/shared/jobs/modeller/validate.go
@@ -53,7 +53,7 @@
 	if jb.Interval < 0 || jb.Interval > MaxSchedule/time.Duration(jb.Occurrences) {
 		return classifier.New(classifier.RecordInvalid, "%d occurrences with an interval of %s; they may take %s", jb.Occurrences, jb.Interval, MaxSchedule)
 	}
-	if year := jb.FirstAt.Year(); year < 1970 || year > lastYear {
+	if year := jb.FirstAt.UTC().Year(); year < 1970 || year > lastYear {
 		return classifier.New(classifier.RecordInvalid, "first occurrence in the year %d", year)
 	}
 	return nil
