allocator: start a long-running task again when its run has ended done

Such a task runs until its job is cancelled and has to be restarted however its run ends. An end `done` counted as the task's completion, as for any other task: it was never started again, and once all tasks of the job had ended so, callers were told that the job is completed.

An end `done` of a long-running task is now stored and acknowledged like any other end, and the task is queued again.

TestLongRunningTaskThatEndedDoneStartsAgain failed before: no start order after the end, and the job was completed.

--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -189,7 +189,10 @@
 	switch end.Kind {
 	case modeller.EndDone:
 		al.recordSuccess(wk)
-		al.finishTask(now, tk, wk, end)
+		// A long-running task runs until its job is cancelled.
+		if !tk.step.spec.IsLongRunning {
+			al.finishTask(now, tk, wk, end)
+		}
 	case modeller.EndFailed:
 		if !slices.Contains(tk.failedAttempts, end.Attempt) {
 			tk.addFailedAttempt(end.Attempt)
