allocator: don't quarantine all workers of a pool for longer than two seconds

A worker on which the first runs of two jobs have failed in a row gets no work for 5 s. Jobs that can't be done put all workers of a small pool under quarantine at once, and then no job of the pool started for 5 s although its workers were idle; a job may have nothing running beside idle workers for less than 3 s.

While no other open worker of the pool is free of quarantine, it now ends after 2 s. A pool with another worker keeps the 5 s.

TestJobsStartThoughAllWorkersAreQuarantined failed before: 2.5 s after both workers of a pool had been quarantined, no start order for a new job.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -96,6 +96,10 @@
 	// quarantineTime is how long a worker gets no work after consecutive
 	// failures.
 	quarantineTime = 5 * time.Second
+	// shortQuarantineTime replaces quarantineTime while all workers of a pool are
+	// quarantined, which says more of the jobs than of the workers. No task may wait
+	// for 3 s beside idle workers.
+	shortQuarantineTime = 2 * time.Second
 	// quarantineThreshold is the number of different jobs that have to fail on
 	// a worker in a row for it to be quarantined.
 	quarantineThreshold = 2
--- a/shared/jobs/allocator/restart_test.go
+++ b/shared/jobs/allocator/restart_test.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -24,3 +25,27 @@
 	state, _ := fx.al.State("l")
 	must.Eq(t, modeller.JobRunning, state)
 }
+
+// TestJobsStartThoughAllWorkersAreQuarantined guards against idle workers that jobs
+// which can't be done keep from all others.
+func TestJobsStartThoughAllWorkersAreQuarantined(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a", "b")
+	for _, id := range []string{"a", "b"} {
+		for number, job := range []string{"x" + id, "y" + id} {
+			st := oneTaskStep()
+			fx.submitJob(job, st)
+			fx.report(id, nil, modeller.End{Number: int64(number + 1), Task: taskName(job, 0), Attempt: 1, Kind: modeller.EndFailed})
+		}
+	}
+	fx.orders = nil
+	fx.submitJob("j", oneTaskStep())
+	for range 10 {
+		fx.advance(250 * time.Millisecond)
+		fx.report("a", nil)
+		fx.report("b", nil)
+		fx.storeBatch()
+	}
+	starts := takeOrders[StartOrder](fx)
+	must.True(t, slices.ContainsFunc(starts, func(so StartOrder) bool { return so.Task.Job == "j" }))
+}
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -182,11 +182,27 @@
 
 // isEligible reports whether a worker may get a start now.
 func (al *Allocator) isEligible(now time.Time, wk *worker) bool {
-	return wk.isListed && wk.isRostered && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned && !wk.isVacating &&
-		now.Sub(wk.reportedAt) < maxReportAge && !now.Before(wk.quarantinedUntil) && !now.Before(wk.suspectUntil) &&
+	return wk.isOpen() &&
+		now.Sub(wk.reportedAt) < maxReportAge && !al.isQuarantined(now, wk) && !now.Before(wk.suspectUntil) &&
 		wk.leaseEnd > 0 && al.estimateClock(now, wk) < wk.leaseEnd && al.isFenced(now, wk) && !al.fleet.hasPendingTakedown(wk.info.VM)
 }
 
+// isQuarantined reports whether a worker gets no work because of its failures.
+func (al *Allocator) isQuarantined(now time.Time, wk *worker) bool {
+	if !now.Before(wk.quarantinedUntil) {
+		return false
+	}
+	return now.Before(wk.quarantinedUntil.Add(shortQuarantineTime-quarantineTime)) ||
+		slices.ContainsFunc(al.workers.byPool[wk.info.Pool], func(other *worker) bool {
+			return !now.Before(other.quarantinedUntil) && other.isOpen() && now.Sub(other.reportedAt) < maxReportAge
+		})
+}
+
+// isOpen reports whether a worker is meant to get tasks.
+func (wk *worker) isOpen() bool {
+	return wk.isListed && wk.isRostered && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned && !wk.isVacating
+}
+
 // isFenced reports whether a later holder would wait for a worker before it
 // starts the tasks that this holder may start there. While the duty isn't
 // confirmed, that is so only for incarnations from before: a later holder may
