archiver: remove the request to cancel a job with its end, however it ended

A cancellation that was stored while the end of the job was on its way to the store stayed there for good: the end removed it only where the job had ended as cancelled. A request is stored only on the condition that the job's record hasn't changed, so none can follow the end.

TestEndOfJobLeavesNoCancellation failed before: the request was still there.

--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -204,10 +204,7 @@
 		return transactionPart{}, err
 	}
 	part := writePart(JobKey(ej.ID), value)
-	part.removed = []string{ProgressKey(ej.Queue, ej.ID), PayloadKey(ej.Queue, ej.ID)}
-	if ej.State == modeller.JobCancelled {
-		part.removed = append(part.removed, CancelKey(ej.ID))
-	}
+	part.removed = []string{ProgressKey(ej.Queue, ej.ID), PayloadKey(ej.Queue, ej.ID), CancelKey(ej.ID)}
 	return part, nil
 }
 
--- a/shared/jobs/archiver/archiver_test.go
+++ b/shared/jobs/archiver/archiver_test.go
@@ -160,3 +160,19 @@
 	must.Eq(t, 6, stored)
 	must.Eq(t, 1000, len(large.Tasks[999].Checkpoint)/4, must.Sprint("the progress itself keeps its checkpoints"))
 }
+
+// TestEndOfJobLeavesNoCancellation guards against a later job with the same ID that is
+// taken for cancelled, after a cancellation that was stored while the job ended.
+func TestEndOfJobLeavesNoCancellation(t *testing.T) {
+	store := keeper.New().Zone("a")
+	_, err := store.Put(t.Context(), CancelKey("j"), []byte("{}"), 0, 0)
+	must.NoError(t, err)
+	transactions, err := Transactions(&allocator.Batch{
+		Ended: []allocator.EndedJob{{ID: "j", Queue: "q", State: modeller.JobCompleted}},
+	}, "r", 1, nil)
+	must.NoError(t, err)
+	must.Len(t, 1, transactions)
+	must.NoError(t, acquireDuty(t, store).Lane(0).Commit(t.Context(), transactions[0]))
+	_, err = store.Get(t.Context(), CancelKey("j"))
+	must.Eq(t, classifier.PlatformNotFound, classifier.CodeOf(err))
+}
