--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -84,7 +84,7 @@
 	// one for lack of capacity or an expired lease.
 	refusalBackoff = 100 * time.Millisecond
 	// stallTimeout is the time without progress after which a task is restarted
-	// on another worker.
+	// on another worker for the first time.
 	stallTimeout = 2500 * time.Millisecond
 	// avoidanceTime is how long a task avoids a worker on which it has failed
 	// or stalled.
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -19,6 +19,8 @@
 	endedAttempt   int
 	failedAttempts []int
 	checkpoint     string
+	// stalls counts the runs that were stopped since they made no progress.
+	stalls int
 	// notBefore is the earliest time of the next placement.
 	notBefore time.Time
 	// droppedAt is when a run of the task was last dropped without a reported
