allocator: start a task on a worker that has failed it if no other can take it

A task avoids a worker on which it has failed or stalled for 10 s.

If no eligible worker that the task need not avoid has capacity for it, or will have once the runs have ended that don't last, the task avoids a worker for 2 s only, as long-running tasks do already. A worker that is merely busy is still waited for.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -89,10 +89,11 @@
 	// avoidanceTime is how long a task avoids a worker on which it has failed
 	// or stalled.
 	avoidanceTime = 10 * time.Second
-	// longRunningAvoidanceTime replaces avoidanceTime for a long-running task
-	// if no other worker has capacity. Such tasks may fail at any time and must
-	// be available again within 6 s of their end.
-	longRunningAvoidanceTime = 2 * time.Second
+	// shortAvoidanceTime replaces avoidanceTime for a long-running task if no other
+	// worker has capacity, and for any task if no other worker can be expected to.
+	// A long-running task must be available again within 6 s of its end, and no
+	// task may wait for 3 s beside idle workers.
+	shortAvoidanceTime = 2 * time.Second
 	// quarantineTime is how long a worker gets no work after consecutive
 	// failures.
 	quarantineTime = 5 * time.Second
--- a/shared/jobs/allocator/restart_test.go
+++ b/shared/jobs/allocator/restart_test.go
@@ -26,6 +26,55 @@
 	must.Eq(t, modeller.JobRunning, state)
 }
 
+// permitAttempts sets the limit of attempts of the queue.
+func (fx *fixture) permitAttempts(maxAttempts int) {
+	cf := configurationWith(2, "p")
+	qu := cf.Configuration.Queues["q"]
+	qu.MaxAttempts = maxAttempts
+	cf.Configuration.Queues["q"] = qu
+	fx.apply(cf)
+}
+
+// failOnEachWorker fails a task on each worker of the pool, and returns its last start.
+func (fx *fixture) failOnEachWorker(ids ...string) StartOrder {
+	numbers := map[modeller.WorkerID]int64{}
+	var start StartOrder
+	for range ids {
+		starts := takeOrders[StartOrder](fx)
+		must.Len(fx.t, 1, starts)
+		start = starts[0]
+		fx.acceptStart(start)
+		fx.advance(200 * time.Millisecond)
+		numbers[start.Worker.ID]++
+		for _, id := range ids {
+			if id != string(start.Worker.ID) {
+				fx.report(id, nil)
+				continue
+			}
+			fx.report(id, nil, modeller.End{Number: numbers[start.Worker.ID], Task: start.Task, Attempt: start.Attempt, Kind: modeller.EndFailed})
+		}
+		fx.storeBatch()
+	}
+	return start
+}
+
+// TestTaskThatHasFailedOnAllWorkersStartsAgain guards against accepted jobs that stand
+// still on idle workers.
+func TestTaskThatHasFailedOnAllWorkersStartsAgain(t *testing.T) {
+	fx := newFixture(t)
+	fx.permitAttempts(3)
+	fx.addReadyWorkers("a", "b")
+	fx.submitJob("j", oneTaskStep())
+	fx.failOnEachWorker("a", "b")
+	for range 10 {
+		fx.advance(250 * time.Millisecond)
+		fx.report("a", nil)
+		fx.report("b", nil)
+		fx.storeBatch()
+	}
+	must.Len(t, 1, takeOrders[StartOrder](fx))
+}
+
 // TestJobsStartThoughAllWorkersAreQuarantined guards against idle workers that jobs
 // which can't be done keep from all others.
 func TestJobsStartThoughAllWorkersAreQuarantined(t *testing.T) {
--- a/shared/jobs/allocator/run.go
+++ b/shared/jobs/allocator/run.go
@@ -70,6 +70,18 @@
 // free returns the capacity that no run holds.
 func (wk *worker) free() modeller.Resources { return wk.info.Capacity.Minus(wk.used) }
 
+// lastingReservation returns the resources that runs hold which don't end by
+// themselves.
+func (wk *worker) lastingReservation() modeller.Resources {
+	var reserved modeller.Resources
+	for _, rn := range wk.runs {
+		if rn.task != nil && rn.task.step.spec.IsLongRunning {
+			reserved = reserved.Plus(rn.reserved)
+		}
+	}
+	return reserved
+}
+
 // neighbourCounts counts the runs of a worker by what they mean for other runs.
 type neighbourCounts struct {
 	// longRunning counts the long-running runs that aren't filling ones.
--- a/shared/jobs/allocator/suit.go
+++ b/shared/jobs/allocator/suit.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"slices"
 	"time"
 )
 
@@ -23,12 +24,23 @@
 // others to the fullest worker with capacity.
 func (al *Allocator) chooseWorker(now time.Time, tk *task, workers []*worker, rack string) *worker {
 	wk := al.bestWorker(now, tk, workers, rack, avoidanceTime)
-	if wk == nil && tk.step.spec.IsLongRunning && len(tk.avoidedSince) > 0 {
-		wk = al.bestWorker(now, tk, workers, rack, longRunningAvoidanceTime)
+	if wk == nil && len(tk.avoidedSince) > 0 && (tk.step.spec.IsLongRunning || !al.hasAlternative(now, tk)) {
+		wk = al.bestWorker(now, tk, workers, rack, shortAvoidanceTime)
 	}
 	return wk
 }
 
+// hasAlternative reports whether a worker that a task need not avoid has capacity for
+// it, or will have once the runs have ended that don't last.
+func (al *Allocator) hasAlternative(now time.Time, tk *task) bool {
+	st := tk.step
+	return slices.ContainsFunc(al.workers.byPool[st.job.queue.Pool], func(wk *worker) bool {
+		return !tk.avoids(now, wk, avoidanceTime) && wk.info.HasLabel(st.spec.RequiredLabel) &&
+			(st.advice == nil || !st.advice.isDenied(wk)) &&
+			st.reserved.FitsIn(wk.info.Capacity.Minus(wk.lastingReservation())) && al.isEligible(now, wk)
+	})
+}
+
 // bestWorker returns the eligible worker with the highest score, except for
 // workers that the task has to avoid for the given duration.
 func (al *Allocator) bestWorker(now time.Time, tk *task, workers []*worker, rack string, avoidance time.Duration) *worker {
