--- /dev/null
+++ b/coltsfootwick-manager/internal/submitter/outcome_test.go
@@ -0,0 +1,84 @@
+package submitter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"coltsfootwick.example/shared/jobs/archiver"
+	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+)
+
+// answers are the answers that the submissions of a job got.
+type answers struct {
+	isAccepted, mayBeStored bool
+}
+
+// TestAnswersToSubmissionsHold guards against accepted jobs that aren't stored, and
+// refused ones that are, while the store is slow, refuses calls and loses answers.
+func TestAnswersToSubmissionsHold(t *testing.T) {
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			kr := keeper.New()
+			ctx, cancel := context.WithCancel(t.Context())
+			var managers []*Submitter
+			for _, zone := range []string{"a", "b"} {
+				sm := New(kr.Zone(zone, keeper.WithCallTimeout(time.Second)), fakeScheduler{}, fakeScheduler{}, fakeScheduler{}, fakeScheduler{}, zap.NewNop())
+				managers = append(managers, sm)
+				go func() { _ = sm.Run(ctx) }()
+			}
+			var mutex sync.Mutex
+			var submissions sync.WaitGroup
+			byJob := map[modeller.JobID]answers{}
+			for number := range 120 {
+				if number%10 == 0 {
+					must.NoError(t, kr.SetFaults(
+						keeper.Outage{Scope: keeper.Scope{Share: random.Float64() / 2, Seed: random.Uint64()}},
+						keeper.AnswerLost{Scope: keeper.Scope{Share: random.Float64() / 2, Seed: random.Uint64()}},
+						keeper.Slow{Scope: keeper.Scope{Share: random.Float64(), Seed: random.Uint64()}, Delay: time.Duration(1+random.IntN(3000)) * time.Millisecond},
+					))
+				}
+				jb := newJob(fmt.Sprintf("j%d", random.IntN(60)))
+				sm := managers[random.IntN(len(managers))]
+				submissions.Go(func() {
+					err := sm.Submit(callerContext(t), jb)
+					mutex.Lock()
+					defer mutex.Unlock()
+					as := byJob[jb.ID]
+					as.isAccepted = as.isAccepted || err == nil
+					as.mayBeStored = as.mayBeStored || classifier.CodeOf(err) != classifier.JobRefused
+					byJob[jb.ID] = as
+				})
+				time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
+			}
+			submissions.Wait()
+			// Delayed writes may take effect after their callers have given up.
+			time.Sleep(time.Minute)
+			cancel()
+			must.NoError(t, kr.SetFaults())
+			for id, as := range byJob {
+				_, err := kr.Zone("c").Get(t.Context(), archiver.JobKey(id))
+				isStored := err == nil
+				if as.isAccepted {
+					must.True(t, isStored, must.Sprintf("seed %d: accepted job %s", seed, id))
+				}
+				if !as.mayBeStored {
+					must.False(t, isStored, must.Sprintf("seed %d: refused job %s", seed, id))
+				}
+				_, err = kr.Zone("c").Get(t.Context(), archiver.PayloadKey(queueQ.Name, id))
+				must.Eq(t, isStored, err == nil, must.Sprintf("seed %d: payload of job %s", seed, id))
+			}
+			synctest.Wait()
+		})
+	}
+}
