attendant: read payloads for as long as the store's client waits

After a change of the holder, payloads of jobs from before are read by the keepers. A read ended after 400 ms, while every other call to the store may take a second: with a store that takes longer than that for an answer, no start of such a job was ever sent, and each refused start kept its worker from all other tasks for 0.7 s.

A read now takes up to a second. A payload that arrives after the permission for the starts that waited for it has run out is kept for the next ones.

--- a/coltsfootwick-manager/internal/attendant/attendant_test.go
+++ b/coltsfootwick-manager/internal/attendant/attendant_test.go
@@ -192,6 +192,30 @@
 	must.Eq(t, "stored", (<-starts).Spec)
 }
 
+// TestPayloadIsReadFromASlowStore guards against jobs that wait without end after a
+// change of the holder, while the store takes over half a second for an answer.
+func TestPayloadIsReadFromASlowStore(t *testing.T) {
+	worker, starts := startWorker(t)
+	kr := keeper.New()
+	_, err := kr.Zone("a").Put(t.Context(), archiver.PayloadKey("q", "j"), []byte("stored"), 0, 0)
+	must.NoError(t, err)
+	must.NoError(t, kr.SetFaults(keeper.Slow{Scope: keeper.Scope{Share: 1}, Delay: 820 * time.Millisecond}))
+	fh := startAttendant(t, kr)
+	he := newHolderEnd(t, <-fh.accepted)
+	he.awaitPermission()
+	outcome := allocator.NotSent
+	for attempt := 1; attempt <= 4 && outcome == allocator.NotSent; attempt++ {
+		he.distributor.Dispatch(time.Now(), []allocator.Order{
+			allocator.StartOrder{Worker: worker, Task: modeller.TaskName{Job: "j"}, Attempt: attempt, Queue: "q"},
+		})
+		result, ok := he.next().(allocator.StartResult)
+		must.True(t, ok)
+		outcome = result.Outcome
+	}
+	must.Eq(t, allocator.Accepted, outcome)
+	must.Eq(t, "stored", (<-starts).Spec)
+}
+
 func TestNothingIsSentWithoutPermission(t *testing.T) {
 	worker, starts := startWorker(t)
 	fh := startAttendant(t, keeper.New())
--- a/coltsfootwick-manager/internal/attendant/session.go
+++ b/coltsfootwick-manager/internal/attendant/session.go
@@ -21,8 +21,10 @@
 	// acceptanceDelay how long acceptances do, which change little.
 	urgentDelay     = time.Millisecond
 	acceptanceDelay = 50 * time.Millisecond
-	// fetchTimeout bounds the time to read a payload, for which starts wait.
-	fetchTimeout = 400 * time.Millisecond
+	// fetchTimeout bounds the time to read a payload, for which starts wait. It is as
+	// long as the store's client waits: a payload that arrives after the permission
+	// for the starts has run out is there for the next ones.
+	fetchTimeout = time.Second
 )
 
 // session is the service of one connection to a holder.
