allocator: use tickets whose validity is shorter than the margin

A ticket counts as expired 300 ms early, so that it doesn't expire while the start is in flight.

The margin is at most half of the validity. A ticket that a worker rejects as expired is asked for again, as before.

TestJobStartsWithTicketsOfShortValidity failed before: no start in a second, with a validity of 200 ms.

--- a/shared/jobs/allocator/ticket.go
+++ b/shared/jobs/allocator/ticket.go
@@ -10,7 +10,8 @@
 
 const (
 	// ticketMargin is the minimum remaining validity of a ticket, so that it does
-	// not expire while the start is in flight.
+	// not expire while the start is in flight. It is half of the validity if that is
+	// less.
 	ticketMargin = 300 * time.Millisecond
 	// maxAdviceWorkers is the maximum number of workers in one advice request. The
 	// users' accounting of a step's time assumes this number.
@@ -33,9 +34,9 @@
 type permission struct {
 	incarnation int
 	// ticket is the ticket for starts of the step, or empty if the worker may not
-	// run it. It has to be renewed after validUntil.
-	ticket     string
-	validUntil time.Time
+	// run it. It has to be renewed after usableUntil.
+	ticket      string
+	usableUntil time.Time
 }
 
 // stepAdvice is what the advice service has said of the workers for a step. What
@@ -72,7 +73,7 @@
 // hasTicket reports whether there is a valid ticket for a worker.
 func (sa *stepAdvice) hasTicket(now time.Time, wk *worker) bool {
 	pm, ok := sa.of(wk)
-	return ok && pm.ticket != "" && now.Add(ticketMargin).Before(pm.validUntil)
+	return ok && pm.ticket != "" && now.Before(pm.usableUntil)
 }
 
 // ticketFor returns the ticket for a worker, or an empty string for a step that
@@ -266,11 +267,12 @@
 	if advice == nil {
 		return
 	}
+	usableUntil := now.Add(advice.Validity - min(ticketMargin, advice.Validity/2))
 	for id, incarnation := range asked {
 		sa.permissions[id] = permission{
 			incarnation: incarnation,
 			ticket:      ev.Tickets[id],
-			validUntil:  now.Add(advice.Validity),
+			usableUntil: usableUntil,
 		}
 	}
 }
--- a/shared/jobs/allocator/ticket_test.go
+++ b/shared/jobs/allocator/ticket_test.go
@@ -246,3 +246,14 @@
 	af.advance(25 * time.Millisecond)
 	must.Len(t, 0, takeOrders[StartOrder](af.fixture), must.Sprint(before))
 }
+
+// TestJobStartsWithTicketsOfShortValidity guards against queues whose jobs never start,
+// since their tickets count as expired when they arrive.
+func TestJobStartsWithTicketsOfShortValidity(t *testing.T) {
+	af := newAdvisedFixture(t, 2)
+	af.apply(advisedConfiguration(3, 200*time.Millisecond))
+	af.submitJob("j", oneTaskStep())
+	af.run(time.Second)
+	must.Len(t, 1, af.accepted)
+	must.Len(t, 1, af.calls)
+}
