allocator: evacuate no VM while the VM interface is out

While the VM interface answered nothing, a wave went on to cordon workers and to stop long-running tasks that have no other place, although maintenance isn't ordered by a list of VMs of more than two seconds.

Workers are now chosen and runs stopped for a wave only by a list that is recent enough for the order itself, and once no list has arrived for 4 s the evacuated VMs get work again.

--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -67,6 +67,14 @@
 	al.endTakenDownWorkers(now, al.workers.sorted)
 }
 
+// isListCurrent reports whether the list of VMs is recent enough for orders that take
+// VMs down.
+func (fl *fleet) isListCurrent(now time.Time) bool { return now.Sub(fl.listedAt) <= maxVMListAge }
+
+// isInterfaceOut reports whether the VM interface has answered no list for so long that
+// its orders aren't waited for.
+func (fl *fleet) isInterfaceOut(now time.Time) bool { return now.Sub(fl.listedAt) > vmOutageAge }
+
 // keepUnnamed keeps the VMs of the list before if the present one has an entry
 // without a name, which may be that of any of them.
 func (fl *fleet) keepUnnamed(before map[string]modeller.VM) {
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -18,8 +18,11 @@
 	// evacuated at once, so that the next VM is empty when one returns.
 	cordonFactor = 2
 	// maxVMListAge is the greatest age of the list of VMs at which maintenance
-	// is ordered.
+	// is ordered, and runs are stopped for it.
 	maxVMListAge = 2 * time.Second
+	// vmOutageAge is the age of the list of VMs from which the VM interface counts as
+	// out. Then VMs that are evacuated get work again.
+	vmOutageAge = 4 * time.Second
 	// maxOrderDelay is the time after which an order of an earlier holder is no longer
 	// carried out. Until then its VM counts as down, even if it can't be taken down.
 	maxOrderDelay = 15 * time.Second
@@ -174,8 +177,23 @@
 		al.log(LogEntry{Message: "wave completed", Reason: "all VMs have been maintained"})
 		return
 	}
-	al.cordonVMs(now, wv, wv.isBehindSchedule(now, pending, al.bounds.MaintenanceTime))
-	al.orderDueMaintenance(now, wv)
+	switch {
+	case al.fleet.isListCurrent(now):
+		al.cordonVMs(now, wv, wv.isBehindSchedule(now, pending, al.bounds.MaintenanceTime))
+		al.orderDueMaintenance(now, wv)
+	case al.fleet.isInterfaceOut(now):
+		al.endEvacuations(wv)
+	}
+}
+
+// endEvacuations gives the VMs of a wave work again whose maintenance isn't due yet.
+func (al *Allocator) endEvacuations(wv *wave) {
+	for name := range wv.evacuating {
+		if wv.down[name] == nil {
+			delete(wv.evacuating, name)
+			al.uncordon(al.fleet.vms[name].Worker)
+		}
+	}
 }
 
 // pending counts the VMs whose maintenance is still to be done.
@@ -381,7 +399,7 @@
 		if wk != nil && !al.evacuate(now, wk, isUrgent, canGoDown) {
 			continue
 		}
-		if al.fleet.downCount(wv) >= wv.info.MaxDown || now.Sub(al.fleet.listedAt) > maxVMListAge {
+		if al.fleet.downCount(wv) >= wv.info.MaxDown {
 			continue
 		}
 		wv.down[name] = &downVM{
