ignorer: ignore SIGHUP from before the Go runtime starts

What was seen: a SIGHUP, which says that the settings file has changed, ended a manager that was still starting, and an entry or a steward at any time. A restart of a process that is reloaded at the same moment took a second restart.

Cause: the default action of SIGHUP ends a process. The manager installed its handler only after it had read its settings and opened its listeners; entry and steward never did.

Now the package ignorer, imported by the three programs, ignores SIGHUP in a C constructor, which the dynamic loader runs before the Go runtime. The runtime leaves a signal that is ignored at its start alone, and signal.Notify replaces the action in one step, so there is no moment with the default action after it. Nothing is lost: the settings are read at the start only, and the manager logs SIGHUP as before once it has started. Without cgo the initialisation of the package does the same later. cfw and standin keep the default.

What remains, up to about 1 ms on a quiet machine, is the time in which the kernel and the dynamic loader load the program, before its first instruction. A program can't close that.

TestHangupDuringStartDoesNotEndProcess sends SIGHUP while the settings, a named pipe, are being read; TestHangupBeforeRuntimeStartsDoesNotEndProcess as soon as the action of SIGHUP isn't the default one. Both failed for all three programs before, with "signal: hangup", and pass now, 60 repeats each.

--- a/coltsfootwick-manager/main.go
+++ b/coltsfootwick-manager/main.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kong"
 
 	"coltsfootwick.example/coltsfootwick-manager/internal/runner"
+	_ "coltsfootwick.example/shared/process/ignorer"
 )
 
 // commandLine defines the commands of the program.
--- a/coltsfootwick-steward/main.go
+++ b/coltsfootwick-steward/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+
+	_ "coltsfootwick.example/shared/process/ignorer"
 )
 
 // commandLine is the command line of the program.
--- a/standin/internal/prover/main_test.go
+++ b/standin/internal/prover/main_test.go
@@ -30,9 +30,12 @@
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
 	binaries = directory
-	build := exec.Command("go", "build", "-o", directory+"/", "coltsfootwick.example/coltsfootwick-entry")
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build the entry: %v\n%s", err, output)
+	arguments := []string{"build", "-o", directory + "/"}
+	for _, program := range longRunning {
+		arguments = append(arguments, "coltsfootwick.example/"+program.name)
+	}
+	if output, err := exec.Command("go", arguments...).CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the programs: %v\n%s", err, output)
 		return 1
 	}
 	return m.Run()
