--- a/standin/internal/prover/start_signal_cgo_test.go
+++ b/standin/internal/prover/start_signal_cgo_test.go
@@ -17,5 +17,6 @@
 		}
 		must.NoError(t, st.command.Process.Signal(syscall.SIGHUP))
 		st.mustEndWithError(t, st.openSettings(t))
+		must.StrContains(t, st.output.String(), "settings")
 	})
 }
--- a/standin/internal/prover/start_signal_test.go
+++ b/standin/internal/prover/start_signal_test.go
@@ -42,9 +42,20 @@
 		settings := st.openSettings(t)
 		must.NoError(t, st.command.Process.Signal(syscall.SIGHUP))
 		st.mustEndWithError(t, settings)
+		must.StrContains(t, st.output.String(), "settings")
 	})
 }
 
+func TestLogWithoutReaderDoesNotEndProcess(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	must.NoError(t, err)
+	must.NoError(t, reader.Close())
+	defer func() { _ = writer.Close() }()
+	forEachStart(t, func(t *testing.T, st *start) {
+		st.mustEndWithError(t, st.openSettings(t))
+	}, withOutput(writer))
+}
+
 func TestTerminationDuringStartEndsProcess(t *testing.T) {
 	for _, sg := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
 		t.Run(sg.String(), func(t *testing.T) {
@@ -66,13 +77,21 @@
 	ended    chan struct{}
 }
 
+// startOption changes one property of a start.
+type startOption func(*start)
+
+// withOutput sets the file to which the program writes its output and its log.
+func withOutput(output *os.File) startOption {
+	return func(st *start) { st.command.Stdout, st.command.Stderr = output, output }
+}
+
 // forEachStart starts each long-running program and runs a test on it.
-func forEachStart(t *testing.T, run func(t *testing.T, st *start)) {
+func forEachStart(t *testing.T, run func(t *testing.T, st *start), opts ...startOption) {
 	t.Helper()
 	// A caught signal has its default action in a child process, an ignored one
 	// stays ignored.
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM, syscall.SIGPIPE)
 	t.Cleanup(func() { signal.Stop(signals) })
 	for _, program := range longRunning {
 		t.Run(program.name, func(t *testing.T) {
@@ -86,6 +105,9 @@
 			st.command.Env = append(os.Environ(), "COLTSFOOTWICK_BOOT="+settings)
 			st.command.Stdout = &st.output
 			st.command.Stderr = &st.output
+			for _, opt := range opts {
+				opt(st)
+			}
 			must.NoError(t, st.command.Start())
 			go func() {
 				defer close(st.ended)
@@ -129,7 +151,6 @@
 	must.NoError(t, err)
 	must.NoError(t, settings.Close())
 	must.Eq(t, 1, st.await(t).ExitStatus(), must.Sprint(st.command.ProcessState))
-	must.StrContains(t, st.output.String(), "settings")
 }
 
 // await waits for the end of the program.
