logger: a blocked output doesn't delay the end of the process

What was seen: a manager whose standard output is a full pipe that nobody reads had not ended 12 s after SIGTERM, beyond the platform's grace of 6 s. It was up and did its work until then.

Cause: Close waits for the goroutine that writes the queued lines, and that one waits in a write for as long as the reader stalls.

Now Close waits 500 ms at most; lines that are not written by then are lost. The same manager then ended with success 2.72 s after SIGTERM, 0.5 s after its shutdown (one run).

TestCloseReturnsWhileOutputBlocks failed before: all goroutines of its bubble were blocked. It passes now, 20 repeats.

Entry and steward log synchronously to standard error, and still don't end while that is a full pipe (one run each, 12 s). That isn't changed here.

--- a/shared/process/logger/ring.go
+++ b/shared/process/logger/ring.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -10,9 +11,13 @@
 	"coltsfootwick.example/shared/process/classifier"
 )
 
-// maxQueuedLines is the number of lines queued for a slow output before further
-// lines are dropped.
-const maxQueuedLines = 2048
+const (
+	// maxQueuedLines is the number of lines queued for a slow output before further
+	// lines are dropped.
+	maxQueuedLines = 2048
+	// closeTimeout bounds the wait for a blocked output on Close.
+	closeTimeout = 500 * time.Millisecond
+)
 
 // AsyncWriter writes lines to an output in its own goroutine, so that a slow output
 // does not block the program. If the queue is full, it drops and counts lines.
@@ -85,10 +90,14 @@
 // Dropped returns the number of lines dropped.
 func (aw *AsyncWriter) Dropped() uint64 { return aw.dropped.Load() }
 
-// Close waits until the queued lines are written. It must be called once.
+// Close waits until the queued lines are written, or closeTimeout for a blocked output.
+// It must be called once.
 func (aw *AsyncWriter) Close() {
 	close(aw.closing)
-	<-aw.done
+	select {
+	case <-aw.done:
+	case <-time.After(closeTimeout):
+	}
 }
 
 // NewAsyncLogger returns a logger that writes JSON lines of at least the given level
--- a/shared/process/logger/ring_test.go
+++ b/shared/process/logger/ring_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"github.com/shoenig/test/must"
 )
@@ -40,3 +41,22 @@
 	must.Eq(t, dropped+1, aw.Dropped())
 	must.StrNotContains(t, output.String(), "late")
 }
+
+// blockedOutput blocks writes until it is closed.
+type blockedOutput chan struct{}
+
+func (bo blockedOutput) Write(data []byte) (int, error) {
+	<-bo
+	return len(data), nil
+}
+
+func TestCloseReturnsWhileOutputBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := make(blockedOutput)
+		defer close(output)
+		aw := NewAsyncWriter(output)
+		_, err := aw.Write([]byte("line\n"))
+		must.NoError(t, err)
+		aw.Close()
+	})
+}
