runner: no SIGHUP takes the place of a SIGTERM; steps of a stop follow the grace period

Two faults of one class, a stop that leaves callers without an answer; both lie in the same function.

SIGTERM, SIGINT and SIGHUP shared a channel that holds one signal, and a signal is dropped while its channel is full. Signals that stop the manager now have a channel of their own.

The delay before the listeners close, the time to exit, the time for last answers and the release of the duty were constants of up to 2.2 s. Each is now at most a part of the grace period. With 6 s nothing changes.

--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -6,10 +6,8 @@
 	"context"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -53,13 +51,6 @@
 	// headerTimeout and idleTimeout bound callers' connections.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
-	// deregistrationDelay is how long callers' requests may still arrive after
-	// SIGTERM: the platform checks readiness every second and stops sending
-	// callers after two failed checks.
-	deregistrationDelay = 2200 * time.Millisecond
-	// exitTime is the part of the platform's grace period in which the process ends
-	// after all callers' connections have been closed.
-	exitTime = 500 * time.Millisecond
 	// failureGrace bounds the wait for requests in progress when the manager ends
 	// because one of its components has failed.
 	failureGrace = 3 * time.Second
@@ -103,23 +94,21 @@
 
 // manager is a running manager.
 type manager struct {
-	settings       adapter.Settings
-	logger         *zap.Logger
-	storeHealth    *storeHealth
-	router         *router.Router
-	locator        *peer.Locator
-	elector        *elector.Elector
-	submitter      *submitter.Submitter
-	conductor      *conductor.Conductor
-	attendant      *attendant.Attendant
-	leaser         *leaser.Leaser
-	tracker        *requestTracker
-	callers        *server.Server
-	servers        []*server.Server
-	isShuttingDown atomic.Bool
-	// closeBy is the time by which callers' connections are closed, or nil unless the
-	// manager is shutting down.
-	closeBy atomic.Pointer[time.Time]
+	settings    adapter.Settings
+	logger      *zap.Logger
+	storeHealth *storeHealth
+	router      *router.Router
+	locator     *peer.Locator
+	elector     *elector.Elector
+	submitter   *submitter.Submitter
+	conductor   *conductor.Conductor
+	attendant   *attendant.Attendant
+	leaser      *leaser.Leaser
+	tracker     *requestTracker
+	callers     *server.Server
+	servers     []*server.Server
+	// schedule is the schedule of the shutdown, or nil before one has started.
+	schedule atomic.Pointer[schedule]
 }
 
 func newManager(settings adapter.Settings, log *zap.Logger) (*manager, error) {
@@ -132,6 +121,7 @@
 	var mg *manager
 	duty := leaser.New(store, settings.Region, dutyName, settings.Internal.String(),
 		leaser.WithTTL(ttl), leaser.WithWait(dutyWatchTimeout), leaser.WithOverrun(dutyOverrun),
+		leaser.WithReleaseTimeout(part(releaseTimeout, settings.Bounds.ShutdownGrace, maxReleasePart)),
 		leaser.WithClock(timekeeper.Now), leaser.WithNotify(func(nt leaser.Notice) { logDutyNotice(log, nt) }),
 		leaser.WithPrecedence(func(ctx context.Context) time.Duration { return mg.elector.Delay(ctx) }))
 	locator := peer.NewLocator(store, duty.Key(), log)
@@ -165,7 +155,7 @@
 			Capacity:   elector.NewCapacity(settings.Cores, settings.LinkMbps),
 			Locator:    locator,
 			Peer:       client,
-			IsEligible: func() bool { return !mg.isShuttingDown.Load() && !health.IsUnavailable() },
+			IsEligible: func() bool { return !mg.isShuttingDown() && !health.IsUnavailable() },
 			Logger:     log,
 		}),
 		conductor: conductor.New(conductor.Settings{
@@ -229,7 +219,7 @@
 
 // serveReadiness answers the platform's readiness checks.
 func (mg *manager) serveReadiness(rw http.ResponseWriter, _ *http.Request) {
-	if mg.isShuttingDown.Load() || !mg.router.IsReady() || mg.storeHealth.IsUnavailable() {
+	if mg.isShuttingDown() || !mg.router.IsReady() || mg.storeHealth.IsUnavailable() {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -240,7 +230,7 @@
 // shutdown, so that their next requests go to another manager.
 func (mg *manager) closeOnShutdown(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
-		if mg.isShuttingDown.Load() {
+		if mg.isShuttingDown() {
 			rw.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(rw, rq)
@@ -271,50 +261,14 @@
 		<-runContext.Done()
 		return err
 	}, func(error) { releaseDuty() })
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	group.Add(func() error { return mg.handleSignals(runContext, signals, releaseDuty) }, func(error) { interrupt() })
+	sg := newSignals()
+	group.Add(func() error { return mg.handleSignals(runContext, sg, releaseDuty) }, func(error) { interrupt() })
 	mg.logger.Info("manager started", zap.String("zone", mg.settings.Zone), zap.Stringer("front", mg.settings.Front), zap.Stringer("internal", mg.settings.Internal))
 	err := group.Run()
 	mg.logger.Info("manager stopped", zap.Error(err))
 	return err
 }
 
-// handleSignals starts the shutdown at the first SIGTERM or SIGINT, and returns once
-// no more callers' requests are expected. SIGHUP is only logged.
-func (mg *manager) handleSignals(ctx context.Context, signals <-chan os.Signal, releaseDuty func()) error {
-	var deregistered <-chan time.Time
-	for {
-		select {
-		case sg := <-signals:
-			mg.logger.Info("signal", zap.Stringer("signal", sg))
-			if sg == syscall.SIGHUP || deregistered != nil {
-				continue
-			}
-			grace := mg.settings.Bounds.ShutdownGrace
-			closeBy := time.Now().Add(grace - min(exitTime, grace/2))
-			mg.closeBy.Store(&closeBy)
-			mg.isShuttingDown.Store(true)
-			releaseDuty()
-			deregistered = time.After(min(deregistrationDelay, grace/2))
-		case <-deregistered:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// closeDeadline returns the time by which the servers have closed their connections,
-// or the zero time if no signal has started a shutdown.
-func (mg *manager) closeDeadline() time.Time {
-	closeBy := mg.closeBy.Load()
-	if closeBy == nil {
-		return time.Time{}
-	}
-	return *closeBy
-}
-
 // logDutyNotice logs the acquisition or loss of the scheduler's duty.
 func logDutyNotice(log *zap.Logger, nt leaser.Notice) {
 	switch nt := nt.(type) {
--- a/shared/process/server/server.go
+++ b/shared/process/server/server.go
@@ -16,8 +16,8 @@
 // The defaults of a Server.
 const (
 	defaultGrace = 2 * time.Second
-	// answerTime is the part of the grace period that is left for answers to requests
-	// whose contexts have been cancelled.
+	// answerTime is the part of the grace period, at most half of it, that is left for
+	// answers to requests whose contexts have been cancelled.
 	answerTime        = 250 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
@@ -132,7 +132,8 @@
 	if deadline.IsZero() {
 		deadline = time.Now().Add(sr.grace)
 	}
-	isDrained := sr.isDrainFirst && sr.shutDown(deadline.Add(-answerTime)) == nil
+	cancelAt := deadline.Add(-min(answerTime, time.Until(deadline)/2))
+	isDrained := sr.isDrainFirst && sr.shutDown(cancelAt) == nil
 	sr.cancel()
 	if !isDrained && sr.shutDown(deadline) != nil {
 		sr.notifyClose()
--- a/shared/store/leaser/leaser.go
+++ b/shared/store/leaser/leaser.go
@@ -29,7 +29,7 @@
 	defaultWait        = 30 * time.Second
 	initialPause       = 50 * time.Millisecond
 	maxPause           = 2 * time.Second
-	releaseTimeout     = time.Second
+	defaultRelease     = time.Second
 	renewalsPerTTL     = 3
 	clockMarginDivisor = 10
 )
@@ -68,6 +68,12 @@
 	return func(lr *Leaser) { lr.overrun = overrun }
 }
 
+// WithReleaseTimeout sets how long the release of the duty may take. Without an
+// answer the duty becomes free when its lease expires.
+func WithReleaseTimeout(timeout time.Duration) Option {
+	return func(lr *Leaser) { lr.releaseTimeout = timeout }
+}
+
 // WithPrecedence sets a function that returns how long this candidate waits
 // before it competes for a duty that has become free, so that preferable
 // candidates can acquire it first.
@@ -83,10 +89,11 @@
 	ttl    time.Duration
 	wait   time.Duration
 	// overrun is how long the holder may act after the lease may have expired.
-	overrun time.Duration
-	notify  func(nt Notice)
-	now     func() time.Time
-	delay   func(ctx context.Context) time.Duration
+	overrun        time.Duration
+	releaseTimeout time.Duration
+	notify         func(nt Notice)
+	now            func() time.Time
+	delay          func(ctx context.Context) time.Duration
 }
 
 // New returns a Leaser for a duty of an availability zone. The holder's name is
@@ -101,6 +108,8 @@
 		notify: func(Notice) {},
 		now:    time.Now,
 		delay:  func(context.Context) time.Duration { return 0 },
+
+		releaseTimeout: defaultRelease,
 	}
 	for _, opt := range opts {
 		opt(lr)
@@ -163,7 +172,7 @@
 // release revokes the lease, so that another candidate can acquire the duty without
 // waiting for the lease to expire.
 func (lr *Leaser) release(ctx context.Context, lease storer.LeaseID) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lr.releaseTimeout)
 	defer cancel()
 	_ = lr.store.Revoke(ctx, lease)
 }
