standin: play random faults against real managers and check the guarantees

The new subcommand plays a seeded plan of signals, store faults, worker crashes, waves and configurations against managers that run as processes, and checks what callers, workers and operators see. The stage of processes and stand-ins moves from the demo of jobs to a package of its own. The provider records all runs, takes note of ends only with an accepted poll, and serves slow answers of the store in full.

--- a/shared/store/keeper/history.go
+++ b/shared/store/keeper/history.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// drop discards all events.
+func (hy *history) drop() {
+	if len(hy.events) == 0 {
+		return
+	}
+	hy.compacted = hy.events[len(hy.events)-1].Entry.Revision
+	hy.events = nil
+	hy.bytes = 0
+}
+
 // since returns the events after a revision for keys that start with prefix, in
 // order.
 func (hy *history) since(prefix string, after storer.Revision) []storer.Event {
--- a/shared/store/keeper/keeper.go
+++ b/shared/store/keeper/keeper.go
@@ -71,6 +71,14 @@
 	return faults
 }
 
+// DropHistory discards the events held for watches. A watch that continues from an
+// earlier revision fails.
+func (kr *Keeper) DropHistory() {
+	kr.mutex.Lock()
+	defer kr.mutex.Unlock()
+	kr.table.history.drop()
+}
+
 // Counts returns the number of calls since the start.
 func (kr *Keeper) Counts() Counts {
 	kr.mutex.Lock()
--- a/shared/store/keeper/keeper_test.go
+++ b/shared/store/keeper/keeper_test.go
@@ -209,3 +209,20 @@
 		must.Len(t, 0, vms)
 	})
 }
+
+func TestDroppedHistoryEndsEarlierWatches(t *testing.T) {
+	kr := keeper.New()
+	store := kr.Zone("a")
+	first, err := store.Put(t.Context(), "settings/head", []byte("one"), 0, 0)
+	must.NoError(t, err)
+	second, err := store.Put(t.Context(), "settings/head", []byte("two"), first, 0)
+	must.NoError(t, err)
+	kr.DropHistory()
+	_, _, err = store.Watch(t.Context(), "settings/", first, time.Second)
+	must.Eq(t, classifier.PlatformNotFound, classifier.CodeOf(err))
+	_, err = store.Put(t.Context(), "settings/head", []byte("three"), second, 0)
+	must.NoError(t, err)
+	events, _, err := store.Watch(t.Context(), "settings/", second, time.Second)
+	must.NoError(t, err)
+	must.Len(t, 1, events)
+}
--- a/standin/internal/provider/provider.go
+++ b/standin/internal/provider/provider.go
@@ -39,6 +39,9 @@
 	violations  []string
 	starts      int
 	moves       int
+	runs        []*Run
+	// maintenances are ordered by their beginning.
+	maintenances []Maintenance
 	// profiles holds the profiles of started tasks, decoded from their payloads.
 	profiles map[modeller.TaskName]executor.Profile
 	stop     chan struct{}
@@ -54,6 +57,9 @@
 	fence            uint64
 	maintained       map[int64]bool
 	capacity         modeller.Resources
+	// runs are the records of the worker's current runs, and done those of the runs
+	// that ended done.
+	runs, done map[modeller.TaskName]*Run
 }
 
 // New returns a Provider that advances its workers until Close is called.
@@ -122,6 +128,8 @@
 func (pv *Provider) startWorker(machine *vm) {
 	machine.incarnation++
 	machine.state = modeller.VMUp
+	machine.runs = map[modeller.TaskName]*Run{}
+	machine.done = map[modeller.TaskName]*Run{}
 	machine.worker = executor.New(time.Now(), executor.Settings{
 		Worker: modeller.Worker{
 			ID:       modeller.WorkerID(fmt.Sprintf("i-%s-%d", machine.name, machine.incarnation)),
@@ -131,6 +139,7 @@
 		StopTime: stopTime,
 		MaxLease: maxLease,
 		Profile:  func(name modeller.TaskName) executor.Profile { return pv.profiles[name] },
+		OnEnd:    func(end modeller.End) { machine.recordEnd(end.Task, end.Kind) },
 	})
 	pv.listWorker(machine, "ready")
 }
@@ -140,6 +149,10 @@
 	if machine.worker == nil {
 		return
 	}
+	machine.worker.Advance(time.Now())
+	for name := range machine.worker.Runs() {
+		machine.recordEnd(name, EndKilled)
+	}
 	pv.remove(directoryKey(machine))
 	machine.worker = nil
 }
@@ -182,12 +195,15 @@
 	})
 }
 
-// Crash stops a VM's worker and starts a new one without state after the given
-// time.
+// Crash stops a VM's worker, if any, and starts a new one without state after the
+// given time.
 func (pv *Provider) Crash(name string, after time.Duration) {
 	pv.mu.Lock()
 	defer pv.mu.Unlock()
 	machine := pv.vms[name]
+	if machine.worker == nil {
+		return
+	}
 	pv.stopWorker(machine)
 	machine.state = modeller.VMDown
 	time.AfterFunc(after, func() { pv.restart(name, machine.pool) })
@@ -227,13 +243,15 @@
 	}
 }
 
-// recordAcknowledged records the ends that a poll acknowledges. An end that is
-// lost with its worker before it is acknowledged doesn't count.
-func (pv *Provider) recordAcknowledged(machine *vm, acknowledged int64) {
-	for _, end := range machine.worker.Report(time.Now()).Ended {
-		if end.Number > acknowledged || end.Kind != modeller.EndDone {
+// recordAcknowledged records the ends that a poll has acknowledged. An end doesn't
+// count if it is lost with its worker before it is acknowledged, or if the worker's
+// lease has expired in between.
+func (pv *Provider) recordAcknowledged(machine *vm, ended []modeller.End, acknowledged int64) {
+	for _, end := range ended {
+		if end.Number > acknowledged || end.Kind != modeller.EndDone || machine.worker.LeaseExpiredSince(machine.done[end.Task].EndedAt) {
 			continue
 		}
+		machine.done[end.Task].IsAcknowledged = true
 		pv.completions[end.Task]++
 		if pv.completions[end.Task] > 1 {
 			pv.violations = append(pv.violations, fmt.Sprintf("%s was completed twice", end.Task))
@@ -242,8 +260,9 @@
 }
 
 // checkStart checks the guarantees after a worker has started a run.
-func (pv *Provider) checkStart(machine *vm, name modeller.TaskName) {
+func (pv *Provider) checkStart(machine *vm, name modeller.TaskName, attempt int) {
 	pv.starts++
+	pv.recordStart(machine, name, attempt)
 	if pv.completions[name] > 0 {
 		pv.violations = append(pv.violations, fmt.Sprintf("%s was started after its completion was acknowledged", name))
 	}
@@ -254,6 +273,7 @@
 		if other == machine || other.worker == nil {
 			continue
 		}
+		other.worker.Advance(time.Now())
 		if _, runs := other.worker.Runs()[name]; runs {
 			pv.violations = append(pv.violations, fmt.Sprintf("%s runs on %s and %s", name, other.name, machine.name))
 		}
--- a/standin/internal/provider/store.go
+++ b/standin/internal/provider/store.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
 	"coltsfootwick.example/shared/store/storer"
 )
 
@@ -24,7 +25,7 @@
 // StoreHandler returns the handler of the metadata store for callers in a zone.
 func (pv *Provider) StoreHandler(zone string) http.Handler {
 	sh := &storeHandler{
-		store: pv.keeper.Zone(zone),
+		store: pv.keeper.Zone(zone, keeper.WithCallTimeout(0)),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", sh.get)
--- a/standin/internal/provider/vm.go
+++ b/standin/internal/provider/vm.go
@@ -106,6 +106,12 @@
 		writeJSON(rw, http.StatusConflict, map[string]string{"reason": "busy"})
 	default:
 		machine.maintained[vo.Wave] = true
+		pv.maintenances = append(pv.maintenances, Maintenance{
+			VM:      machine.name,
+			Wave:    vo.Wave,
+			BeganAt: time.Now(),
+			EndAt:   time.Now().Add(downTime),
+		})
 		pv.takeDown(machine, modeller.VMMaintenance, machine.pool)
 		writeJSON(rw, http.StatusOK, map[string]string{})
 	}
--- a/standin/internal/provider/worker.go
+++ b/standin/internal/provider/worker.go
@@ -105,7 +105,7 @@
 		before := machine.worker.Runs()[name]
 		refusal, ok := machine.worker.Start(time.Now(), od.FencingToken, name, od.Attempt, od.Checkpoint, time.Duration(od.DeadlineMS)*time.Millisecond)
 		if ok && before != od.Attempt {
-			wh.provider.checkStart(machine, name)
+			wh.provider.checkStart(machine, name, od.Attempt)
 		}
 		answerOrder(rw, machine, refusal, ok)
 	})
@@ -168,8 +168,11 @@
 	for isAnswered := false; !isAnswered; {
 		isAnswered = true
 		wh.withWorker(rw, rq, func(machine *vm) {
-			wh.provider.recordAcknowledged(machine, od.LastSeen)
+			ended := machine.worker.Report(time.Now()).Ended
 			report, refusal, ok := machine.worker.Poll(time.Now(), od.FencingToken, time.Duration(od.DeadlineMS)*time.Millisecond, od.LastSeen)
+			if ok {
+				wh.provider.recordAcknowledged(machine, ended, od.LastSeen)
+			}
 			switch {
 			case !ok:
 				answerOrder(rw, machine, refusal, false)
--- a/standin/internal/rehearser/command.go
+++ b/standin/internal/rehearser/command.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	defer se.close()
+	defer se.Close()
 	passed, failed := 0, 0
 	for _, st := range cd.steps() {
 		began := time.Now()
--- a/standin/internal/rehearser/handover.go
+++ b/standin/internal/rehearser/handover.go
@@ -56,7 +56,7 @@
 // holderAddress returns the internal address of the holder of the scheduler's
 // duty.
 func (se *stage) holderAddress(ctx context.Context) (string, error) {
-	et, err := se.provider.Keeper().Zone("demo").Get(ctx, "duties/demo/scheduler")
+	et, err := se.Provider().Keeper().Zone("demo").Get(ctx, "duties/demo/scheduler")
 	return string(et.Value), err
 }
 
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	for _, nd := range se.nodes {
-		if nd.internal.String() == address {
+		if nd.Internal.String() == address {
 			return nd, nil
 		}
 	}
@@ -136,7 +136,7 @@
 		}
 		return poll(ctx, func() error {
 			address, err := se.holderAddress(ctx)
-			if err == nil && address == frozen.internal.String() {
+			if err == nil && address == frozen.Internal.String() {
 				err = classifier.New(classifier.Internal, "the frozen manager still holds the duty")
 			}
 			return err
@@ -157,7 +157,7 @@
 		return err
 	}
 	nd.isUp = false
-	se.killed = nd.name
+	se.killed = nd.Name
 	if err := nd.child.Kill(); err != nil {
 		return err
 	}
@@ -168,7 +168,7 @@
 // only the managers in between weren't.
 func checkStarts(_ context.Context, se *stage) error {
 	tasks := longRunningTasks + tasksPerJob*(len(se.submitted)-1)
-	if starts := se.provider.Counts().Starts; starts != tasks {
+	if starts := se.Provider().Counts().Starts; starts != tasks {
 		return classifier.New(classifier.Internal, "%d starts of %d tasks", starts, tasks)
 	}
 	return nil
--- a/standin/internal/rehearser/step.go
+++ b/standin/internal/rehearser/step.go
@@ -45,7 +45,7 @@
 	}, {
 		name: "a worker crashes and comes back",
 		run: func(_ context.Context, se *stage) error {
-			se.provider.Crash("m-batches-1", time.Second)
+			se.Provider().Crash("m-batches-1", time.Second)
 			return nil
 		},
 	}, {
@@ -91,7 +91,7 @@
 }
 
 func (se *stage) call(ctx context.Context, nd *node, method, path string, body []byte) (int, []byte, error) {
-	rq, err := http.NewRequestWithContext(ctx, method, "http://"+nd.front.String()+path, bytes.NewReader(body))
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+nd.Front.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
@@ -108,13 +108,13 @@
 func awaitReady(ctx context.Context, se *stage) error {
 	for _, nd := range se.nodes {
 		err := poll(ctx, func() error {
-			rs, err := se.client.Get("http://" + nd.ready.String() + "/ready")
+			rs, err := se.client.Get("http://" + nd.Ready.String() + "/ready")
 			if err != nil {
 				return err
 			}
 			defer func() { _ = rs.Body.Close() }()
 			if rs.StatusCode != http.StatusOK {
-				return classifier.New(classifier.Internal, "%s answers %d", nd.name, rs.StatusCode)
+				return classifier.New(classifier.Internal, "%s answers %d", nd.Name, rs.StatusCode)
 			}
 			return nil
 		})
@@ -188,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	se.killed = nd.name
+	se.killed = nd.Name
 	nd.isUp = false
 	return nd.child.Kill()
 }
@@ -201,13 +201,13 @@
 	if err != nil {
 		return err
 	}
-	se.provider.Put("op/"+wavePath, value)
+	se.Provider().Put("op/"+wavePath, value)
 	return nil
 }
 
 func awaitWave(ctx context.Context, se *stage) error {
 	return poll(ctx, func() error {
-		et, err := se.provider.Keeper().Zone("demo").Get(ctx, "status/"+wavePath)
+		et, err := se.Provider().Keeper().Zone("demo").Get(ctx, "status/"+wavePath)
 		if err != nil {
 			return err
 		}
@@ -268,14 +268,14 @@
 // submitAgain repeats a submission of a job that has ended.
 func submitAgain(ctx context.Context, se *stage) error {
 	last := se.submitted[len(se.submitted)-1]
-	before := se.provider.Counts().Starts
+	before := se.Provider().Counts().Starts
 	body := []byte(`{"spec":"{\"workMs\":1}","steps":[{"count":1,"cpu":1,"mem_mb":1,"estimate_ms":1}]}`)
 	status, _, err := se.call(ctx, se.up()[0], http.MethodPost, last.path, body)
 	if err != nil || status != http.StatusOK {
 		return classifier.New(classifier.Internal, "status %d, %v", status, err)
 	}
 	time.Sleep(settleTime)
-	if after := se.provider.Counts().Starts; after != before {
+	if after := se.Provider().Counts().Starts; after != before {
 		return classifier.New(classifier.Internal, "%d tasks were started again", after-before)
 	}
 	return nil
@@ -297,14 +297,14 @@
 }
 
 func checkMoves(_ context.Context, se *stage) error {
-	if se.provider.Counts().Moves == 0 {
+	if se.Provider().Counts().Moves == 0 {
 		return classifier.New(classifier.Internal, "none has")
 	}
 	return nil
 }
 
 func checkPromises(_ context.Context, se *stage) error {
-	if broken := se.provider.Violations(); len(broken) > 0 {
+	if broken := se.Provider().Violations(); len(broken) > 0 {
 		return classifier.New(classifier.Internal, "%d promises were broken, first: %s", len(broken), broken[0])
 	}
 	return nil
@@ -317,7 +317,7 @@
 	for _, nd := range se.up() {
 		nd.isUp = false
 		if err := nd.child.Stop(stopGrace); err != nil {
-			return classifier.Wrap(err, classifier.Internal, "%s", nd.name)
+			return classifier.Wrap(err, classifier.Internal, "%s", nd.Name)
 		}
 	}
 	return nil
@@ -333,7 +333,7 @@
 			slowest = max(slowest, sb.completedAt.Sub(sb.at))
 		}
 	}
-	counts := se.provider.Counts()
+	counts := se.Provider().Counts()
 	_, _ = fmt.Fprintf(out, "callers: %d jobs accepted, %d shown as completed, the slowest after at most %.1f s\n", len(se.submitted), completed, slowest.Seconds())
 	_, _ = fmt.Fprintf(out, "workers: %d runs started, %d tasks done, %d VMs moved; killed: %s\n", counts.Starts, counts.Done, counts.Moves, se.killed)
 }
--- /dev/null
+++ b/standin/internal/soaker/command.go
@@ -0,0 +1,122 @@
+// Package soaker plays series of random faults against managers that run as
+// processes, and checks the guarantees of the users' rules by what callers, workers
+// and operators see.
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"coltsfootwick.example/shared/process/classifier"
+)
+
+// Command is the subcommand that runs the fault soak.
+type Command struct {
+	Seed        uint64 `help:"Seed of the first play; the others follow. Zero takes one from the time." default:"0"`
+	Plays       uint64 `help:"How many plays are run." default:"1"`
+	Seconds     int    `help:"How long the callers of a play send requests." default:"30"`
+	Managers    int    `help:"How many managers run." default:"3"`
+	Bin         string `help:"Directory of the programs." type:"existingdir" default:"bin"`
+	Keep        bool   `help:"Keep the directories of settings files, logs and traces also of plays that passed."`
+	Regressions bool   `help:"Run the plays that have failed before, instead of those of the seeds."`
+}
+
+// Run runs the plays and prints a line for each. It returns an error if a guarantee
+// was violated.
+func (cd *Command) Run(ctx context.Context, out io.Writer) error {
+	plans := cd.plans()
+	failed := 0
+	for _, plan := range plans {
+		if ctx.Err() != nil {
+			break
+		}
+		findings, err := cd.play(ctx, out, plan)
+		if err != nil {
+			return err
+		}
+		if findings > 0 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return classifier.New(classifier.Internal, "%d of %d plays violated a guarantee", failed, len(plans))
+	}
+	return ctx.Err()
+}
+
+// plans returns the plans of the plays.
+func (cd *Command) plans() []Plan {
+	var plans []Plan
+	if cd.Regressions {
+		for _, rg := range Regressions {
+			plans = append(plans, NewPlan(rg.Seed, rg.Settings))
+		}
+		return plans
+	}
+	first := cd.Seed
+	if first == 0 {
+		first = uint64(time.Now().UnixNano())
+	}
+	for number := range cd.Plays {
+		plans = append(plans, NewPlan(first+number, Settings{
+			Managers: cd.Managers,
+			Duration: time.Duration(cd.Seconds) * time.Second,
+		}))
+	}
+	return plans
+}
+
+// play plays a plan, prints its outcome and returns the number of its findings.
+func (cd *Command) play(ctx context.Context, out io.Writer, plan Plan) (int, error) {
+	files, err := os.MkdirTemp("", fmt.Sprintf("coltsfootwick-soak-%d-", plan.Seed))
+	if err != nil {
+		return 0, classifier.Wrap(err, classifier.Internal, "make a directory")
+	}
+	binaries, err := filepath.Abs(cd.Bin)
+	if err != nil {
+		return 0, classifier.Wrap(err, classifier.Internal, "%s", cd.Bin)
+	}
+	began := time.Now()
+	pl, err := newPlay(plan, files, binaries)
+	if err != nil {
+		return 0, err
+	}
+	defer pl.close()
+	if err := pl.run(ctx); err != nil {
+		return 0, err
+	}
+	pl.printOutcome(out, time.Since(began))
+	if len(pl.findings) > 0 || cd.Keep {
+		_, _ = fmt.Fprintf(out, "  settings files, logs and trace: %s\n", files)
+	} else {
+		_ = os.RemoveAll(files)
+	}
+	return len(pl.findings), nil
+}
+
+// printOutcome prints a line on the play and one for each finding.
+func (pl *play) printOutcome(out io.Writer, took time.Duration) {
+	accepted := 0
+	for _, jb := range pl.jobs {
+		if _, ok := jb.accepted(); ok {
+			accepted++
+		}
+	}
+	verdict := "passed"
+	if len(pl.findings) > 0 {
+		verdict = fmt.Sprintf("FAILED with %d findings", len(pl.findings))
+	}
+	cs := &pl.counts
+	_, _ = fmt.Fprintf(out, "seed %d: %d managers, %d events, %d requests, %d unanswered (%d cut), %d overruns of the grace, %d jobs, %d accepted, %d unfinished for want of room, %.0f s: %s\n",
+		pl.plan.Seed, pl.plan.Managers, cs.events.Load(), cs.requests.Load(), cs.unanswered.Load(), cs.cuts.Load(), cs.overruns.Load(),
+		len(pl.jobs), accepted, pl.unfinished, took.Seconds(), verdict)
+	slices.SortStableFunc(pl.findings, func(a, b Finding) int { return a.At.Compare(b.At) })
+	for _, fd := range pl.findings {
+		_, _ = fmt.Fprintf(out, "  %s %s: %s\n", fd.At.Format(traceTime), fd.Rule, fd.Text)
+	}
+}
--- /dev/null
+++ b/standin/internal/soaker/history.go
@@ -0,0 +1,91 @@
+package soaker
+
+import (
+	"time"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/standin/internal/provider"
+)
+
+// history is what the workers have run.
+type history struct {
+	runs []provider.Run
+	// isRunning holds the jobs with a run in progress, and current these runs.
+	isRunning map[modeller.JobID]bool
+	current   map[modeller.TaskName]*provider.Run
+	// endedAt holds the end of the latest run of a task.
+	endedAt map[modeller.TaskName]time.Time
+	// doneAt holds when a task was done first, and isAcknowledged the tasks whose
+	// end has been acknowledged.
+	doneAt         map[modeller.TaskName]time.Time
+	isAcknowledged map[modeller.TaskName]bool
+}
+
+func newHistory(runs []provider.Run) history {
+	hy := history{
+		runs:           runs,
+		isRunning:      map[modeller.JobID]bool{},
+		current:        map[modeller.TaskName]*provider.Run{},
+		endedAt:        map[modeller.TaskName]time.Time{},
+		doneAt:         map[modeller.TaskName]time.Time{},
+		isAcknowledged: map[modeller.TaskName]bool{},
+	}
+	for idx := range runs {
+		rn := &runs[idx]
+		if rn.EndedAt.IsZero() {
+			hy.isRunning[rn.Task.Job] = true
+			hy.current[rn.Task] = rn
+			continue
+		}
+		if rn.EndedAt.After(hy.endedAt[rn.Task]) {
+			hy.endedAt[rn.Task] = rn.EndedAt
+		}
+		if rn.Kind != modeller.EndDone {
+			continue
+		}
+		if before, ok := hy.doneAt[rn.Task]; !ok || rn.EndedAt.Before(before) {
+			hy.doneAt[rn.Task] = rn.EndedAt
+		}
+		if rn.IsAcknowledged {
+			hy.isAcknowledged[rn.Task] = true
+		}
+	}
+	return hy
+}
+
+// next returns a task of a job whose turn has come and that isn't done, if any.
+func (hy history) next(jb *job, now time.Time) (modeller.TaskName, bool) {
+	for _, name := range jb.tasks() {
+		isDue := jb.Occurrences == 0 || !now.Before(jb.dueAt(name.Occurrence))
+		if isDue && !hy.isAcknowledged[name] && hy.isReady(jb, name) {
+			return name, true
+		}
+	}
+	return modeller.TaskName{}, false
+}
+
+// isReady reports whether the steps before a task are done.
+func (hy history) isReady(jb *job, name modeller.TaskName) bool {
+	for _, before := range dependencies(jb, name) {
+		if !hy.isAcknowledged[before] {
+			return false
+		}
+	}
+	return true
+}
+
+// dependencies returns the tasks that have to be done before a task starts.
+func dependencies(jb *job, name modeller.TaskName) []modeller.TaskName {
+	var names []modeller.TaskName
+	for _, step := range jb.Steps[name.Step].DependsOn {
+		for index := range jb.Steps[step].Count {
+			names = append(names, modeller.TaskName{
+				Job:        name.Job,
+				Occurrence: name.Occurrence,
+				Step:       step,
+				Index:      index,
+			})
+		}
+	}
+	return names
+}
--- a/standin/internal/supervisor/child.go
+++ b/standin/internal/supervisor/child.go
@@ -63,6 +63,9 @@
 // Terminate asks the process to end by SIGTERM.
 func (cd *Child) Terminate() error { return cd.signal(syscall.SIGTERM) }
 
+// Hangup sends SIGHUP to the process.
+func (cd *Child) Hangup() error { return cd.signal(syscall.SIGHUP) }
+
 // Kill ends the process by SIGKILL and returns when it has ended.
 func (cd *Child) Kill() error {
 	err := cd.signal(syscall.SIGKILL)
--- a/standin/main.go
+++ b/standin/main.go
@@ -21,6 +21,7 @@
 	"coltsfootwick.example/standin/internal/prover"
 	"coltsfootwick.example/standin/internal/rehearser"
 	"coltsfootwick.example/standin/internal/sloper"
+	"coltsfootwick.example/standin/internal/soaker"
 	"coltsfootwick.example/standin/internal/target"
 )
 
@@ -37,6 +38,7 @@
 	Measure  measurer.Command     `cmd:"" help:"Measure the policies of the request path in virtual time."`
 	Bench    bencher.Command      `cmd:"" help:"Measure one entry beside direct connections to its targets."`
 	Relays   comparer.Command     `cmd:"" help:"Compare ways to relay the settings, in a model."`
+	Soak     soaker.Command       `cmd:"" help:"Play random faults against the programs of ./bin and check the guarantees."`
 	Slopes   sloper.Command       `cmd:"" help:"Measure how the cost of each role grows."`
 }
 
