--- a/standin/internal/soaker/plan.go
+++ b/standin/internal/soaker/plan.go
@@ -228,11 +228,15 @@
 }
 
 func (pr *planner) slow() Event {
+	delay := maxMeanDelay
+	if pr.rand.IntN(2) == 0 {
+		delay = pr.until(minMeanDelay, maxMeanDelay)
+	}
 	return StoreFault{
 		Kind:     storeSlow,
 		Manager:  everyManager,
 		Duration: pr.until(time.Second, maxStoreFault),
-		Delay:    pr.until(minMeanDelay, maxMeanDelay),
+		Delay:    delay,
 		Share:    1,
 	}
 }
--- a/standin/internal/soaker/play.go
+++ b/standin/internal/soaker/play.go
@@ -283,13 +283,14 @@
 	return pl.jobs[random.IntN(len(pl.jobs))]
 }
 
-// recordExchange counts an exchange and records it if its connection was cut.
+// recordExchange counts an exchange and records it if its connection was cut later
+// than lossSlack after the request was sent.
 func (pl *play) recordExchange(mg *manager, method, path string, ex exchange) {
 	if ex.err == nil {
 		return
 	}
 	pl.counts.unanswered.Add(1)
-	if !ex.isCut() {
+	if !ex.isCut() || ex.endedAt.Sub(ex.sentAt) <= lossSlack {
 		return
 	}
 	pl.counts.cuts.Add(1)
@@ -352,7 +353,7 @@
 		ev.isUp[vm.Name] = pv.IsUp(vm.Name)
 	}
 	for _, ct := range pl.cuts {
-		if ct.endedAt.Sub(ct.sentAt) > lossSlack && !ct.isLost(&pl.disturbances) {
+		if !ct.isLost(&pl.disturbances) {
 			pl.tracef("allowed: %s", ct)
 		}
 	}
