provider: gangs, checkpoints, advice, impaired workers and checks of submissions

The stand-in of the users' platform played only plain and long-running tasks on sound workers. A soak needs the rest of what the platform does:

- gangs whose members wait for each other and end together, checkpoints with a restore time, tickets of an advice service that permits a seeded share of the workers, labels, and workers that refuse overload;
- calls whose answers are lost, that are refused, or that are carried out seconds later; runs that fail, hang or are slow; workers with wrong clocks, that start again under their ID, that drain, or whose entry outlives them;
- the jobs that callers submit, announced by Expect, against which each start is checked: rules TWICE, ORDER, UNASKED, ROUTE, BUDGET, GANG and LIMIT.

Changed checks: an end counts as acknowledged only if the poll that acknowledges it was accepted, and the lease has not expired since. A start counts as repeated also if the end before it is acknowledged later. The separate check for a second acknowledged end of a task is gone: its second run is recorded as a start after the first end, or as a second run at the same time.

--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -217,7 +217,13 @@
 		sm.recordViolation("UNASKED", "%s is started with payload %q", so.Task, so.Payload)
 	}
 	before := nd.ex.Runs()[so.Task]
-	oc := outcomeOf(nd.ex.Start(sm.now, tm.fence, so.Task, so.Attempt, so.Checkpoint, so.LeaseEnd))
+	oc := outcomeOf(nd.ex.Start(sm.now, executor.StartOrder{
+		Fence:      tm.fence,
+		Task:       so.Task,
+		Attempt:    so.Attempt,
+		Checkpoint: so.Checkpoint,
+		LeaseEnd:   so.LeaseEnd,
+	}))
 	if oc == allocator.Accepted && before != so.Attempt {
 		sm.checkStart(nd, so)
 	}
--- a/standin/internal/executor/executor.go
+++ b/standin/internal/executor/executor.go
@@ -22,6 +22,7 @@
 	RefusedStale    Refusal = "old"
 	RefusedExpired  Refusal = "late"
 	RefusedCapacity Refusal = "room"
+	RefusedTicket   Refusal = "ticket"
 )
 
 // Profile is the actual behaviour of a task, which the scheduler doesn't know.
@@ -35,6 +36,9 @@
 	IsLongRunning bool
 	// IsCheckpointing is true if the task saves checkpoints.
 	IsCheckpointing bool
+	// IsGang is true if the task is a member of a gang, which waits for the others
+	// until Assemble is called.
+	IsGang bool
 	// IsFailing is true if all runs of the task fail.
 	IsFailing bool
 }
@@ -47,6 +51,14 @@
 	StopTime, MaxLease time.Duration
 	// Drift is the fraction by which the executor's clock runs slow.
 	Drift float64
+	// ClockOffset is the reading of the executor's clock at its start, and
+	// WallClockOffset the error of its time of day.
+	ClockOffset, WallClockOffset time.Duration
+	// GangWait is how long a member of a gang waits for the others.
+	GangWait time.Duration
+	// CheckpointInterval is the work between two checkpoints of a run; zero means
+	// that none are saved. RestoreTime is the time to resume from one.
+	CheckpointInterval, RestoreTime time.Duration
 	// IsCapacityEnforced is true if the executor refuses tasks that exceed its
 	// capacity.
 	IsCapacityEnforced bool
@@ -81,9 +93,17 @@
 	profile    Profile
 	checkpoint string
 	startedAt  time.Time
-	slowness   float64
-	isHanging  bool
-	isFailing  bool
+	// beganAt is when the work began. It is startedAt but for a member of a gang,
+	// which waits first.
+	beganAt   time.Time
+	isWaiting bool
+	// resumed is the checkpoint that the run resumed from; restoreTime is the time
+	// that this took.
+	resumed     checkpoint
+	restoreTime time.Duration
+	slowness    float64
+	isHanging   bool
+	isFailing   bool
 	// stopAt is when a stop takes effect; zero if no stop was ordered.
 	stopAt time.Time
 	pace   int
@@ -105,11 +125,14 @@
 
 // Clock returns the reading of the executor's own clock.
 func (ex *Executor) Clock(now time.Time) time.Duration {
-	return time.Duration(float64(now.Sub(ex.createdAt)) * (1 - ex.settings.Drift))
+	return ex.settings.ClockOffset + time.Duration(float64(now.Sub(ex.createdAt))*(1-ex.settings.Drift))
 }
 
-// createdAtMS returns the executor's creation time in Unix milliseconds.
-func (ex *Executor) createdAtMS() int64 { return ex.createdAt.UnixMilli() }
+// createdAtMS returns the executor's creation time in Unix milliseconds, by its own
+// time of day.
+func (ex *Executor) createdAtMS() int64 {
+	return ex.createdAt.Add(ex.settings.WallClockOffset).UnixMilli()
+}
 
 // Used returns the resources in use by the current runs.
 func (ex *Executor) Used() modeller.Resources {
@@ -135,41 +158,72 @@
 	return rn != nil && rn.stopAt.IsZero() && !rn.isHanging && ex.progress(now, rn) >= 100
 }
 
+// StartOrder is an order to start a task.
+type StartOrder struct {
+	// Fence is the fencing token of the order.
+	Fence uint64
+	// Task and Attempt identify the run.
+	Task    modeller.TaskName
+	Attempt int
+	// Checkpoint is the progress to resume from, or empty.
+	Checkpoint string
+	// LeaseEnd is the end of the executor's lease on its own clock.
+	LeaseEnd time.Duration
+	// IsTicketInvalid is true if the task needs a ticket and has no valid one.
+	IsTicketInvalid bool
+}
+
 // Start carries out an order to start a task. It is idempotent for an attempt
 // that already runs.
-func (ex *Executor) Start(now time.Time, fence uint64, name modeller.TaskName, attempt int, checkpoint string, leaseEnd time.Duration) (Refusal, bool) {
+func (ex *Executor) Start(now time.Time, od StartOrder) (Refusal, bool) {
 	ex.Advance(now)
-	if !ex.acceptFence(fence) {
+	if !ex.acceptFence(od.Fence) {
 		return RefusedFence, false
 	}
-	ex.extendLease(now, leaseEnd)
-	if rn := ex.runs[name]; rn != nil {
-		if rn.attempt == attempt {
+	ex.extendLease(now, od.LeaseEnd)
+	if rn := ex.runs[od.Task]; rn != nil {
+		if rn.attempt == od.Attempt {
 			return "", true
 		}
 		return RefusedStale, false
 	}
-	if attempt <= ex.highestAttempt[name] {
+	if od.Attempt <= ex.highestAttempt[od.Task] {
 		return RefusedStale, false
 	}
 	if ex.leaseEnd <= ex.Clock(now) {
 		return RefusedExpired, false
 	}
-	profile := ex.settings.Profile(name)
+	if od.IsTicketInvalid {
+		return RefusedTicket, false
+	}
+	profile := ex.settings.Profile(od.Task)
 	if ex.settings.IsCapacityEnforced && !ex.Used().Plus(profile.Demand).FitsIn(ex.settings.Worker.Capacity) {
 		return RefusedCapacity, false
 	}
-	ex.runs[name] = &run{
-		attempt:    attempt,
+	ex.runs[od.Task] = ex.newRun(now, od, profile)
+	return "", true
+}
+
+func (ex *Executor) newRun(now time.Time, od StartOrder, profile Profile) *run {
+	rn := &run{
+		attempt:    od.Attempt,
 		profile:    profile,
-		checkpoint: checkpoint,
+		checkpoint: od.Checkpoint,
 		startedAt:  now,
+		beganAt:    now,
+		isWaiting:  profile.IsGang,
 		slowness:   ex.Slowness,
 		isHanging:  ex.IsHanging,
 		isFailing:  ex.IsFailing || profile.IsFailing,
 		pace:       100,
 	}
-	return "", true
+	if profile.IsCheckpointing {
+		rn.resumed = parseCheckpoint(od.Checkpoint, checkpointOwner(od.Task, profile.IsGang))
+	}
+	if rn.resumed.work > 0 {
+		rn.restoreTime = ex.settings.RestoreTime
+	}
+	return rn
 }
 
 // Stop carries out an order to stop a run.
@@ -221,7 +275,7 @@
 		report.Running = append(report.Running, modeller.Run{
 			Task:       name,
 			Attempt:    rn.attempt,
-			Checkpoint: rn.checkpoint,
+			Checkpoint: ex.save(now, rn),
 			Progress:   ex.progress(now, rn),
 		})
 	}
@@ -248,7 +302,39 @@
 		return 0
 	}
 	total := float64(rn.profile.Duration) * rn.slowness
-	return int(min(100, 100*float64(now.Sub(rn.startedAt))/max(total, 1)))
+	done := float64(rn.resumed.work) * rn.slowness
+	if !rn.isWaiting {
+		done += float64(max(now.Sub(rn.beganAt)-rn.restoreTime, 0))
+	}
+	return int(min(100, 100*done/max(total, 1)))
+}
+
+// worked returns the work that a run has done by a time, with what it resumed from.
+func (rn *run) worked(now time.Time) time.Duration {
+	if rn.isHanging || rn.isWaiting {
+		return rn.resumed.work
+	}
+	work := time.Duration(float64(max(now.Sub(rn.beganAt)-rn.restoreTime, 0)) / rn.slowness)
+	return min(rn.resumed.work+work, rn.profile.Duration)
+}
+
+// save saves a run's progress if a checkpoint is due, and returns the last one.
+func (ex *Executor) save(now time.Time, rn *run) string {
+	interval := ex.settings.CheckpointInterval
+	if !rn.profile.IsCheckpointing || interval == 0 {
+		return rn.checkpoint
+	}
+	if periods := (rn.worked(now) - rn.resumed.work) / interval; periods > 0 {
+		rn.saveWork(rn.resumed.work + periods*interval)
+	}
+	return rn.checkpoint
+}
+
+func (rn *run) saveWork(work time.Duration) {
+	rn.checkpoint = checkpoint{
+		work:  work,
+		owner: rn.resumed.owner,
+	}.String()
 }
 
 // LeaseExpiredSince reports whether the lease has expired since a time.
@@ -268,15 +354,19 @@
 	}) {
 		rn := ex.runs[name]
 		switch {
+		case rn == nil:
+			// It has ended with another member of its gang.
 		case ex.leaseEnd > 0 && ex.leaseEnd <= ex.Clock(now):
-			ex.end(name, rn, modeller.EndLeaseExpired)
+			ex.end(now, name, rn, modeller.EndLeaseExpired)
 		case !rn.stopAt.IsZero() && !now.Before(rn.stopAt):
-			ex.end(name, rn, modeller.EndStopped)
-		case rn.isHanging || rn.profile.IsLongRunning && !rn.isFailing || now.Before(ex.endTime(rn)):
+			ex.end(rn.stopAt, name, rn, modeller.EndStopped)
+		case rn.isWaiting && !now.Before(ex.endTime(rn)):
+			ex.end(now, name, rn, modeller.EndGangIncomplete)
+		case rn.isWaiting || rn.isHanging || rn.profile.IsLongRunning && !rn.isFailing || now.Before(ex.endTime(rn)):
 		case rn.isFailing:
-			ex.end(name, rn, modeller.EndFailed)
+			ex.end(now, name, rn, modeller.EndFailed)
 		default:
-			ex.end(name, rn, modeller.EndDone)
+			ex.end(now, name, rn, modeller.EndDone)
 		}
 	}
 }
@@ -296,10 +386,18 @@
 
 // endTime returns when a run ends without a stop.
 func (ex *Executor) endTime(rn *run) time.Time {
-	return rn.startedAt.Add(time.Duration(float64(rn.profile.Duration) * rn.slowness))
+	if rn.isWaiting {
+		return rn.startedAt.Add(ex.settings.GangWait)
+	}
+	return rn.beganAt.Add(rn.restoreTime + time.Duration(float64(rn.profile.Duration-rn.resumed.work)*rn.slowness))
 }
 
-func (ex *Executor) end(name modeller.TaskName, rn *run, kind modeller.EndKind) {
+// end ends a run at a time.
+func (ex *Executor) end(now time.Time, name modeller.TaskName, rn *run, kind modeller.EndKind) {
+	ex.save(now, rn)
+	if kind == modeller.EndStopped && rn.profile.IsCheckpointing && ex.settings.CheckpointInterval > 0 {
+		rn.saveWork(rn.worked(now))
+	}
 	delete(ex.runs, name)
 	ex.highestAttempt[name] = max(ex.highestAttempt[name], rn.attempt)
 	ex.lastEndNumber++
--- a/standin/internal/provider/provider.go
+++ b/standin/internal/provider/provider.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -26,6 +27,12 @@
 	downTime = 800 * time.Millisecond
 	stopTime = 100 * time.Millisecond
 	maxLease = 10 * time.Second
+	// defaultGangWait is how long a member of a gang waits for the others.
+	defaultGangWait = 3 * time.Second
+	// defaultCheckpointInterval is the work between two checkpoints, and
+	// defaultRestoreTime the time to resume from one.
+	defaultCheckpointInterval = time.Second
+	defaultRestoreTime        = 600 * time.Millisecond
 )
 
 // Provider is a stand-in of the users' platform.
@@ -33,15 +40,67 @@
 	keeper *keeper.Keeper
 	store  *keeper.Zone
 
-	mu          sync.Mutex
-	vms         map[string]*vm
-	completions map[modeller.TaskName]int
-	violations  []string
-	starts      int
-	moves       int
+	// seed is the seed of random choices, and advisedShare the share of the workers
+	// that may run a step of a queue with advice.
+	seed         uint64
+	advisedShare float64
+	entryExpiry  time.Duration
+	// gangWait, checkpointInterval and restoreTime are settings of the workers.
+	gangWait, checkpointInterval, restoreTime time.Duration
+
+	// reporting guards violations.
+	reporting  sync.Mutex
+	violations []Violation
+
+	mu     sync.Mutex
+	random *rand.Rand
+	vms    map[string]*vm
+	counts Counts
 	// profiles holds the profiles of started tasks, decoded from their payloads.
 	profiles map[modeller.TaskName]executor.Profile
-	stop     chan struct{}
+	// expected holds the jobs that may run, or is nil if any may.
+	expected map[modeller.JobID]*expectedJob
+	// queues are the queues of all configurations, and pools the pools of the newest.
+	queues  []modeller.Queue
+	pools   map[string]modeller.Pool
+	units   map[modeller.TaskName]*unit
+	gangs   map[gangKey]*gang
+	tickets map[string]ticket
+	stop    chan struct{}
+}
+
+// Option changes one property of a new Provider.
+type Option func(*Provider)
+
+// WithSeed sets the seed of random choices.
+func WithSeed(seed uint64) Option {
+	return func(pv *Provider) { pv.seed = seed }
+}
+
+// WithGangWait sets how long a member of a gang waits for the others.
+func WithGangWait(wait time.Duration) Option {
+	return func(pv *Provider) { pv.gangWait = wait }
+}
+
+// WithCheckpoints sets the work between two checkpoints, and the time that it takes
+// to resume from one.
+func WithCheckpoints(interval, restoreTime time.Duration) Option {
+	return func(pv *Provider) {
+		pv.checkpointInterval = interval
+		pv.restoreTime = restoreTime
+	}
+}
+
+// WithAdvisedShare sets the share of a pool's VMs, at least one, whose workers may
+// run a step of a queue with advice.
+func WithAdvisedShare(share float64) Option {
+	return func(pv *Provider) { pv.advisedShare = share }
+}
+
+// WithEntryExpiry sets how long the directory entry of a worker that has crashed
+// remains.
+func WithEntryExpiry(expiry time.Duration) Option {
+	return func(pv *Provider) { pv.entryExpiry = expiry }
 }
 
 // vm is a VM with the current incarnation of its worker.
@@ -50,23 +109,66 @@
 	address          netip.AddrPort
 	state            modeller.VMState
 	incarnation      int
-	worker           *executor.Executor
-	fence            uint64
-	maintained       map[int64]bool
-	capacity         modeller.Resources
+	// idNumber is the number in the ID of the worker; keepsID is true if the next
+	// incarnation has the same one.
+	idNumber   int
+	keepsID    bool
+	worker     *executor.Executor
+	fence      uint64
+	maintained map[int64]bool
+	capacity   modeller.Resources
+	labels     []string
+	clock      Clock
+	faults     []WorkerFault
+	// drainsUntil is when the worker leaves, or zero if it isn't draining.
+	drainsUntil time.Time
+}
+
+// Clock is the error of the clocks of a VM's workers.
+type Clock struct {
+	// Offset is the reading of the steady clock at a worker's start.
+	Offset time.Duration
+	// Drift is the fraction by which the steady clock runs slow.
+	Drift float64
+	// WallOffset is the error of the time of day.
+	WallOffset time.Duration
+}
+
+// VMOption changes one property of a new VM.
+type VMOption func(*vm)
+
+// WithLabels sets the labels of a VM's workers.
+func WithLabels(labels ...string) VMOption {
+	return func(machine *vm) { machine.labels = labels }
+}
+
+// WithClock sets the error of the clocks of a VM's workers.
+func WithClock(clock Clock) VMOption {
+	return func(machine *vm) { machine.clock = clock }
 }
 
 // New returns a Provider that advances its workers until Close is called.
-func New() *Provider {
+func New(opts ...Option) *Provider {
 	kr := keeper.New(keeper.WithRates(0, 0))
 	pv := &Provider{
-		keeper:      kr,
-		store:       kr.Zone("platform"),
-		vms:         map[string]*vm{},
-		completions: map[modeller.TaskName]int{},
-		profiles:    map[modeller.TaskName]executor.Profile{},
-		stop:        make(chan struct{}),
+		keeper:             kr,
+		store:              kr.Zone("platform"),
+		advisedShare:       1,
+		gangWait:           defaultGangWait,
+		checkpointInterval: defaultCheckpointInterval,
+		restoreTime:        defaultRestoreTime,
+		vms:                map[string]*vm{},
+		profiles:           map[modeller.TaskName]executor.Profile{},
+		pools:              map[string]modeller.Pool{},
+		units:              map[modeller.TaskName]*unit{},
+		gangs:              map[gangKey]*gang{},
+		tickets:            map[string]ticket{},
+		stop:               make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(pv)
 	}
+	pv.random = rand.New(rand.NewPCG(pv.seed, pv.seed))
 	go pv.advanceWorkers()
 	return pv
 }
@@ -99,7 +201,7 @@
 
 // AddVM adds a VM to a pool, with the address on which its workers listen. No
 // worker runs on VMs of a standby pool.
-func (pv *Provider) AddVM(name, pool, zone string, address netip.AddrPort, capacity modeller.Resources, isStandby bool) {
+func (pv *Provider) AddVM(name, pool, zone string, address netip.AddrPort, capacity modeller.Resources, isStandby bool, opts ...VMOption) {
 	pv.mu.Lock()
 	defer pv.mu.Unlock()
 	machine := &vm{
@@ -110,6 +212,10 @@
 		state:      modeller.VMUp,
 		maintained: map[int64]bool{},
 		capacity:   capacity,
+		labels:     []string{"a", "r1"},
+	}
+	for _, opt := range opts {
+		opt(machine)
 	}
 	pv.vms[name] = machine
 	if !isStandby {
@@ -120,53 +226,80 @@
 // startWorker starts a new incarnation of a VM's worker and lists it in the
 // directory.
 func (pv *Provider) startWorker(machine *vm) {
+	if !machine.keepsID {
+		machine.idNumber++
+	}
+	machine.keepsID = false
 	machine.incarnation++
+	incarnation := machine.incarnation
 	machine.state = modeller.VMUp
+	machine.drainsUntil = time.Time{}
 	machine.worker = executor.New(time.Now(), executor.Settings{
 		Worker: modeller.Worker{
-			ID:       modeller.WorkerID(fmt.Sprintf("i-%s-%d", machine.name, machine.incarnation)),
+			ID:       machine.workerID(),
 			Pool:     machine.pool,
+			Labels:   machine.labels,
 			Capacity: machine.capacity,
 		},
-		StopTime: stopTime,
-		MaxLease: maxLease,
-		Profile:  func(name modeller.TaskName) executor.Profile { return pv.profiles[name] },
+		StopTime:           stopTime,
+		MaxLease:           maxLease,
+		Drift:              machine.clock.Drift,
+		ClockOffset:        machine.clock.Offset,
+		WallClockOffset:    machine.clock.WallOffset,
+		GangWait:           pv.gangWait,
+		CheckpointInterval: pv.checkpointInterval,
+		RestoreTime:        pv.restoreTime,
+		IsCapacityEnforced: pv.pools[machine.pool].RejectsOverload,
+		Profile:            pv.profile,
+		OnEnd:              func(end modeller.End) { pv.recordEnd(machine, incarnation, end) },
 	})
-	pv.listWorker(machine, "ready")
+	pv.listWorker(machine)
 }
 
-// stopWorker stops a VM's current worker, if any, and removes its directory entry.
+// workerID returns the ID of a VM's current or last worker.
+func (machine *vm) workerID() modeller.WorkerID {
+	return modeller.WorkerID(fmt.Sprintf("i-%s-%d", machine.name, machine.idNumber))
+}
+
+// stopWorker stops a VM's current worker, if any. Its directory entry remains.
 func (pv *Provider) stopWorker(machine *vm) {
 	if machine.worker == nil {
 		return
 	}
-	pv.remove(directoryKey(machine))
 	machine.worker = nil
+	machine.drainsUntil = time.Time{}
+	pv.breakGangs(machine)
 }
 
-func directoryKey(machine *vm) string {
-	return "servers/" + string(machine.worker.Worker().ID)
-}
+// unlistWorker removes the directory entry of a VM's last worker.
+func (pv *Provider) unlistWorker(machine *vm) { pv.remove(directoryKey(machine.workerID())) }
+
+func directoryKey(id modeller.WorkerID) string { return "servers/" + string(id) }
 
 // listWorker writes a worker's entry in the directory.
-func (pv *Provider) listWorker(machine *vm, state string) {
-	value, err := json.Marshal(map[string]any{
+func (pv *Provider) listWorker(machine *vm) {
+	entry := map[string]any{
 		"service":  machine.pool,
 		"address":  machine.address.String(),
 		"zone":     machine.zone,
 		"version":  "v1",
 		"slots":    8,
-		"state":    state,
+		"state":    "ready",
 		"capacity": map[string]int{"cpu": machine.capacity.MilliCores, "mem_mb": machine.capacity.MemoryMB, "gpu": machine.capacity.Accelerators},
-		"labels":   []string{"a", "r1"},
+		"labels":   machine.labels,
 		"machine":  machine.name,
 		"born":     machine.worker.Report(time.Now()).StartedAtMS,
-	})
+	}
+	if !machine.drainsUntil.IsZero() {
+		entry["state"] = "draining"
+		entry["remaining_ms"] = max(time.Until(machine.drainsUntil).Milliseconds(), 0)
+	}
+	value, err := json.Marshal(entry)
 	if err != nil {
-		pv.violations = append(pv.violations, "directory: "+err.Error())
+		pv.recordViolation(RuleModel, modeller.TaskName{}, "directory: %v", err)
 		return
 	}
-	pv.Put(directoryKey(machine), value)
+	pv.Put(directoryKey(machine.workerID()), value)
 }
 
 // Put writes a key of the store unconditionally.
@@ -183,30 +316,81 @@
 }
 
 // Crash stops a VM's worker and starts a new one without state after the given
-// time.
+// time. It does nothing if no worker runs on the VM.
 func (pv *Provider) Crash(name string, after time.Duration) {
 	pv.mu.Lock()
 	defer pv.mu.Unlock()
 	machine := pv.vms[name]
+	if machine.worker == nil {
+		return
+	}
 	pv.stopWorker(machine)
 	machine.state = modeller.VMDown
-	time.AfterFunc(after, func() { pv.restart(name, machine.pool) })
+	if pv.entryExpiry == 0 {
+		pv.unlistWorker(machine)
+	} else {
+		key := directoryKey(machine.workerID())
+		time.AfterFunc(pv.entryExpiry, func() {
+			pv.mu.Lock()
+			defer pv.mu.Unlock()
+			pv.remove(key)
+		})
+	}
+	pv.restartAfter(machine, after)
 }
 
-// restart starts a new worker on a VM in a pool.
-func (pv *Provider) restart(name, pool string) {
+// CrashAndKeepID is Crash, but the new worker has the ID of the one before, whose
+// directory entry remains.
+func (pv *Provider) CrashAndKeepID(name string, after time.Duration) {
 	pv.mu.Lock()
 	defer pv.mu.Unlock()
 	machine := pv.vms[name]
-	machine.pool = pool
-	pv.startWorker(machine)
+	if machine.worker == nil {
+		return
+	}
+	pv.stopWorker(machine)
+	machine.state = modeller.VMDown
+	machine.keepsID = true
+	pv.restartAfter(machine, after)
 }
 
-// Violations returns the violations of guarantees found so far.
-func (pv *Provider) Violations() []string {
+// Drain lists a VM's worker as draining. The worker leaves after the remaining time,
+// and a new one starts after a further time. It does nothing if no worker runs on
+// the VM or if the worker drains already.
+func (pv *Provider) Drain(name string, remaining, after time.Duration) {
 	pv.mu.Lock()
 	defer pv.mu.Unlock()
-	return append([]string(nil), pv.violations...)
+	machine := pv.vms[name]
+	if machine.worker == nil || !machine.drainsUntil.IsZero() {
+		return
+	}
+	machine.drainsUntil = time.Now().Add(remaining)
+	pv.listWorker(machine)
+	incarnation := machine.incarnation
+	time.AfterFunc(remaining, func() {
+		pv.mu.Lock()
+		defer pv.mu.Unlock()
+		if machine.incarnation != incarnation || machine.worker == nil {
+			return
+		}
+		pv.stopWorker(machine)
+		pv.unlistWorker(machine)
+		machine.state = modeller.VMDown
+		pv.restartAfter(machine, after)
+	})
+}
+
+// restartAfter starts a new worker on a VM after a time, unless another one has
+// been started by then.
+func (pv *Provider) restartAfter(machine *vm, after time.Duration) {
+	incarnation := machine.incarnation
+	time.AfterFunc(after, func() {
+		pv.mu.Lock()
+		defer pv.mu.Unlock()
+		if machine.incarnation == incarnation {
+			pv.startWorker(machine)
+		}
+	})
 }
 
 // Counts are the event counts of the workers and VMs.
@@ -214,50 +398,21 @@
 	// Starts counts the runs started, Done the tasks completed, and Moves the
 	// moves of VMs between pools.
 	Starts, Done, Moves int
+	// Resumes counts the runs started from a checkpoint, and Gangs the gangs whose
+	// members were all present.
+	Resumes, Gangs int
+	// TicketRefusals counts the starts refused for want of a valid ticket.
+	TicketRefusals int
+	// LostAnswers counts the answers lost after the call took effect, and LateOrders
+	// the calls carried out late.
+	LostAnswers, LateOrders int
 }
 
 // Counts returns the event counts so far.
 func (pv *Provider) Counts() Counts {
 	pv.mu.Lock()
 	defer pv.mu.Unlock()
-	return Counts{
-		Starts: pv.starts,
-		Done:   len(pv.completions),
-		Moves:  pv.moves,
-	}
-}
-
-// recordAcknowledged records the ends that a poll acknowledges. An end that is
-// lost with its worker before it is acknowledged doesn't count.
-func (pv *Provider) recordAcknowledged(machine *vm, acknowledged int64) {
-	for _, end := range machine.worker.Report(time.Now()).Ended {
-		if end.Number > acknowledged || end.Kind != modeller.EndDone {
-			continue
-		}
-		pv.completions[end.Task]++
-		if pv.completions[end.Task] > 1 {
-			pv.violations = append(pv.violations, fmt.Sprintf("%s was completed twice", end.Task))
-		}
-	}
-}
-
-// checkStart checks the guarantees after a worker has started a run.
-func (pv *Provider) checkStart(machine *vm, name modeller.TaskName) {
-	pv.starts++
-	if pv.completions[name] > 0 {
-		pv.violations = append(pv.violations, fmt.Sprintf("%s was started after its completion was acknowledged", name))
-	}
-	if used := machine.worker.Used(); !used.FitsIn(machine.capacity) {
-		pv.violations = append(pv.violations, fmt.Sprintf("%s raises the resource use of %s above its capacity", name, machine.name))
-	}
-	for _, other := range pv.vms {
-		if other == machine || other.worker == nil {
-			continue
-		}
-		if _, runs := other.worker.Runs()[name]; runs {
-			pv.violations = append(pv.violations, fmt.Sprintf("%s runs on %s and %s", name, other.name, machine.name))
-		}
-	}
+	return pv.counts
 }
 
 // writeJSON writes a JSON response.
--- a/standin/internal/provider/store.go
+++ b/standin/internal/provider/store.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/shared/store/storer"
 )
@@ -17,7 +18,7 @@
 // violation.
 func (pv *Provider) commit(tx storer.Transaction) {
 	if _, err := pv.store.Commit(context.Background(), tx); err != nil {
-		pv.violations = append(pv.violations, "store: "+err.Error())
+		pv.recordViolation(RuleModel, modeller.TaskName{}, "store: %v", err)
 	}
 }
 
--- a/standin/internal/provider/vm.go
+++ b/standin/internal/provider/vm.go
@@ -85,10 +85,10 @@
 	case machine == nil:
 	case machine.pool == vo.Pool:
 		writeJSON(rw, http.StatusOK, map[string]string{})
-	case machine.state != modeller.VMUp:
+	case machine.state != modeller.VMUp || !machine.drainsUntil.IsZero():
 		writeJSON(rw, http.StatusConflict, map[string]string{"reason": "busy"})
 	default:
-		pv.moves++
+		pv.counts.Moves++
 		pv.takeDown(machine, modeller.VMMoving, vo.Pool)
 		writeJSON(rw, http.StatusOK, map[string]string{})
 	}
@@ -102,7 +102,7 @@
 	case machine == nil:
 	case machine.maintained[vo.Wave]:
 		writeJSON(rw, http.StatusOK, map[string]string{})
-	case machine.state != modeller.VMUp:
+	case machine.state != modeller.VMUp || !machine.drainsUntil.IsZero():
 		writeJSON(rw, http.StatusConflict, map[string]string{"reason": "busy"})
 	default:
 		machine.maintained[vo.Wave] = true
@@ -114,39 +114,22 @@
 // takeDown stops a VM's worker and starts a new one in a pool after downTime. VMs
 // of the standby pool get no new worker.
 func (pv *Provider) takeDown(machine *vm, state modeller.VMState, pool string) {
-	pv.stopWorker(machine)
+	if machine.worker != nil {
+		pv.stopWorker(machine)
+		pv.unlistWorker(machine)
+	}
 	machine.state = state
 	machine.pool = pool
+	if pool != StandbyPool {
+		pv.restartAfter(machine, downTime)
+		return
+	}
 	time.AfterFunc(downTime, func() {
-		if pool == StandbyPool {
-			pv.mu.Lock()
-			machine.state = modeller.VMUp
-			pv.mu.Unlock()
-			return
-		}
-		pv.restart(machine.name, pool)
+		pv.mu.Lock()
+		defer pv.mu.Unlock()
+		machine.state = modeller.VMUp
 	})
 }
 
 // StandbyPool is the pool whose VMs run no worker.
 const StandbyPool = "standby"
-
-// AdviceHandler returns the handler of an advice service that rates every worker
-// as suitable for every step.
-func (pv *Provider) AdviceHandler() http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
-		var body struct {
-			Step    string   `json:"step"`
-			Workers []string `json:"workers"`
-		}
-		if err := json.NewDecoder(rq.Body).Decode(&body); err != nil {
-			rw.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		suitable := [][]string{}
-		for _, id := range body.Workers {
-			suitable = append(suitable, []string{id, "ticket-" + id})
-		}
-		writeJSON(rw, http.StatusOK, map[string]any{"good": suitable})
-	})
-}
--- a/standin/internal/provider/worker.go
+++ b/standin/internal/provider/worker.go
@@ -33,6 +33,7 @@
 	DeadlineMS   int64  `json:"deadline_ms"`
 	FencingToken uint64 `json:"fencing_token"`
 	Checkpoint   string `json:"checkpoint"`
+	Ticket       string `json:"ticket"`
 	Percent      int    `json:"percent"`
 	LastSeen     int64  `json:"last_seen"`
 	WaitMS       int64  `json:"wait_ms"`
@@ -49,7 +50,11 @@
 	mux.HandleFunc("POST /run-stop", wh.stop)
 	mux.HandleFunc("POST /pace", wh.pace)
 	mux.HandleFunc("POST /hold", wh.poll)
-	return mux
+	return &impairer{
+		provider: pv,
+		vm:       name,
+		handler:  mux,
+	}
 }
 
 type workerHandler struct {
@@ -58,13 +63,13 @@
 }
 
 // withWorker calls step with the VM while the provider is locked. It closes the
-// connection if the VM has no worker, and refuses a request that names another
-// worker instance.
+// connection if the worker that the call reached has stopped, and refuses a request
+// that names another worker instance.
 func (wh *workerHandler) withWorker(rw http.ResponseWriter, rq *http.Request, step func(machine *vm)) {
 	wh.provider.mu.Lock()
 	defer wh.provider.mu.Unlock()
 	machine := wh.provider.vms[wh.vm]
-	if machine.worker == nil {
+	if machine.worker == nil || machine.incarnation != rq.Context().Value(incarnationKey{}) {
 		panic(http.ErrAbortHandler)
 	}
 	if expected := rq.Header.Get("Expect-Instance"); expected != "" && expected != string(machine.worker.Worker().ID) {
@@ -95,22 +100,47 @@
 	if !ok {
 		return
 	}
-	profile, err := decodePayload(od.Spec)
-	if err != nil {
-		rw.WriteHeader(http.StatusBadRequest)
-		return
-	}
 	wh.withWorker(rw, rq, func(machine *vm) {
-		wh.provider.profiles[name] = profile
+		if !wh.provider.learnProfile(name, od.Spec) {
+			rw.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		wh.provider.applyRunFaults(machine)
 		before := machine.worker.Runs()[name]
-		refusal, ok := machine.worker.Start(time.Now(), od.FencingToken, name, od.Attempt, od.Checkpoint, time.Duration(od.DeadlineMS)*time.Millisecond)
+		refusal, ok := machine.worker.Start(time.Now(), executor.StartOrder{
+			Fence:           od.FencingToken,
+			Task:            name,
+			Attempt:         od.Attempt,
+			Checkpoint:      od.Checkpoint,
+			LeaseEnd:        time.Duration(od.DeadlineMS) * time.Millisecond,
+			IsTicketInvalid: !wh.provider.hasValidTicket(machine, name, od.Ticket),
+		})
 		if ok && before != od.Attempt {
-			wh.provider.checkStart(machine, name)
+			wh.provider.checkStart(machine, name, od)
+			wh.provider.joinGang(machine, name, od.Attempt, od.Checkpoint)
+		}
+		if refusal == executor.RefusedTicket {
+			wh.provider.counts.TicketRefusals++
 		}
 		answerOrder(rw, machine, refusal, ok)
 	})
 }
 
+// learnProfile records what the payload of a start says of its task. It reports
+// false if the payload can't be decoded; that of an expected job may have any form.
+func (pv *Provider) learnProfile(name modeller.TaskName, spec string) bool {
+	ej := pv.expected[name.Job]
+	if ej != nil {
+		spec = ej.job.Payload
+	}
+	profile, err := decodePayload(spec)
+	if err != nil && ej == nil {
+		return false
+	}
+	pv.profiles[name] = profile
+	return true
+}
+
 func decodePayload(spec string) (executor.Profile, error) {
 	var pl payload
 	if err := json.NewDecoder(strings.NewReader(spec)).Decode(&pl); err != nil {
@@ -168,14 +198,18 @@
 	for isAnswered := false; !isAnswered; {
 		isAnswered = true
 		wh.withWorker(rw, rq, func(machine *vm) {
-			wh.provider.recordAcknowledged(machine, od.LastSeen)
+			listed := machine.worker.Report(time.Now()).Ended
 			report, refusal, ok := machine.worker.Poll(time.Now(), od.FencingToken, time.Duration(od.DeadlineMS)*time.Millisecond, od.LastSeen)
+			if ok {
+				wh.provider.recordAcknowledged(machine, listed, od.LastSeen)
+			}
 			switch {
 			case !ok:
 				answerOrder(rw, machine, refusal, false)
 			case len(report.Ended) == 0 && time.Now().Before(until):
 				isAnswered = false
 			default:
+				wh.provider.recordCheckpoints(report)
 				answerPoll(rw, report)
 			}
 		})
--- /dev/null
+++ b/standin/internal/provider/worker_fault_test.go
@@ -0,0 +1,180 @@
+package provider
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+// awaitWorker waits until an incarnation of a VM's worker runs.
+func (rg *rig) awaitWorker(vm string, incarnation int) {
+	rg.t.Helper()
+	must.Wait(rg.t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		rg.provider.mu.Lock()
+		defer rg.provider.mu.Unlock()
+		machine := rg.provider.vms[vm]
+		return machine.incarnation == incarnation && machine.worker != nil
+	}), wait.Timeout(patience), wait.Gap(time.Millisecond)))
+}
+
+// runs returns the number of runs that a worker reports.
+func (rg *rig) runs(vm string) int { return len(rg.poll(vm, 0).Running) }
+
+// entry returns a field of a worker's directory entry, or nil without an entry.
+func (rg *rig) entry(id, field string) any {
+	rg.t.Helper()
+	et, err := rg.provider.Keeper().Zone("z").Get(rg.t.Context(), "servers/"+id)
+	if err != nil {
+		return nil
+	}
+	var entry map[string]any
+	must.NoError(rg.t, json.Unmarshal(et.Value, &entry))
+	return entry[field]
+}
+
+func withLongWork(od *order) { od.Spec = payloadOf(time.Hour) }
+
+func TestALostAnswerHasAnEffect(t *testing.T) {
+	rg := newRig(t)
+	rg.provider.SetWorkerFaults("a", LostAnswers{Share: 1})
+	must.Zero(t, rg.start("a", taskText(0, 0), 1, withLongWork).status)
+	rg.provider.SetWorkerFaults("a")
+	must.Eq(t, 1, rg.runs("a"))
+	must.Eq(t, 1, rg.provider.Counts().LostAnswers)
+}
+
+func TestARefusedOrderHasNone(t *testing.T) {
+	rg := newRig(t)
+	rg.provider.SetWorkerFaults("a", RefusedOrders{Share: 1, Status: http.StatusServiceUnavailable})
+	must.Eq(t, http.StatusServiceUnavailable, rg.start("a", taskText(0, 0), 1, withLongWork).status)
+	rg.provider.SetWorkerFaults("a")
+	must.Zero(t, rg.runs("a"))
+}
+
+func TestALateOrderIsCarriedOutAfterNewerOnes(t *testing.T) {
+	rg := newRig(t)
+	const delay = 2 * callTimeout
+	rg.provider.SetWorkerFaults("a", LateOrders{Share: 1, Delay: delay, Jitter: delay})
+	must.Zero(t, rg.start("a", taskText(0, 0), 1, withLongWork).status)
+	rg.provider.SetWorkerFaults("a")
+	must.Zero(t, rg.runs("a"))
+	rg.mustStart("a", taskText(0, 1), 1, withLongWork)
+	must.Eq(t, 1, rg.runs("a"))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return rg.runs("a") == 2 }), wait.Timeout(patience), wait.Gap(5*time.Millisecond)))
+	must.Eq(t, 1, rg.provider.Counts().LateOrders)
+}
+
+func TestALateOrderIsLostWithItsWorker(t *testing.T) {
+	rg := newRig(t)
+	const delay = 2 * callTimeout
+	rg.provider.SetWorkerFaults("a", LateOrders{Share: 1, Delay: delay})
+	must.Zero(t, rg.start("a", taskText(0, 0), 1, withLongWork).status)
+	rg.provider.SetWorkerFaults("a")
+	rg.provider.CrashAndKeepID("a", 0)
+	rg.awaitWorker("a", 2)
+	time.Sleep(2 * delay)
+	must.Zero(t, rg.runs("a"))
+	must.Zero(t, rg.provider.Counts().Starts)
+}
+
+func TestRunsHangOrAreSlow(t *testing.T) {
+	rg := newRig(t)
+	rg.provider.SetWorkerFaults("a", HangingRuns{Share: 1})
+	rg.provider.SetWorkerFaults("b", SlowRuns{Factor: 1000})
+	rg.mustStart("a", taskText(0, 0), 1)
+	rg.mustStart("b", taskText(0, 1), 1)
+	rg.mustStart("c", taskText(0, 2), 1)
+	rg.awaitEnd("c", taskText(0, 2), 1)
+	time.Sleep(100 * time.Millisecond)
+	must.Eq(t, 1, rg.runs("a"))
+	must.Eq(t, 1, rg.runs("b"))
+}
+
+func TestAWorkerCrashesAndKeepsItsID(t *testing.T) {
+	rg := newRig(t)
+	rg.mustStart("a", taskText(0, 0), 1, withLongWork)
+	before := rg.poll("a", 0)
+	rg.provider.CrashAndKeepID("a", 20*time.Millisecond)
+	must.Zero(t, rg.poll("a", 0).status)
+	must.Eq(t, any(float64(before.Born)), rg.entry("i-a-1", "born"))
+	rg.awaitWorker("a", 2)
+	after := rg.poll("a", 0)
+	must.SliceEmpty(t, after.Running)
+	must.Greater(t, before.Born, after.Born)
+	must.Eq(t, any(float64(after.Born)), rg.entry("i-a-1", "born"))
+	must.Less(t, patience.Milliseconds(), after.ClockMS)
+}
+
+func TestTheEntryOfACrashedWorkerRemainsForATime(t *testing.T) {
+	rg := newRig(t, WithEntryExpiry(50*time.Millisecond))
+	rg.provider.Crash("a", 0)
+	rg.awaitWorker("a", 2)
+	must.NotNil(t, rg.entry("i-a-1", "born"))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return rg.entry("i-a-1", "born") == nil }), wait.Timeout(patience), wait.Gap(time.Millisecond)))
+	must.NotNil(t, rg.entry("i-a-2", "born"))
+}
+
+func TestADrainingWorkerLeaves(t *testing.T) {
+	rg := newRig(t)
+	rg.mustStart("a", taskText(0, 0), 1, withLongWork)
+	rg.provider.Drain("a", 100*time.Millisecond, 10*time.Millisecond)
+	must.Eq(t, any("draining"), rg.entry("i-a-1", "state"))
+	must.Between(t, 1, rg.entry("i-a-1", "remaining_ms").(float64), 100)
+	must.Eq(t, 1, rg.runs("a"))
+	rg.awaitWorker("a", 2)
+	must.Nil(t, rg.entry("i-a-1", "state"))
+	must.Eq(t, any("ready"), rg.entry("i-a-2", "state"))
+	must.Zero(t, rg.runs("a"))
+	rg.rules()
+}
+
+// TestACrashEndsADrain guards against a worker that the end of a drain stops in place
+// of the one that drained.
+func TestACrashEndsADrain(t *testing.T) {
+	rg := newRig(t)
+	rg.provider.Drain("a", 50*time.Millisecond, time.Hour)
+	rg.provider.Crash("a", 0)
+	rg.awaitWorker("a", 2)
+	time.Sleep(100 * time.Millisecond)
+	must.Eq(t, http.StatusOK, rg.poll("a", 0).status)
+	must.Eq(t, any("ready"), rg.entry("i-a-2", "state"))
+}
+
+func TestTheClockOfAWorkerIsOff(t *testing.T) {
+	rg := newRig(t)
+	rg.addVM("d", poolName, WithClock(Clock{
+		Offset:     time.Hour,
+		Drift:      0.02,
+		WallOffset: -5 * time.Second,
+	}))
+	report := rg.poll("d", 0)
+	must.GreaterEq(t, time.Hour.Milliseconds(), report.ClockMS)
+	must.Less(t, time.Now().Add(-4*time.Second).UnixMilli(), report.Born)
+	must.Eq(t, any(float64(report.Born)), rg.entry("i-d-1", "born"))
+}
+
+func TestConfigurationIsWritten(t *testing.T) {
+	rg := newRig(t)
+	rg.provider.Configure(modeller.Configuration{
+		Version: 7,
+		Queues: map[string]modeller.Queue{queueName: {
+			Name:        queueName,
+			Host:        "h",
+			Prefix:      "/q/",
+			Pool:        poolName,
+			MaxAttempts: 3,
+			Timeout:     3 * time.Second,
+			Advice:      &modeller.Advice{DecisionTime: 5 * time.Millisecond, TimePerWorker: time.Millisecond, Validity: time.Second},
+		}},
+		Pools: map[string]modeller.Pool{poolName: {Name: poolName}, StandbyPool: {Name: StandbyPool, IsStandby: true}},
+	})
+	et, err := rg.provider.Keeper().Zone("z").Get(t.Context(), configurationKey)
+	must.NoError(t, err)
+	must.Eq(t, `{"limits":{"max_body_bytes":0},"routes":[{"name":"q","host":"h","prefix":"/q/","service":"p","timeout_ms":3000,"max_attempts":3,"advice":{"decision_ms":5,"period_ms":1,"validity_ms":1000}}],"services":[{"name":"p"},{"name":"standby","standby":true}],"version":7}`, string(et.Value))
+}
