--- a/standin/internal/provider/run.go
+++ b/standin/internal/provider/run.go
@@ -44,15 +44,15 @@
 		Attempt:   attempt,
 		VM:        machine.name,
 		Pool:      machine.pool,
-		Demand:    pv.profiles[name].Demand,
+		Demand:    pv.profile(name).Demand,
 		StartedAt: time.Now(),
 	}
 	pv.runs = append(pv.runs, rn)
 	machine.runs[name] = rn
 }
 
-// recordEnd records the end of the current run of a task on a worker.
-func (machine *vm) recordEnd(name modeller.TaskName, kind modeller.EndKind) {
+// endRun records the end of the current run of a task on a worker.
+func (machine *vm) endRun(name modeller.TaskName, kind modeller.EndKind) {
 	rn := machine.runs[name]
 	if rn == nil {
 		return
@@ -74,6 +74,7 @@
 // Worker is a worker with its current use.
 type Worker struct {
 	VM             string
+	Labels         []string
 	Capacity, Used modeller.Resources
 	Runs           []modeller.TaskName
 }
@@ -89,6 +90,7 @@
 		}
 		wk := Worker{
 			VM:       machine.name,
+			Labels:   machine.labels,
 			Capacity: machine.capacity,
 			Used:     machine.worker.Used(),
 		}
@@ -124,6 +126,7 @@
 		return
 	}
 	pv.stopWorker(machine)
+	pv.unlistWorker(machine)
 	machine.state = modeller.VMDown
 }
 
--- a/standin/internal/soaker/caller.go
+++ b/standin/internal/soaker/caller.go
@@ -92,8 +92,7 @@
 
 // submit submits a new job, and often again after a refusal.
 func (cl *caller) submit(ctx context.Context) {
-	prefix := cl.play.plan.Routes[cl.random.IntN(len(cl.play.plan.Routes))].Prefix
-	jb := newJob(cl.random, time.Now(), prefix)
+	jb := newJob(cl.random, time.Now(), cl.play.plan.Routes[cl.random.IntN(len(cl.play.plan.Routes))])
 	cl.play.addJob(jb)
 	for range maxTries {
 		as, ok := cl.send(ctx, jb, http.MethodPost)
@@ -107,8 +106,11 @@
 // try without an answer. It returns the last answer, and false if none was sent.
 func (cl *caller) send(ctx context.Context, jb *job, method string) (answer, bool) {
 	var body []byte
-	if method == http.MethodPost {
+	switch method {
+	case http.MethodPost:
 		body = jb.body
+	case http.MethodDelete:
+		cl.play.stage.Provider().ExpectCancel(jb.ID)
 	}
 	avoid := map[int]bool{}
 	for try := range maxTries {
--- a/standin/internal/soaker/check.go
+++ b/standin/internal/soaker/check.go
@@ -17,7 +17,7 @@
 	cuts         []cut
 	disturbances *disturbances
 	// violations are those that the platform's stand-in has found.
-	violations   []string
+	violations   []provider.Violation
 	runs         []provider.Run
 	maintenances []provider.Maintenance
 	// isCompleted holds the waves that are shown as completed, and isUp the VMs
@@ -41,8 +41,10 @@
 		evidence: ev,
 		history:  newHistory(ev.runs),
 	}
-	for _, text := range ck.violations {
-		ck.report(ck.endedAt, "TWICE or LIMIT", "%s", text)
+	for _, vn := range ck.violations {
+		if vn.Rule != provider.RuleGang || ck.isCalm(vn.At, gangWait+contactTime) {
+			ck.report(vn.At, string(vn.Rule), "%s %s", vn.Task, vn.Detail)
+		}
 	}
 	for _, ct := range ck.cuts {
 		if ct.isLost(ck.disturbances) {
@@ -57,10 +59,12 @@
 	for _, rn := range ck.runs {
 		jb := jobs[rn.Task.Job]
 		if jb == nil {
-			ck.report(rn.StartedAt, "UNASKED", "%s of a job that nobody submitted starts", rn.Task)
+			// The stand-in reports it.
 			continue
 		}
-		ck.checkStart(jb, rn)
+		if !jb.mayBeAccepted() {
+			ck.report(rn.StartedAt, "REFUSED", "%s starts, but all requests to submit its job were refused", rn.Task)
+		}
 		if as, ok := jb.find(http.MethodDelete, answer.isSuccess); ok {
 			ck.checkCancelled(rn, as.at)
 		}
@@ -113,47 +117,29 @@
 // completed.
 func (ck *checker) checkCompleted(jb *job, at time.Time) {
 	for _, name := range jb.tasks() {
-		if !ck.isDoneBy(name, at) {
+		if !ck.history.isDoneBy(jb, name, at) {
 			ck.report(at, "MIXED", "job %s is shown as completed, but %s isn't done", jb.path, name)
 		}
 	}
 }
 
-func (ck *checker) isDoneBy(name modeller.TaskName, at time.Time) bool {
-	doneAt, ok := ck.history.doneAt[name]
-	return ok && !doneAt.After(at)
-}
-
-// checkStart checks that a run may start.
-func (ck *checker) checkStart(jb *job, rn provider.Run) {
-	if !jb.mayBeAccepted() {
-		ck.report(rn.StartedAt, "REFUSED", "%s starts, but all requests to submit its job were refused", rn.Task)
-	}
-	if !slices.Contains(ck.plan.poolsOf(jb.prefix()), rn.Pool) {
-		ck.report(rn.StartedAt, "ROUTE", "%s starts on %s of pool %s", rn.Task, rn.VM, rn.Pool)
-	}
-	if dueAt := jb.dueAt(rn.Task.Occurrence); jb.Occurrences > 0 && dueAt.Sub(rn.StartedAt) > earlyTime {
-		ck.report(rn.StartedAt, "ORDER", "%s starts, and is due at %s", rn.Task, dueAt.Format(traceTime))
-	}
-	for _, before := range dependencies(jb, rn.Task) {
-		if !ck.isDoneBy(before, rn.StartedAt) {
-			ck.report(rn.StartedAt, "ORDER", "%s starts before %s is done", rn.Task, before)
-		}
-	}
+// isCalm reports whether nothing was disturbed at a time and for a span before it.
+func (ck *checker) isCalm(at time.Time, span time.Duration) bool {
+	since, isCalm := ck.disturbances.calmSince(at)
+	return isCalm && at.Sub(since) > span
 }
 
 // checkCancelled checks that a task of a cancelled job neither starts nor runs on.
 // Both bounds hold in calm times.
 func (ck *checker) checkCancelled(rn provider.Run, cancelledAt time.Time) {
-	calm, isCalm := ck.disturbances.calmSince(rn.StartedAt)
-	if isCalm && rn.StartedAt.Sub(calm) > contactTime && rn.StartedAt.Sub(cancelledAt) > cancelTime {
+	if ck.isCalm(rn.StartedAt, contactTime) && rn.StartedAt.Sub(cancelledAt) > cancelTime {
 		ck.report(rn.StartedAt, "UNASKED", "%s starts, but its job was cancelled at %s", rn.Task, cancelledAt.Format(traceTime))
 	}
 	endedAt := rn.EndedAt
 	if endedAt.IsZero() {
 		endedAt = ck.endedAt
 	}
-	calm, isCalm = ck.disturbances.calmSince(endedAt)
+	calm, isCalm := ck.disturbances.calmSince(endedAt)
 	from := slices.MaxFunc([]time.Time{cancelledAt, calm.Add(contactTime), rn.StartedAt.Add(contactTime)}, time.Time.Compare)
 	if isCalm && endedAt.Sub(from) > cancelTime+stopGrace {
 		ck.report(endedAt, "UNASKED", "%s still runs, but its job was cancelled at %s, and all is calm since %s", rn.Task, cancelledAt.Format(traceTime), calm.Format(traceTime))
--- a/standin/internal/soaker/check_test.go
+++ b/standin/internal/soaker/check_test.go
@@ -106,9 +106,16 @@
 		rules  []string
 	}{
 		{name: "sound", change: func(*evidence) {}},
-		{name: "violation of the stand-in", change: func(ev *evidence) { ev.violations = []string{"x"} }, rules: []string{"TWICE or LIMIT"}},
-		{name: "early dependency", change: func(ev *evidence) { ev.runs[1].StartedAt = at(0.9) }, rules: []string{"ORDER"}},
-		{name: "early occurrence", change: func(ev *evidence) { ev.jobs[0].Occurrences, ev.jobs[0].FirstAt = 1, at(0.8) }, rules: []string{"ORDER"}},
+		{name: "violation of the stand-in", change: func(ev *evidence) {
+			ev.violations = []provider.Violation{{Rule: provider.RuleTwice, At: at(1)}}
+		}, rules: []string{"TWICE"}},
+		{name: "incomplete gang", change: func(ev *evidence) {
+			ev.violations = []provider.Violation{{Rule: provider.RuleGang, At: at(9)}}
+		}, rules: []string{"GANG"}},
+		{name: "incomplete gang near a fault", change: func(ev *evidence) {
+			ev.violations = []provider.Violation{{Rule: provider.RuleGang, At: at(9)}}
+			ev.disturbances = disturbed(disturbance{from: at(1), to: at(3)})
+		}},
 		{name: "completed too early", change: func(ev *evidence) { ev.jobs[0].answers[1].at = at(1.9) }, rules: []string{"MIXED"}},
 		{name: "completed without a run", change: func(ev *evidence) { ev.runs = ev.runs[:1] }, rules: []string{"MIXED"}},
 		{name: "failed", change: func(ev *evidence) { ev.jobs[0].answers[1].state = modeller.JobFailed }, rules: []string{"LOST"}},
@@ -121,8 +128,6 @@
 		}},
 		{name: "refused", change: func(ev *evidence) { ev.jobs[0].answers[0].status = http.StatusServiceUnavailable }, rules: []string{"REFUSED", "REFUSED"}},
 		{name: "perhaps accepted", change: func(ev *evidence) { ev.jobs[0].answers[0].status = http.StatusGatewayTimeout }},
-		{name: "another pool", change: func(ev *evidence) { ev.runs[1].Pool = "batches" }, rules: []string{"ROUTE"}},
-		{name: "submitted by nobody", change: func(ev *evidence) { ev.jobs = nil }, rules: []string{"UNASKED", "UNASKED"}},
 		{name: "start after cancellation", change: func(ev *evidence) {
 			ev.jobs[0].answers[1] = cancelled(1)
 			ev.runs[1] = done(1, 4.1, 4.2)
--- a/standin/internal/soaker/finisher.go
+++ b/standin/internal/soaker/finisher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"coltsfootwick.example/shared/jobs/modeller"
@@ -166,6 +167,9 @@
 		capacity += wk.Capacity.MilliCores
 		free := wk.Capacity.Minus(wk.Used)
 		fitting := min(free.MilliCores/step.Demand.MilliCores, free.MemoryMB/step.Demand.MemoryMB)
+		if step.RequiredLabel != "" && !slices.Contains(wk.Labels, step.RequiredLabel) {
+			fitting = 0
+		}
 		if step.MaxPerWorker > 0 {
 			for _, other := range wk.Runs {
 				if other.StepName() == name.StepName() {
@@ -176,5 +180,9 @@
 		}
 		places += max(fitting, 0)
 	}
-	return places >= 2 && 2*used < capacity
+	needed := 2
+	if step.IsGang {
+		needed *= step.Count
+	}
+	return places >= needed && 2*used < capacity
 }
--- a/standin/internal/soaker/history.go
+++ b/standin/internal/soaker/history.go
@@ -57,7 +57,7 @@
 func (hy history) next(jb *job, now time.Time) (modeller.TaskName, bool) {
 	for _, name := range jb.tasks() {
 		isDue := jb.Occurrences == 0 || !now.Before(jb.dueAt(name.Occurrence))
-		if isDue && !hy.isAcknowledged[name] && hy.isReady(jb, name) {
+		if isDue && !hy.isTaken(jb, name) && hy.isReady(jb, name) {
 			return name, true
 		}
 	}
@@ -67,13 +67,34 @@
 // isReady reports whether the steps before a task are done.
 func (hy history) isReady(jb *job, name modeller.TaskName) bool {
 	for _, before := range dependencies(jb, name) {
-		if !hy.isAcknowledged[before] {
+		if !hy.isTaken(jb, before) {
 			return false
 		}
 	}
 	return true
 }
 
+// isTaken reports whether it was acknowledged that a task is done. The end of one
+// member of a gang represents all.
+func (hy history) isTaken(jb *job, name modeller.TaskName) bool {
+	for _, member := range jb.members(name) {
+		if hy.isAcknowledged[member] {
+			return true
+		}
+	}
+	return false
+}
+
+// isDoneBy reports whether a task, or a member of its gang, was done at a time.
+func (hy history) isDoneBy(jb *job, name modeller.TaskName, at time.Time) bool {
+	for _, member := range jb.members(name) {
+		if doneAt, ok := hy.doneAt[member]; ok && !doneAt.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
 // dependencies returns the tasks that have to be done before a task starts.
 func dependencies(jb *job, name modeller.TaskName) []modeller.TaskName {
 	var names []modeller.TaskName
--- a/standin/internal/soaker/job.go
+++ b/standin/internal/soaker/job.go
@@ -19,10 +19,13 @@
 const (
 	taskMilliCores = 1500
 	taskMemoryMB   = 500
-	minTaskTime    = 100 * time.Millisecond
-	maxTaskTime    = 800 * time.Millisecond
-	startUpTime    = 300 * time.Millisecond
-	maxOccurrences = 3
+	// checkpointedTime is the duration of tasks that save checkpoints, which is
+	// longer than the time between two.
+	checkpointedTime = 2500 * time.Millisecond
+	minTaskTime      = 100 * time.Millisecond
+	maxTaskTime      = 800 * time.Millisecond
+	startUpTime      = 300 * time.Millisecond
+	maxOccurrences   = 3
 	// maxFirstDelay is the longest time until the first occurrence of a job is due.
 	maxFirstDelay = 1500 * time.Millisecond
 	maxInterval   = 1200 * time.Millisecond
@@ -65,25 +68,30 @@
 
 // stepBody is the wire form of a step.
 type stepBody struct {
-	Count        int     `json:"count"`
-	CPU          int     `json:"cpu"`
-	MemMB        int     `json:"mem_mb"`
-	EstimateMS   float64 `json:"estimate_ms"`
-	After        []int   `json:"after,omitempty"`
-	LongRunning  bool    `json:"long_running,omitempty"`
-	MayMiss      int     `json:"may_miss,omitempty"`
-	AntiAffinity int     `json:"anti_affinity,omitempty"`
-}
-
-// newJob draws a job of a queue.
-func newJob(random *rand.Rand, now time.Time, prefix string) *job {
+	Count         int     `json:"count"`
+	CPU           int     `json:"cpu"`
+	MemMB         int     `json:"mem_mb"`
+	EstimateMS    float64 `json:"estimate_ms"`
+	After         []int   `json:"after,omitempty"`
+	Checkpointing bool    `json:"checkpointing,omitempty"`
+	Gang          bool    `json:"gang,omitempty"`
+	Constraints   string  `json:"constraints,omitempty"`
+	LongRunning   bool    `json:"long_running,omitempty"`
+	MayMiss       int     `json:"may_miss,omitempty"`
+	AntiAffinity  int     `json:"anti_affinity,omitempty"`
+}
+
+// newJob draws a job for a route.
+func newJob(random *rand.Rand, now time.Time, route Route) *job {
 	duration := minTaskTime + time.Duration(random.Int64N(int64(maxTaskTime-minTaskTime)))
 	jb := &job{
 		Job: modeller.Job{
-			ID: modeller.JobID(fmt.Sprintf("%016x", random.Uint64())),
+			ID:     modeller.JobID(fmt.Sprintf("%016x", random.Uint64())),
+			Queue:  route.Name,
+			Origin: route.queue(),
 		},
 	}
-	jb.path = prefix + string(jb.ID)
+	jb.path = route.Prefix + string(jb.ID)
 	step := modeller.Step{
 		Count: 1 + random.IntN(4),
 		Demand: modeller.Resources{
@@ -103,10 +111,20 @@
 		jb.Occurrences = 1 + random.IntN(maxOccurrences)
 		jb.FirstAt = now.Add(time.Duration(random.Int64N(int64(maxFirstDelay)))).Truncate(time.Millisecond)
 		jb.Interval = time.Duration(random.Int64N(int64(maxInterval))).Truncate(time.Millisecond)
+	case kind == 3:
+		step.Count = 2 + random.IntN(2)
+		step.IsGang = true
+		step.IsCheckpointing = random.IntN(2) == 0
+	case kind == 4:
+		step.IsCheckpointing = true
+		duration = checkpointedTime
+	case kind == 5:
+		step.RequiredLabel = racks[random.IntN(len(racks))]
 	}
 	jb.Steps = append(jb.Steps, step)
 	for !step.IsLongRunning && len(jb.Steps) < 3 && random.IntN(2) == 0 {
 		next := step
+		next.IsGang = false
 		next.Count = 1 + random.IntN(3)
 		next.DependsOn = []int{random.IntN(len(jb.Steps))}
 		jb.Steps = append(jb.Steps, next)
@@ -115,11 +133,11 @@
 	return jb
 }
 
-// encode returns the body of the job's submission, with the payload that the workers
-// of the platform's stand-in read.
+// encode sets the payload that the workers of the platform's stand-in read, and
+// returns the body of the job's submission.
 func (jb *job) encode(duration time.Duration) []byte {
-	spec := marshal(map[string]any{"workMs": duration.Milliseconds(), "cpu": taskMilliCores, "memMb": taskMemoryMB, "isLong": jb.isLong()})
-	body := map[string]any{"spec": string(spec)}
+	jb.Payload = string(marshal(map[string]any{"workMs": duration.Milliseconds()}))
+	body := map[string]any{"spec": jb.Payload}
 	if jb.Occurrences > 0 {
 		body["repeat_count"] = jb.Occurrences
 		body["start_at_ms"] = jb.FirstAt.UnixMilli()
@@ -128,14 +146,17 @@
 	var steps []stepBody
 	for _, st := range jb.Steps {
 		steps = append(steps, stepBody{
-			Count:        st.Count,
-			CPU:          st.Demand.MilliCores,
-			MemMB:        st.Demand.MemoryMB,
-			EstimateMS:   float64(st.Estimate.Milliseconds()),
-			After:        st.DependsOn,
-			LongRunning:  st.IsLongRunning,
-			MayMiss:      st.MaxUnavailable,
-			AntiAffinity: st.MaxPerWorker,
+			Count:         st.Count,
+			CPU:           st.Demand.MilliCores,
+			MemMB:         st.Demand.MemoryMB,
+			EstimateMS:    float64(st.Estimate.Milliseconds()),
+			After:         st.DependsOn,
+			Checkpointing: st.IsCheckpointing,
+			Gang:          st.IsGang,
+			Constraints:   st.RequiredLabel,
+			LongRunning:   st.IsLongRunning,
+			MayMiss:       st.MaxUnavailable,
+			AntiAffinity:  st.MaxPerWorker,
 		})
 	}
 	body["steps"] = steps
@@ -171,6 +192,19 @@
 	return names
 }
 
+// members returns a task, or all members of its gang.
+func (jb *job) members(name modeller.TaskName) []modeller.TaskName {
+	if !jb.Steps[name.Step].IsGang {
+		return []modeller.TaskName{name}
+	}
+	var names []modeller.TaskName
+	for index := range jb.Steps[name.Step].Count {
+		name.Index = index
+		names = append(names, name)
+	}
+	return names
+}
+
 // dueAt returns when an occurrence is due.
 func (jb *job) dueAt(occurrence int) time.Time {
 	return jb.FirstAt.Add(time.Duration(occurrence) * jb.Interval)
--- a/standin/internal/soaker/plan.go
+++ b/standin/internal/soaker/plan.go
@@ -45,6 +45,9 @@
 // pools are the pools with queues.
 var pools = []string{"checks", "batches"}
 
+// racks are the labels of the VMs' racks, in turn.
+var racks = []string{"r1", "r2"}
+
 // vmCapacity is the capacity of each VM.
 var vmCapacity = modeller.Resources{
 	MilliCores: 8000,
--- a/standin/internal/soaker/play.go
+++ b/standin/internal/soaker/play.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/standin/internal/provider"
 	"coltsfootwick.example/standin/internal/stager"
@@ -38,6 +39,17 @@
 	longRestartTime = 6 * time.Second
 )
 
+// The settings of the queues.
+const (
+	maxBodyBytes  = 262_144
+	queueSlack    = 600 * time.Millisecond
+	queueAttempts = 3
+	queueStretch  = 1.6
+)
+
+// gangWait is how long a member of a gang waits for the others.
+const gangWait = 3 * time.Second
+
 // startTimeout bounds the time until all managers are ready.
 const startTimeout = 15 * time.Second
 
@@ -88,7 +100,7 @@
 	if err != nil {
 		return nil, classifier.Wrap(err, classifier.Internal, "trace")
 	}
-	se, err := stager.New(files, binaries)
+	se, err := stager.New(files, binaries, stager.WithProvider(provider.WithSeed(plan.Seed), provider.WithGangWait(gangWait)))
 	if err != nil {
 		return nil, err
 	}
@@ -98,8 +110,9 @@
 		stage: se,
 		trace: trace,
 	}
-	for _, vm := range plan.VMs {
-		if err := se.AddVM(vm.Name, vm.Pool, vmCapacity, vm.Pool == provider.StandbyPool); err != nil {
+	for number, vm := range plan.VMs {
+		labels := provider.WithLabels("a", racks[number%len(racks)])
+		if err := se.AddVM(vm.Name, vm.Pool, vmCapacity, vm.Pool == provider.StandbyPool, labels); err != nil {
 			return nil, err
 		}
 	}
@@ -253,21 +266,45 @@
 
 // configure writes a configuration.
 func (pl *play) configure(ev Configured) {
-	routes := []map[string]any{}
+	cf := modeller.Configuration{
+		Version: ev.Version,
+		Queues:  map[string]modeller.Queue{},
+		Pools: map[string]modeller.Pool{provider.StandbyPool: {
+			Name:      provider.StandbyPool,
+			IsStandby: true,
+		}},
+		Limits: modeller.Limits{
+			MaxBodyBytes: maxBodyBytes,
+		},
+	}
 	for _, rt := range ev.Routes {
-		routes = append(routes, map[string]any{"name": rt.Name, "host": host, "prefix": rt.Prefix, "service": rt.Pool,
-			"timeout_ms": timeBudget.Milliseconds(), "slo_ms": 600, "priority": 0, "max_attempts": 3, "stretch": 1.6})
+		cf.Queues[rt.Name] = rt.queue()
 	}
-	services := []map[string]any{{"name": provider.StandbyPool, "standby": true}}
 	for _, pool := range pools {
-		services = append(services, map[string]any{"name": pool})
+		cf.Pools[pool] = modeller.Pool{
+			Name: pool,
+		}
+	}
+	pl.stage.Provider().Configure(cf)
+}
+
+// queue returns the queue of a route.
+func (rt Route) queue() modeller.Queue {
+	return modeller.Queue{
+		Name:        rt.Name,
+		Host:        host,
+		Prefix:      rt.Prefix,
+		Pool:        rt.Pool,
+		Timeout:     timeBudget,
+		Slack:       queueSlack,
+		MaxAttempts: queueAttempts,
+		Stretch:     queueStretch,
 	}
-	pl.stage.Provider().Put("op/config", marshal(map[string]any{"version": ev.Version, "routes": routes, "services": services,
-		"limits": map[string]int{"max_body_bytes": 262_144}}))
 }
 
 // addJob adds a job that is about to be submitted.
 func (pl *play) addJob(jb *job) {
+	pl.stage.Provider().Expect(jb.Job)
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	pl.jobs = append(pl.jobs, jb)
--- a/standin/internal/stager/node.go
+++ b/standin/internal/stager/node.go
@@ -40,7 +40,7 @@
 }
 
 // writeSettings writes the manager's settings file.
-func (nd *Node) writeSettings(store netip.AddrPort) error {
+func (nd *Node) writeSettings(store, advice netip.AddrPort) error {
 	text := fmt.Sprintf(`node = %q
 ip = %q
 zone = %q
@@ -61,7 +61,7 @@
 ttl_min_ms = 1000
 [cloud_api]
 address = %q
-`, nd.Name, nd.Internal.Addr(), nd.Zone, nd.Internal.Port(), nd.Internal.Port(), nd.stage.advice, nd.Front, nd.Ready, store, nd.stage.vms)
+`, nd.Name, nd.Internal.Addr(), nd.Zone, nd.Internal.Port(), nd.Internal.Port(), advice, nd.Front, nd.Ready, store, nd.stage.vms)
 	const mode = 0o644
 	path := nd.settingsPath()
 	if err := os.WriteFile(path, []byte(text), mode); err != nil {
--- a/standin/internal/stager/stager.go
+++ b/standin/internal/stager/stager.go
@@ -25,6 +25,11 @@
 // Option changes one property of a new Stage.
 type Option func(*Stage)
 
+// WithProvider passes options to the platform's stand-in.
+func WithProvider(opts ...provider.Option) Option {
+	return func(se *Stage) { se.providerOptions = opts }
+}
+
 // WithWorkerLink sets the link between the managers and the worker of a VM.
 func WithWorkerLink(link func(vm string) Link) Option {
 	return func(se *Stage) { se.workerLink = link }
@@ -39,11 +44,12 @@
 // Stage is the platform's stand-in and the managers that use it.
 type Stage struct {
 	files, binaries       string
+	providerOptions       []provider.Option
 	provider              *provider.Provider
 	ports                 *allocator.Allocator
 	servers               []*http.Server
 	nodes                 []*Node
-	vms, advice           netip.AddrPort
+	vms                   netip.AddrPort
 	workerLink, storeLink func(name string) Link
 }
 
@@ -53,7 +59,6 @@
 	se := &Stage{
 		files:      files,
 		binaries:   binaries,
-		provider:   provider.New(),
 		ports:      allocator.New(),
 		workerLink: direct,
 		storeLink:  direct,
@@ -61,11 +66,9 @@
 	for _, opt := range opts {
 		opt(se)
 	}
+	se.provider = provider.New(se.providerOptions...)
 	var err error
-	if se.vms, err = se.serve(se.provider.VMHandler()); err != nil {
-		return nil, err
-	}
-	se.advice, err = se.serve(se.provider.AdviceHandler())
+	se.vms, err = se.serve(se.provider.VMHandler())
 	return se, err
 }
 
@@ -81,7 +84,7 @@
 func (se *Stage) Nodes() []*Node { return se.nodes }
 
 // AddVM adds a VM to a pool.
-func (se *Stage) AddVM(name, pool string, capacity modeller.Resources, isStandby bool) error {
+func (se *Stage) AddVM(name, pool string, capacity modeller.Resources, isStandby bool, opts ...provider.VMOption) error {
 	address, err := se.serve(se.provider.WorkerHandler(name))
 	if err != nil {
 		return err
@@ -89,7 +92,7 @@
 	if address, err = se.workerLink(name)(address); err != nil {
 		return err
 	}
-	se.provider.AddVM(name, pool, "a", address, capacity, isStandby)
+	se.provider.AddVM(name, pool, "a", address, capacity, isStandby, opts...)
 	return nil
 }
 
@@ -102,12 +105,16 @@
 	if store, err = se.storeLink(zone)(store); err != nil {
 		return nil, err
 	}
+	advice, err := se.serve(se.provider.AdviceHandler())
+	if err != nil {
+		return nil, err
+	}
 	nd := newNode(se, zone)
 	if err := se.ports.Err(); err != nil {
 		return nil, err
 	}
 	se.nodes = append(se.nodes, nd)
-	return nd, nd.writeSettings(store)
+	return nd, nd.writeSettings(store, advice)
 }
 
 // serve serves a handler on a loopback address until Close is called.
