--- a/standin/internal/soaker/connection.go
+++ b/standin/internal/soaker/connection.go
@@ -31,7 +31,7 @@
 	dialer := net.Dialer{
 		Timeout: timeBudget,
 	}
-	conn, err := dialer.DialContext(ctx, "tcp", mg.node.Front.String())
+	conn, err := dialer.DialContext(ctx, "tcp", mg.node.Entrance.String())
 	if err != nil {
 		return nil, classifier.Wrap(err, classifier.PeerUnreachable, "%s", mg.node.Name)
 	}
--- a/standin/internal/soaker/disturbance.go
+++ b/standin/internal/soaker/disturbance.go
@@ -12,7 +12,8 @@
 	manager int
 	// isPlanned is true for planned work, during which no request may be cut.
 	isPlanned bool
-	// isProcess is true if the manager's processes were affected.
+	// isProcess is true if the manager's processes or its connections to callers
+	// were affected.
 	isProcess bool
 	from      time.Time
 	// to is zero while the effect lasts.
--- a/standin/internal/soaker/event.go
+++ b/standin/internal/soaker/event.go
@@ -6,7 +6,7 @@
 )
 
 // Event is what happens at a moment of a play: Stop, Kill, KillAll, Freeze, Hangup,
-// StoreFault, WorkerCrash, Wave or Configured.
+// StoreFault, WorkerCrash, WorkerFault, Drain, LinkFault, Wave or Configured.
 type Event interface {
 	fmt.Stringer
 	isEvent()
--- a/standin/internal/soaker/plan.go
+++ b/standin/internal/soaker/plan.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -27,6 +28,8 @@
 	JobRate float64
 	// Routes are those of the first configuration. The last one has the same prefixes.
 	Routes []Route
+	// HasLinkFaults is true if connections lead through proxies.
+	HasLinkFaults bool
 	// Moments are ordered by their time.
 	Moments []Moment
 }
@@ -85,6 +88,8 @@
 	rand  *rand.Rand
 	plan  Plan
 	kinds []func(pr *planner) Event
+	// isPlanned is true for planned work alone.
+	isPlanned bool
 	// routes are those of the latest configuration, and removed those that have to
 	// be put back.
 	routes, removed []Route
@@ -105,9 +110,19 @@
 	pr.drawPools()
 	pr.drawKinds()
 	pr.drawMoments()
+	// Faults of links and workers have a generator of their own, so that plans
+	// without them stay the same.
+	pr.rand = rand.New(rand.NewPCG(seed, linkStream))
+	if pr.plan.HasLinkFaults = !pr.isPlanned && pr.rand.IntN(2) == 0; pr.plan.HasLinkFaults {
+		pr.plan.Moments = append(pr.plan.Moments, pr.drawLinkMoments()...)
+		slices.SortStableFunc(pr.plan.Moments, func(a, b Moment) int { return cmp.Compare(a.At, b.At) })
+	}
 	return pr.plan
 }
 
+// linkStream selects the generator of the faults of links and workers.
+const linkStream = 1 << 32
+
 // until returns a random duration of at least low and below high.
 func (pr *planner) until(low, high time.Duration) time.Duration {
 	return low + time.Duration(pr.rand.Int64N(int64(high-low)))
@@ -156,6 +171,7 @@
 	unplanned := []func(pr *planner) Event{(*planner).stop, (*planner).kill, (*planner).killAll, (*planner).freeze,
 		(*planner).storeFault, (*planner).storeFault, (*planner).crash}
 	if pr.rand.IntN(3) == 0 {
+		pr.isPlanned = true
 		pr.kinds = append(planned, (*planner).stop, (*planner).stop, (*planner).stop)
 		return
 	}
--- a/standin/internal/soaker/plan_test.go
+++ b/standin/internal/soaker/plan_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,6 +87,12 @@
 				planned["store "+string(ev.Kind)] = true
 			case WorkerCrash:
 				planned["crash"] = true
+			case LinkFault:
+				planned[fmt.Sprintf("link %s %T", ev.Kind, ev.Fault)] = true
+			case WorkerFault:
+				planned[fmt.Sprintf("worker %T", ev.Fault)] = true
+			case Drain:
+				planned["drain"] = true
 			case Wave:
 				planned["wave"] = true
 			case Configured:
@@ -93,5 +100,5 @@
 			}
 		}
 	})
-	must.MapLen(t, 14, planned)
+	must.MapLen(t, 30, planned)
 }
--- a/standin/internal/soaker/play.go
+++ b/standin/internal/soaker/play.go
@@ -67,6 +67,7 @@
 	managers     []*manager
 	rotation     *rotation
 	faults       *storeFaults
+	links        *links
 	disturbances disturbances
 	counts       counts
 	trace        *os.File
@@ -100,7 +101,9 @@
 	if err != nil {
 		return nil, classifier.Wrap(err, classifier.Internal, "trace")
 	}
-	se, err := stager.New(files, binaries, stager.WithProvider(provider.WithSeed(plan.Seed), provider.WithGangWait(gangWait)))
+	ls := newLinks(plan.Seed, plan.HasLinkFaults)
+	se, err := stager.New(files, binaries, stager.WithProvider(provider.WithSeed(plan.Seed), provider.WithGangWait(gangWait)),
+		stager.WithFrontLink(ls.link(linkFront)), stager.WithStoreLink(ls.link(linkStore)), stager.WithWorkerLink(ls.link(linkWorker)))
 	if err != nil {
 		return nil, err
 	}
@@ -109,6 +112,7 @@
 		files: files,
 		stage: se,
 		trace: trace,
+		links: ls,
 	}
 	for number, vm := range plan.VMs {
 		labels := provider.WithLabels("a", racks[number%len(racks)])
@@ -221,6 +225,12 @@
 		pl.disturbStore(ctx, ev)
 	case WorkerCrash:
 		pl.crash(ctx, ev)
+	case WorkerFault:
+		pl.disturbWorker(ctx, ev)
+	case Drain:
+		pl.drain(ctx, ev)
+	case LinkFault:
+		pl.disturbLink(ctx, ev)
 	case Wave:
 		pl.stage.Provider().Put(fmt.Sprintf("op/wave/%d", ev.Number), marshal(map[string]any{
 			"wave": ev.Number, "machines": ev.VMs, "duration_s": ev.Duration.Seconds(), "cap": ev.Cap}))
@@ -264,6 +274,51 @@
 	pause(ctx, ev.Restart)
 }
 
+// disturbWorker impairs the calls of a worker. Orders that are carried out late are
+// part of the disturbance.
+func (pl *play) disturbWorker(ctx context.Context, ev WorkerFault) {
+	end := pl.disturbances.begin(disturbance{
+		manager: everyManager,
+	})
+	defer end()
+	pv := pl.stage.Provider()
+	pv.SetWorkerFaults(ev.VM, ev.Fault)
+	pause(ctx, ev.Duration)
+	pv.SetWorkerFaults(ev.VM)
+	if _, isLate := ev.Fault.(provider.LateOrders); isLate {
+		time.Sleep(maxLateOrder)
+	}
+}
+
+// drain lets a worker drain. It leaves in any case, also after the traffic.
+func (pl *play) drain(ctx context.Context, ev Drain) {
+	end := pl.disturbances.begin(disturbance{
+		manager: everyManager,
+	})
+	defer end()
+	pl.stage.Provider().Drain(ev.VM, ev.Remaining, ev.Restart)
+	pause(ctx, ev.Remaining+ev.Restart)
+}
+
+// disturbLink impairs the connections over a link.
+func (pl *play) disturbLink(ctx context.Context, ev LinkFault) {
+	name := linkName{
+		kind: ev.Kind,
+		end:  ev.VM,
+	}
+	if ev.Kind != linkWorker {
+		name.end = pl.managers[ev.Manager].node.Zone
+	}
+	end := pl.disturbances.begin(disturbance{
+		manager:   ev.Manager,
+		isProcess: ev.Kind == linkFront,
+	})
+	defer end()
+	pl.links.set(name, ev.Fault)
+	pause(ctx, ev.Duration)
+	pl.links.set(name)
+}
+
 // configure writes a configuration.
 func (pl *play) configure(ev Configured) {
 	cf := modeller.Configuration{
@@ -438,5 +493,6 @@
 		mg.close()
 	}
 	pl.stage.Close()
+	pl.links.close()
 	_ = pl.trace.Close()
 }
--- a/standin/internal/stager/node.go
+++ b/standin/internal/stager/node.go
@@ -17,6 +17,8 @@
 	// Front is the address for callers, Internal that for other managers, and Ready
 	// that for readiness checks.
 	Front, Internal, Ready netip.AddrPort
+	// Entrance is the address at which callers reach Front.
+	Entrance netip.AddrPort
 
 	stage      *Stage
 	supervisor *supervisor.Supervisor
--- a/standin/internal/stager/stager.go
+++ b/standin/internal/stager/stager.go
@@ -41,6 +41,12 @@
 	return func(se *Stage) { se.storeLink = link }
 }
 
+// WithFrontLink sets the link between the callers and the manager of an availability
+// zone.
+func WithFrontLink(link func(zone string) Link) Option {
+	return func(se *Stage) { se.frontLink = link }
+}
+
 // Stage is the platform's stand-in and the managers that use it.
 type Stage struct {
 	files, binaries       string
@@ -51,6 +57,7 @@
 	nodes                 []*Node
 	vms                   netip.AddrPort
 	workerLink, storeLink func(name string) Link
+	frontLink             func(name string) Link
 }
 
 // New returns a stage without VMs and managers. Settings files and logs are written
@@ -62,6 +69,7 @@
 		ports:      allocator.New(),
 		workerLink: direct,
 		storeLink:  direct,
+		frontLink:  direct,
 	}
 	for _, opt := range opts {
 		opt(se)
@@ -113,6 +121,9 @@
 	if err := se.ports.Err(); err != nil {
 		return nil, err
 	}
+	if nd.Entrance, err = se.frontLink(zone)(nd.Front); err != nil {
+		return nil, err
+	}
 	se.nodes = append(se.nodes, nd)
 	return nd, nd.writeSettings(store, advice)
 }
