--- a/standin/internal/soaker/caller.go
+++ b/standin/internal/soaker/caller.go
@@ -92,7 +92,7 @@
 
 // submit submits a new job, and often again after a refusal.
 func (cl *caller) submit(ctx context.Context) {
-	jb := newJob(cl.random, time.Now(), cl.play.plan.Routes[cl.random.IntN(len(cl.play.plan.Routes))])
+	jb := newJob(cl.random, time.Now(), cl.play.plan.Routes[cl.random.IntN(len(cl.play.plan.Routes))], cl.play.hasRoomForLong())
 	cl.play.addJob(jb)
 	for range maxTries {
 		as, ok := cl.send(ctx, jb, http.MethodPost)
--- a/standin/internal/soaker/play.go
+++ b/standin/internal/soaker/play.go
@@ -365,6 +365,28 @@
 	pl.jobs = append(pl.jobs, jb)
 }
 
+// maxLongShare is the share of the pools' capacity that long-running jobs may take.
+const maxLongShare = 0.25
+
+// hasRoomForLong reports whether another long-running job leaves enough room.
+func (pl *play) hasRoomForLong() bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	used := longTasks * taskMilliCores
+	for _, jb := range pl.jobs {
+		if jb.isLong() && !jb.cancelSent() {
+			used += longTasks * taskMilliCores
+		}
+	}
+	capacity := 0
+	for _, vm := range pl.plan.VMs {
+		if vm.Pool != provider.StandbyPool {
+			capacity += vmCapacity.MilliCores
+		}
+	}
+	return float64(used) <= maxLongShare*float64(capacity)
+}
+
 // drawJob returns a random job, or nil if there is none.
 func (pl *play) drawJob(random *rand.Rand) *job {
 	pl.mu.Lock()
