--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -84,18 +84,23 @@
 	// one for lack of capacity or an expired lease.
 	refusalBackoff = 100 * time.Millisecond
 	// stallTimeout is the time without progress after which a task is restarted
-	// on another worker.
+	// on another worker for the first time.
 	stallTimeout = 2500 * time.Millisecond
 	// avoidanceTime is how long a task avoids a worker on which it has failed
 	// or stalled.
 	avoidanceTime = 10 * time.Second
-	// longRunningAvoidanceTime replaces avoidanceTime for a long-running task
-	// if no other worker has capacity. Such tasks may fail at any time and must
-	// be available again within 6 s of their end.
-	longRunningAvoidanceTime = 2 * time.Second
+	// shortAvoidanceTime replaces avoidanceTime for a long-running task if no other
+	// worker has capacity, and for any task if no other worker can be expected to.
+	// A long-running task must be available again within 6 s of its end, and no
+	// task may wait for 3 s beside idle workers.
+	shortAvoidanceTime = 2 * time.Second
 	// quarantineTime is how long a worker gets no work after consecutive
 	// failures.
 	quarantineTime = 5 * time.Second
+	// shortQuarantineTime replaces quarantineTime while all workers of a pool are
+	// quarantined, which says more of the jobs than of the workers. No task may wait
+	// for 3 s beside idle workers.
+	shortQuarantineTime = 2 * time.Second
 	// quarantineThreshold is the number of different jobs that have to fail on
 	// a worker in a row for it to be quarantined.
 	quarantineThreshold = 2
