--- a/standin/internal/rehearser/stop_test.go
+++ b/standin/internal/rehearser/stop_test.go
@@ -42,7 +42,7 @@
 		}))
 		must.NoError(t, se.Provider().Keeper().SetFaults(keeper.Partition{
 			Scope: keeper.Scope{
-				Zone:  nd.zone,
+				Zone:  nd.Zone,
 				Share: 1,
 			},
 		}))
