--- a/standin/internal/provider/store.go
+++ b/standin/internal/provider/store.go
@@ -9,7 +9,9 @@
 
 	"github.com/go-faster/errors"
 
+	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
 	"coltsfootwick.example/shared/store/storer"
 )
 
@@ -17,14 +19,14 @@
 // violation.
 func (pv *Provider) commit(tx storer.Transaction) {
 	if _, err := pv.store.Commit(context.Background(), tx); err != nil {
-		pv.violations = append(pv.violations, "store: "+err.Error())
+		pv.recordViolation(RuleModel, modeller.TaskName{}, "store: %v", err)
 	}
 }
 
 // StoreHandler returns the handler of the metadata store for callers in a zone.
 func (pv *Provider) StoreHandler(zone string) http.Handler {
 	sh := &storeHandler{
-		store: pv.keeper.Zone(zone),
+		store: pv.keeper.Zone(zone, keeper.WithCallTimeout(0)),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", sh.get)
--- a/standin/internal/rehearser/stop_test.go
+++ b/standin/internal/rehearser/stop_test.go
@@ -28,11 +28,11 @@
 	}
 	se, err := newStage(t.TempDir(), build(t), 0)
 	must.NoError(t, err)
-	t.Cleanup(se.close)
+	t.Cleanup(se.Close)
 	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
 	must.NoError(t, awaitReady(ctx, se))
-	se.provider.Put("op/config", configuration(2, longTimeout))
+	se.Provider().Put("op/config", configuration(2, longTimeout))
 	se.client.Timeout = longTimeout
 	for number, find := range []func(ctx context.Context) (*node, error){se.keeper, se.holder} {
 		var nd *node
@@ -40,9 +40,9 @@
 			nd, err = find(ctx)
 			return err
 		}))
-		must.NoError(t, se.provider.Keeper().SetFaults(keeper.Partition{
+		must.NoError(t, se.Provider().Keeper().SetFaults(keeper.Partition{
 			Scope: keeper.Scope{
-				Zone:  nd.zone,
+				Zone:  nd.Zone,
 				Share: 1,
 			},
 		}))
@@ -51,8 +51,8 @@
 		time.Sleep(100 * time.Millisecond)
 		nd.isUp = false
 		must.NoError(t, nd.child.Stop(gracePeriod))
-		must.NoError(t, <-answers, must.Sprintf("a request that %s had read", nd.name))
-		must.NoError(t, se.provider.Keeper().SetFaults())
+		must.NoError(t, <-answers, must.Sprintf("a request that %s had read", nd.Name))
+		must.NoError(t, se.Provider().Keeper().SetFaults())
 	}
 }
 
@@ -60,7 +60,7 @@
 // answer.
 func (se *stage) submitOnce(nd *node, number int) error {
 	body := []byte(`{"spec":"{}","steps":[{"count":1,"cpu":100,"mem_mb":100,"estimate_ms":100}]}`)
-	rq, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/%s/%016x", nd.front, pools[0], number), bytes.NewReader(body))
+	rq, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/%s/%016x", nd.Front, pools[0], number), bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
