provider: write the directory while the store is impaired

Cause: the provider wrote directory entries once, with its own lock held. A slow store would have stopped all workers for as long, and after an outage a worker that started meanwhile would never have been listed. A failed write was recorded as a violation.

The advice service permits at least one VM with the step's label.

--- a/standin/internal/provider/advice_test.go
+++ b/standin/internal/provider/advice_test.go
@@ -89,6 +89,25 @@
 	must.Greater(t, 3, len(different))
 }
 
+func TestAWorkerWithTheLabelOfAStepIsPermitted(t *testing.T) {
+	rg := newRig(t, WithAdvisedShare(0))
+	for _, name := range []string{"d", "e"} {
+		rg.addVM(name, poolName, WithLabels("fast"))
+	}
+	const steps = 10
+	rg.expect(func(job *modeller.Job) {
+		job.Origin.Advice = &modeller.Advice{Validity: time.Minute}
+		for range steps {
+			job.Steps = append(job.Steps, modeller.Step{Count: 1, RequiredLabel: "fast"})
+		}
+	})
+	for number := range steps {
+		permitted := rg.advise(rg.provider.AdviceHandler(), fmt.Sprintf("%s.0.%d", jobID, number), "a", "b", "c", "d", "e")
+		must.MapLen(t, 1, permitted)
+		must.NotEq(t, permitted["d"] == "", permitted["e"] == "")
+	}
+}
+
 func TestAdviceTakesItsTimeAndItsTurn(t *testing.T) {
 	rg := newRig(t)
 	rg.expectAdvised(modeller.Advice{DecisionTime: 10 * time.Millisecond, TimePerWorker: 5 * time.Millisecond, Validity: time.Minute})
--- a/standin/internal/provider/configuration.go
+++ b/standin/internal/provider/configuration.go
@@ -39,15 +39,16 @@
 	Standby         bool   `json:"standby,omitempty"`
 }
 
-// Configure writes the operators' configuration. Workers that start from now on
+// Configure writes the operators' configuration, as Put does. Workers that start from now on
 // refuse or accept overload as it says, and RuleRoute and RuleBudget follow the
 // queues of all configurations written so far.
 func (pv *Provider) Configure(cf modeller.Configuration) {
 	pv.mu.Lock()
-	defer pv.mu.Unlock()
+	pv.queues = slices.AppendSeq(pv.queues, maps.Values(cf.Queues))
+	pv.pools = maps.Clone(cf.Pools)
+	pv.mu.Unlock()
 	var routes []route
 	for _, name := range slices.Sorted(maps.Keys(cf.Queues)) {
-		pv.queues = append(pv.queues, cf.Queues[name])
 		routes = append(routes, encodeQueue(cf.Queues[name]))
 	}
 	var services []service
@@ -59,7 +60,6 @@
 			Standby:         pool.IsStandby,
 		})
 	}
-	pv.pools = maps.Clone(cf.Pools)
 	value, err := json.Marshal(map[string]any{
 		"version":  cf.Version,
 		"routes":   routes,
