--- a/standin/internal/provider/expectation.go
+++ b/standin/internal/provider/expectation.go
@@ -15,8 +15,10 @@
 }
 
 // Expect announces a job that callers submit from now on. The job's steps then
-// define what its tasks need, and its Origin whether they need tickets. Once a job
-// was announced, a start of any that wasn't violates RuleUnasked.
+// define what its tasks need, and its Origin whether they need tickets. A payload that
+// is JSON may contain workMs, the duration of a task instead of its estimate, and
+// isFatal, which makes each run fail. Once a job was announced, a start of any that
+// wasn't violates RuleUnasked.
 func (pv *Provider) Expect(job modeller.Job) {
 	pv.mu.Lock()
 	defer pv.mu.Unlock()
