soaker, supervisor: send SIGHUP once the program of a process runs

Until the loader has run the program's first instruction, no program can change the action of a signal, so the verdict of a play with an early SIGHUP depended on the loader. The process now gets it as soon as it catches or ignores SIGHUP.

--- a/standin/internal/soaker/manager.go
+++ b/standin/internal/soaker/manager.go
@@ -225,7 +225,11 @@
 	}
 }
 
+// hangupLife sends SIGHUP to a process once its program runs.
 func (mg *manager) hangupLife(lf *life) {
+	if lf.child.AwaitAction(syscall.SIGHUP) != nil {
+		return
+	}
 	mg.play.counts.hangups.Add(1)
 	_ = lf.child.Hangup()
 }
--- a/standin/internal/supervisor/child.go
+++ b/standin/internal/supervisor/child.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
 	"coltsfootwick.example/shared/process/classifier"
 )
 
+// actionInterval is the interval between looks at the signal actions of a process.
+const actionInterval = 100 * time.Microsecond
+
 // Child is a started process.
 type Child struct {
 	name    string
@@ -79,6 +85,41 @@
 // Thaw lets a frozen process run again.
 func (cd *Child) Thaw() error { return cd.signal(syscall.SIGCONT) }
 
+// AwaitAction returns when the process catches or ignores a signal, or has ended. Before
+// the first instruction of its program a process can't change the action of a signal.
+func (cd *Child) AwaitAction(signal syscall.Signal) error {
+	bit := uint64(1) << (signal - 1)
+	for !cd.hasEnded() {
+		mask, err := cd.changedSignals()
+		if err != nil || mask&bit != 0 {
+			return err
+		}
+		time.Sleep(actionInterval)
+	}
+	return nil
+}
+
+// changedSignals returns the mask of the signals that the process catches or ignores.
+func (cd *Child) changedSignals() (uint64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cd.Identifier()))
+	if err != nil {
+		return 0, classifier.Wrap(err, classifier.Internal, "status of %s", cd.name)
+	}
+	var changed uint64
+	for line := range strings.Lines(string(status)) {
+		name, value, _ := strings.Cut(line, ":")
+		if name != "SigIgn" && name != "SigCgt" {
+			continue
+		}
+		mask, err := strconv.ParseUint(strings.TrimSpace(value), 16, 64)
+		if err != nil {
+			return 0, classifier.Wrap(err, classifier.Internal, "status of %s", cd.name)
+		}
+		changed |= mask
+	}
+	return changed, nil
+}
+
 // Stop asks the process to end and kills it after grace. The error is that of
 // the process, or an Internal error if it had to be killed.
 func (cd *Child) Stop(grace time.Duration) error {
