rehearser: test stops with other grace periods, requests that complete, jobs that arrive

The review showed three changes of the code that the test of stops let pass: a constant in place of the settings' grace period, no drain, and listeners that close at once.

--- a/standin/internal/rehearser/stage.go
+++ b/standin/internal/rehearser/stage.go
@@ -50,8 +50,8 @@
 	isLong      bool
 }
 
-func newStage(files, binaries string, jobs int) (*stage, error) {
-	st, err := stager.New(files, binaries)
+func newStage(files, binaries string, jobs int, opts ...stager.Option) (*stage, error) {
+	st, err := stager.New(files, binaries, opts...)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/internal/stager/node.go
+++ b/standin/internal/stager/node.go
@@ -56,6 +56,7 @@
 [limits]
 memory_mb = 284
 [bounds]
+grace_s = %v
 stop_grace_ms = 200
 hold_max_ms = 10000
 [platform]
@@ -63,7 +64,8 @@
 ttl_min_ms = 1000
 [cloud_api]
 address = %q
-`, nd.Name, nd.Internal.Addr(), nd.Zone, nd.Internal.Port(), nd.Internal.Port(), advice, nd.Front, nd.Ready, store, nd.stage.vms)
+`, nd.Name, nd.Internal.Addr(), nd.Zone, nd.Internal.Port(), nd.Internal.Port(), advice, nd.Front, nd.Ready,
+		nd.stage.grace.Seconds(), store, nd.stage.vms)
 	const mode = 0o644
 	path := nd.settingsPath()
 	if err := os.WriteFile(path, []byte(text), mode); err != nil {
--- a/standin/internal/stager/stager.go
+++ b/standin/internal/stager/stager.go
@@ -15,8 +15,12 @@
 	"coltsfootwick.example/standin/internal/provider"
 )
 
-// headerTimeout bounds the headers of calls to the stand-ins.
-const headerTimeout = 5 * time.Second
+const (
+	// headerTimeout bounds the headers of calls to the stand-ins.
+	headerTimeout = 5 * time.Second
+	// defaultGrace is the time from SIGTERM to SIGKILL.
+	defaultGrace = 6 * time.Second
+)
 
 // Link returns the address at which one side of the stage reaches another, for
 // example that of a proxy.
@@ -47,6 +51,11 @@
 	return func(se *Stage) { se.frontLink = link }
 }
 
+// WithGrace sets the managers' time from SIGTERM to SIGKILL.
+func WithGrace(grace time.Duration) Option {
+	return func(se *Stage) { se.grace = grace }
+}
+
 // Stage is the platform's stand-in and the managers that use it.
 type Stage struct {
 	files, binaries       string
@@ -58,6 +67,7 @@
 	vms                   netip.AddrPort
 	workerLink, storeLink func(name string) Link
 	frontLink             func(name string) Link
+	grace                 time.Duration
 }
 
 // New returns a stage without VMs and managers. Settings files and logs are written
@@ -70,6 +80,7 @@
 		workerLink: direct,
 		storeLink:  direct,
 		frontLink:  direct,
+		grace:      defaultGrace,
 	}
 	for _, opt := range opts {
 		opt(se)
