allocator: list a worker again whose VM an accepted order didn't take down

A holder lost the duty after a maintenance order had been accepted and before that was stored. The next holder repeated the order; the VM interface accepts an order that has been carried out before, and the VM stays up.

A list of VMs that was requested after the answer and shows the worker on its VM now lists it again. It is polled as after a takeover, so runs that it has are adopted before anything is started there.

TestWorkerOfMaintainedVMGetsTasksAfterRepeatedOrder failed before: no start.

--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -64,9 +64,26 @@
 		delete(fl.absentSince, vm.Name)
 	}
 	fl.keepUnnamed(before)
+	al.relistWorkers(ev.VMs)
 	al.endTakenDownWorkers(now, al.workers.sorted)
 }
 
+// relistWorkers lists the workers again that were taken to be down and are up. An order
+// is also accepted if it has been carried out before; then the VM doesn't go down, and
+// the directory's entry of its worker doesn't change.
+func (al *Allocator) relistWorkers(vms []modeller.VM) {
+	for _, vm := range vms {
+		wk := al.workers.byID[vm.Worker]
+		if wk == nil || wk.takenDownAt.IsZero() || vm.State != modeller.VMUp || vm.Name != wk.info.VM || vm.Pool != wk.info.Pool {
+			continue
+		}
+		if al.fleet.listedAt.After(wk.takenDownAt) {
+			al.markListed(wk)
+			al.log(LogEntry{Message: "worker listed again", Worker: wk.info.ID, VM: vm.Name, Reason: "its VM is up"})
+		}
+	}
+}
+
 // isListCurrent reports whether the list of VMs is recent enough for orders that take
 // VMs down.
 func (fl *fleet) isListCurrent(now time.Time) bool { return now.Sub(fl.listedAt) <= maxVMListAge }
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -577,4 +577,5 @@
 	}
 	al.endIncarnation(now, wk, reason)
 	wk.isListed = false
+	wk.takenDownAt = now
 }
--- a/shared/jobs/allocator/wave_test.go
+++ b/shared/jobs/allocator/wave_test.go
@@ -199,6 +199,28 @@
 	must.Len(t, 1, takeOrders[VMOrder](fx))
 }
 
+// TestWorkerOfMaintainedVMGetsTasksAfterRepeatedOrder guards against a worker that stays
+// idle since an order was repeated that an earlier holder's had carried out.
+func TestWorkerOfMaintainedVMGetsTasksAfterRepeatedOrder(t *testing.T) {
+	fx := newFixture(t)
+	fx.apply(WaveProgressLoaded{Number: 1, Ordered: []string{"vm-a"}})
+	fx.addReadyWorkers("a")
+	fx.addWave(1, vmOf("a", modeller.VMUp))
+	orders := takeOrders[VMOrder](fx)
+	must.Len(t, 1, orders)
+	fx.apply(VMOrderResult{Order: orders[0], Outcome: Accepted})
+	fx.advance(time.Second)
+	fx.listVMs(vmOf("a", modeller.VMUp))
+	fx.advance(50 * time.Millisecond)
+	for range 2 {
+		fx.report("a", nil)
+		fx.storeBatch()
+		fx.advance(50 * time.Millisecond)
+	}
+	fx.submitJob("j", oneTaskStep())
+	must.Len(t, 1, takeOrders[StartOrder](fx))
+}
+
 // TestEntryOfNobodyKeepsNoVMFromMaintenance guards against a wave that waits for a VM
 // for which another writer's entry names a further worker, and against a pool that
 // counts this worker among its own.
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -13,6 +13,9 @@
 	info modeller.Worker
 	// isListed is true while the directory lists the worker.
 	isListed bool
+	// takenDownAt is when an order to take down the worker's VM was accepted, or zero
+	// once the directory or the list of VMs has shown what became of the worker.
+	takenDownAt time.Time
 	// isRostered is true once the stored roster contains the worker with its
 	// present pool and address. This has to precede its first start, because a
 	// later holder waits for the workers of the roster.
@@ -114,8 +117,13 @@
 		al.isRosterDirty = true
 	}
 	al.workers.update(wk, info)
+	al.markListed(wk)
+}
+
+func (al *Allocator) markListed(wk *worker) {
 	wk.isListed = true
-	al.changes.note(info.Pool)
+	wk.takenDownAt = time.Time{}
+	al.changes.note(wk.info.Pool)
 }
 
 // hasSameLocation reports whether a directory entry has the worker's pool and
@@ -126,7 +134,11 @@
 
 func (al *Allocator) markUnlisted(id modeller.WorkerID) {
 	wk, ok := al.workers.byID[id]
-	if !ok || !wk.isListed {
+	if !ok {
+		return
+	}
+	wk.takenDownAt = time.Time{}
+	if !wk.isListed {
 		return
 	}
 	wk.isListed = false
@@ -273,7 +285,7 @@
 			wk.unresolvedStarts = unresolved
 		}
 		wk.mayHoldOldRuns = false
-		if !wk.isListed && !wk.isPollInFlight && len(wk.unresolvedStarts) == 0 {
+		if !wk.isListed && wk.takenDownAt.IsZero() && !wk.isPollInFlight && len(wk.unresolvedStarts) == 0 {
 			gone = append(gone, wk)
 		}
 	}
--- a/standin/internal/soaker/regression.go
+++ b/standin/internal/soaker/regression.go
@@ -18,4 +18,11 @@
 		Duration: 12 * time.Second,
 	},
 	Cause: "a stop closed connections 4.2 s after SIGTERM while requests waited for a slow store; SIGHUP ended processes that had no handler yet",
+}, {
+	Seed: 20001,
+	Settings: Settings{
+		Managers: 12,
+		Duration: 30 * time.Second,
+	},
+	Cause: "a repeated maintenance order ended the worker of a VM that had been maintained before, and left it idle",
 }}
