--- a/standin/internal/soaker/manager.go
+++ b/standin/internal/soaker/manager.go
@@ -167,7 +167,9 @@
 	mg.mu.Unlock()
 	mg.play.counts.overruns.Add(1)
 	now := time.Now()
-	if unanswered > 0 && frozen == 0 && !mg.play.disturbances.hasUnplanned(mg.number, now.Add(-grace-contactTime), now) {
+	isDisturbed := frozen > 0 || mg.play.disturbances.hasUnplanned(mg.number, now.Add(-grace-contactTime), now)
+	mg.play.tracef("%s is killed %s after SIGTERM with %d unanswered requests, disturbed: %t", mg.node.Name, grace, unanswered, isDisturbed)
+	if unanswered > 0 && !isDisturbed {
 		mg.play.report("LOST", "%s was killed %s after SIGTERM with %d unanswered requests", mg.node.Name, grace, unanswered)
 	}
 	_ = lf.child.Kill()
