soaker: workers with wrong clocks, and a queue with advice

Seeds with faults of connections also have workers whose clocks are wrong or slow, and a queue whose advice service permits half of the workers.

--- a/standin/internal/provider/advice.go
+++ b/standin/internal/provider/advice.go
@@ -152,6 +152,15 @@
 	}.HasLabel(label)
 }
 
+// IsPermitted reports whether the workers of a VM may run a task.
+func (pv *Provider) IsPermitted(name modeller.TaskName, vm string) bool {
+	pv.mu.Lock()
+	defer pv.mu.Unlock()
+	step := name.StepName()
+	ad, _ := pv.advisedStep(step)
+	return ad == nil || pv.isPermitted(step, pv.vms[vm])
+}
+
 // rank returns a number from 0 to 1 that depends on the seed, a step and a VM.
 func (pv *Provider) rank(step string, machine *vm) float64 {
 	hash := fnv.New32a()
--- a/standin/internal/soaker/caller.go
+++ b/standin/internal/soaker/caller.go
@@ -92,7 +92,9 @@
 
 // submit submits a new job, and often again after a refusal.
 func (cl *caller) submit(ctx context.Context) {
-	jb := newJob(cl.random, time.Now(), cl.play.plan.Routes[cl.random.IntN(len(cl.play.plan.Routes))], cl.play.hasRoomForLong())
+	plan := cl.play.plan
+	route := plan.Routes[cl.random.IntN(len(plan.Routes))]
+	jb := newJob(cl.random, time.Now(), plan.queue(route), cl.play.hasRoomForLong())
 	cl.play.addJob(jb)
 	for range maxTries {
 		as, ok := cl.send(ctx, jb, http.MethodPost)
--- a/standin/internal/soaker/configuration.go
+++ b/standin/internal/soaker/configuration.go
@@ -13,6 +13,12 @@
 	queueSlack    = 600 * time.Millisecond
 	queueAttempts = 3
 	queueStretch  = 1.6
+	// advisedShare is the share of a pool's VMs that may run a step of a queue with
+	// advice.
+	advisedShare          = 0.5
+	decisionTime          = 20 * time.Millisecond
+	decisionTimePerWorker = 2 * time.Millisecond
+	ticketValidity        = 4 * time.Second
 )
 
 // configure writes a configuration.
@@ -29,7 +35,7 @@
 		},
 	}
 	for _, rt := range ev.Routes {
-		cf.Queues[rt.Name] = rt.queue()
+		cf.Queues[rt.Name] = pl.plan.queue(rt)
 	}
 	for _, pool := range pools {
 		cf.Pools[pool] = modeller.Pool{
@@ -40,8 +46,8 @@
 }
 
 // queue returns the queue of a route.
-func (rt Route) queue() modeller.Queue {
-	return modeller.Queue{
+func (pn Plan) queue(rt Route) modeller.Queue {
+	qu := modeller.Queue{
 		Name:        rt.Name,
 		Host:        host,
 		Prefix:      rt.Prefix,
@@ -51,4 +57,12 @@
 		MaxAttempts: queueAttempts,
 		Stretch:     queueStretch,
 	}
+	if rt.Prefix == pn.AdvisedPrefix {
+		qu.Advice = &modeller.Advice{
+			DecisionTime:  decisionTime,
+			TimePerWorker: decisionTimePerWorker,
+			Validity:      ticketValidity,
+		}
+	}
+	return qu
 }
--- a/standin/internal/soaker/finisher.go
+++ b/standin/internal/soaker/finisher.go
@@ -167,7 +167,7 @@
 		capacity += wk.Capacity.MilliCores
 		free := wk.Capacity.Minus(wk.Used)
 		fitting := min(free.MilliCores/step.Demand.MilliCores, free.MemoryMB/step.Demand.MemoryMB)
-		if step.RequiredLabel != "" && !slices.Contains(wk.Labels, step.RequiredLabel) {
+		if step.RequiredLabel != "" && !slices.Contains(wk.Labels, step.RequiredLabel) || !fs.play.stage.Provider().IsPermitted(name, wk.VM) {
 			fitting = 0
 		}
 		if step.MaxPerWorker > 0 {
--- a/standin/internal/soaker/job.go
+++ b/standin/internal/soaker/job.go
@@ -83,17 +83,17 @@
 	AntiAffinity  int     `json:"anti_affinity,omitempty"`
 }
 
-// newJob draws a job for a route.
-func newJob(random *rand.Rand, now time.Time, route Route, mayBeLong bool) *job {
+// newJob draws a job for a queue.
+func newJob(random *rand.Rand, now time.Time, queue modeller.Queue, mayBeLong bool) *job {
 	duration := minTaskTime + time.Duration(random.Int64N(int64(maxTaskTime-minTaskTime)))
 	jb := &job{
 		Job: modeller.Job{
 			ID:     modeller.JobID(fmt.Sprintf("%016x", random.Uint64())),
-			Queue:  route.Name,
-			Origin: route.queue(),
+			Queue:  queue.Name,
+			Origin: queue,
 		},
 	}
-	jb.path = route.Prefix + string(jb.ID)
+	jb.path = queue.Prefix + string(jb.ID)
 	step := modeller.Step{
 		Count: 1 + random.IntN(4),
 		Demand: modeller.Resources{
--- a/standin/internal/soaker/link_event.go
+++ b/standin/internal/soaker/link_event.go
@@ -54,8 +54,20 @@
 	maxFaultyShare = 0.5
 	maxDrain       = 3 * time.Second
 	maxLinkGap     = 2500 * time.Millisecond
+	maxClockOffset = 10 * time.Minute
+	maxClockDrift  = 0.02
+	maxWallOffset  = 2 * time.Second
 )
 
+// clock returns the error of a worker's clocks.
+func (pr *planner) clock() provider.Clock {
+	return provider.Clock{
+		Offset:     pr.until(0, maxClockOffset),
+		Drift:      maxClockDrift * pr.rand.Float64(),
+		WallOffset: pr.until(-maxWallOffset, maxWallOffset),
+	}
+}
+
 // drawLinkMoments draws the faults of links and workers, in series of their own.
 func (pr *planner) drawLinkMoments() []Moment {
 	var moments []Moment
--- a/standin/internal/soaker/plan.go
+++ b/standin/internal/soaker/plan.go
@@ -30,6 +30,8 @@
 	Routes []Route
 	// HasLinkFaults is true if connections lead through proxies.
 	HasLinkFaults bool
+	// AdvisedPrefix is the prefix of the queue that has an advice service, or empty.
+	AdvisedPrefix string
 	// Moments are ordered by their time.
 	Moments []Moment
 }
@@ -37,6 +39,8 @@
 // VM is a VM of a play.
 type VM struct {
 	Name, Pool string
+	// Clock is the error of the clocks of its workers.
+	Clock provider.Clock
 }
 
 // Moment is an event with its time since the start of the play.
@@ -114,6 +118,10 @@
 	// without them stay the same.
 	pr.rand = rand.New(rand.NewPCG(seed, linkStream))
 	if pr.plan.HasLinkFaults = !pr.isPlanned && pr.rand.IntN(2) == 0; pr.plan.HasLinkFaults {
+		pr.plan.AdvisedPrefix = pr.plan.Routes[pr.rand.IntN(len(pr.plan.Routes))].Prefix
+		for number := range pr.plan.VMs {
+			pr.plan.VMs[number].Clock = pr.clock()
+		}
 		pr.plan.Moments = append(pr.plan.Moments, pr.drawLinkMoments()...)
 		slices.SortStableFunc(pr.plan.Moments, func(a, b Moment) int { return cmp.Compare(a.At, b.At) })
 	}
--- a/standin/internal/soaker/play.go
+++ b/standin/internal/soaker/play.go
@@ -92,7 +92,7 @@
 		return nil, classifier.Wrap(err, classifier.Internal, "trace")
 	}
 	ls := newLinks(plan.Seed, plan.HasLinkFaults)
-	se, err := stager.New(files, binaries, stager.WithProvider(provider.WithSeed(plan.Seed), provider.WithGangWait(gangWait)),
+	se, err := stager.New(files, binaries, stager.WithProvider(provider.WithSeed(plan.Seed), provider.WithGangWait(gangWait), provider.WithAdvisedShare(advisedShare)),
 		stager.WithFrontLink(ls.link(linkFront)), stager.WithStoreLink(ls.link(linkStore)), stager.WithWorkerLink(ls.link(linkWorker)))
 	if err != nil {
 		return nil, err
@@ -105,8 +105,8 @@
 		links: ls,
 	}
 	for number, vm := range plan.VMs {
-		labels := provider.WithLabels("a", racks[number%len(racks)])
-		if err := se.AddVM(vm.Name, vm.Pool, vmCapacity, vm.Pool == provider.StandbyPool, labels); err != nil {
+		opts := []provider.VMOption{provider.WithLabels("a", racks[number%len(racks)]), provider.WithClock(vm.Clock)}
+		if err := se.AddVM(vm.Name, vm.Pool, vmCapacity, vm.Pool == provider.StandbyPool, opts...); err != nil {
 			return nil, err
 		}
 	}
