--- a/coltsfootwick-manager/internal/attendant/attendant_test.go
+++ b/coltsfootwick-manager/internal/attendant/attendant_test.go
@@ -192,8 +192,7 @@
 	must.Eq(t, "stored", (<-starts).Spec)
 }
 
-// TestPayloadIsReadFromASlowStore guards against jobs that wait without end after a
-// change of the holder, while the store takes over half a second for an answer.
+// Guards against jobs that stand still after a change of the holder while the store is slow.
 func TestPayloadIsReadFromASlowStore(t *testing.T) {
 	worker, starts := startWorker(t)
 	kr := keeper.New()
--- a/coltsfootwick-manager/internal/submitter/outcome_test.go
+++ b/coltsfootwick-manager/internal/submitter/outcome_test.go
@@ -23,8 +23,7 @@
 	isAccepted, mayBeStored bool
 }
 
-// TestAnswersToSubmissionsHold guards against accepted jobs that aren't stored, and
-// refused ones that are, while the store is slow, refuses calls and loses answers.
+// Guards against accepted jobs that aren't stored, and refused ones that are.
 func TestAnswersToSubmissionsHold(t *testing.T) {
 	for seed := range uint64(60) {
 		synctest.Test(t, func(t *testing.T) {
--- a/shared/jobs/allocator/outage_test.go
+++ b/shared/jobs/allocator/outage_test.go
@@ -29,8 +29,7 @@
 	return modeller.Run{Task: starts[0].Task, Attempt: starts[0].Attempt, Progress: 100}
 }
 
-// TestLongRunningTaskGoesOnWhileTheVMInterfaceIsOut guards against lasting jobs that are
-// stopped for a maintenance that can't be ordered.
+// Guards against lasting jobs that are stopped for a maintenance that can't be ordered.
 func TestLongRunningTaskGoesOnWhileTheVMInterfaceIsOut(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a")
@@ -45,8 +44,7 @@
 	must.Len(t, 1, takeOrders[StopOrder](fx))
 }
 
-// TestVMsOfAWaveGetTasksWhileTheVMInterfaceIsOut guards against workers that stay idle
-// until a maintenance that can't be ordered.
+// Guards against workers that stay idle until a maintenance that can't be ordered.
 func TestVMsOfAWaveGetTasksWhileTheVMInterfaceIsOut(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a")
--- a/shared/jobs/allocator/restart_test.go
+++ b/shared/jobs/allocator/restart_test.go
@@ -10,8 +10,7 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
-// TestLongRunningTaskThatEndedDoneStartsAgain guards against lasting jobs that are taken
-// for completed.
+// Guards against lasting jobs that are taken for completed.
 func TestLongRunningTaskThatEndedDoneStartsAgain(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a", "b")
@@ -26,8 +25,7 @@
 	must.Eq(t, modeller.JobRunning, state)
 }
 
-// TestJobsStartThoughAllWorkersAreQuarantined guards against idle workers that jobs
-// which can't be done keep from all others.
+// Guards against failing jobs that keep all others from idle workers.
 func TestJobsStartThoughAllWorkersAreQuarantined(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a", "b")
--- a/shared/jobs/allocator/stall_test.go
+++ b/shared/jobs/allocator/stall_test.go
@@ -9,8 +9,7 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
-// TestTaskWhoseProgressIsSlowEnds guards against long tasks that are stopped and started
-// again without end.
+// Guards against long tasks that are stopped and started again without end.
 func TestTaskWhoseProgressIsSlowEnds(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a", "b")
--- a/shared/jobs/allocator/ticket_test.go
+++ b/shared/jobs/allocator/ticket_test.go
@@ -247,8 +247,7 @@
 	must.Len(t, 0, takeOrders[StartOrder](af.fixture), must.Sprint(before))
 }
 
-// TestJobStartsWithTicketsOfShortValidity guards against queues whose jobs never start,
-// since their tickets count as expired when they arrive.
+// Guards against tickets that count as expired when they arrive.
 func TestJobStartsWithTicketsOfShortValidity(t *testing.T) {
 	af := newAdvisedFixture(t, 2)
 	af.apply(advisedConfiguration(3, 200*time.Millisecond))
--- a/shared/jobs/archiver/archiver_test.go
+++ b/shared/jobs/archiver/archiver_test.go
@@ -161,8 +161,7 @@
 	must.Eq(t, 1000, len(large.Tasks[999].Checkpoint)/4, must.Sprint("the progress itself keeps its checkpoints"))
 }
 
-// TestEndOfJobLeavesNoCancellation guards against a later job with the same ID that is
-// taken for cancelled, after a cancellation that was stored while the job ended.
+// Guards against a later job with the same ID that is taken for cancelled.
 func TestEndOfJobLeavesNoCancellation(t *testing.T) {
 	store := keeper.New().Zone("a")
 	_, err := store.Put(t.Context(), CancelKey("j"), []byte("{}"), 0, 0)
--- a/shared/jobs/modeller/codec_test.go
+++ b/shared/jobs/modeller/codec_test.go
@@ -63,8 +63,7 @@
 	})
 }
 
-// TestScheduleFromTheFirstMillisecondRoundTrips guards against accepted jobs whose
-// records are ignored afterwards.
+// Guards against accepted jobs whose records are ignored afterwards.
 func TestScheduleFromTheFirstMillisecondRoundTrips(t *testing.T) {
 	jb := Job{ID: "j", Queue: "q", Steps: []Step{{Count: 1}}, Occurrences: 2, FirstAt: time.UnixMilli(0).In(time.FixedZone("west", -3600)), Interval: time.Second}
 	must.NoError(t, jb.Validate())
