--- a/coltsfootwick-manager/internal/runner/shutdown_test.go
+++ b/coltsfootwick-manager/internal/runner/shutdown_test.go
@@ -8,8 +8,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestStopIsNoticedAmongHangups guards against a SIGTERM that is dropped since a SIGHUP
-// waits to be handled.
+// Guards against a SIGTERM that is dropped while a SIGHUP waits to be handled.
 func TestStopIsNoticedAmongHangups(t *testing.T) {
 	sg := newSignals()
 	const hangups = 20
@@ -25,8 +24,7 @@
 	}
 }
 
-// TestShutdownLeavesTimeForAnswers guards against shutdowns that take longer than the
-// grace period, or that leave callers' requests no time in it.
+// Guards against shutdowns that outlast the grace period or leave requests no time in it.
 func TestShutdownLeavesTimeForAnswers(t *testing.T) {
 	now := time.Now()
 	for _, grace := range []time.Duration{time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, time.Hour} {
--- a/shared/jobs/allocator/restart_test.go
+++ b/shared/jobs/allocator/restart_test.go
@@ -10,8 +10,7 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
-// TestLongRunningTaskThatEndedDoneStartsAgain guards against lasting jobs that are taken
-// for completed.
+// Guards against lasting jobs that are taken for completed.
 func TestLongRunningTaskThatEndedDoneStartsAgain(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a", "b")
@@ -58,8 +57,7 @@
 	return start
 }
 
-// TestTaskThatHasFailedOnAllWorkersStartsAgain guards against accepted jobs that stand
-// still on idle workers.
+// Guards against accepted jobs that stand still beside idle workers.
 func TestTaskThatHasFailedOnAllWorkersStartsAgain(t *testing.T) {
 	fx := newFixture(t)
 	fx.permitAttempts(3)
@@ -75,8 +73,7 @@
 	must.Len(t, 1, takeOrders[StartOrder](fx))
 }
 
-// TestJobsStartThoughAllWorkersAreQuarantined guards against idle workers that jobs
-// which can't be done keep from all others.
+// Guards against failing jobs that keep all others from idle workers.
 func TestJobsStartThoughAllWorkersAreQuarantined(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a", "b")
--- a/shared/jobs/allocator/wave_test.go
+++ b/shared/jobs/allocator/wave_test.go
@@ -199,8 +199,7 @@
 	must.Len(t, 1, takeOrders[VMOrder](fx))
 }
 
-// TestWorkerOfMaintainedVMGetsTasksAfterRepeatedOrder guards against a worker that stays
-// idle since an order was repeated that an earlier holder's had carried out.
+// Guards against workers that stay idle after an order that had been carried out before.
 func TestWorkerOfMaintainedVMGetsTasksAfterRepeatedOrder(t *testing.T) {
 	fx := newFixture(t)
 	fx.apply(WaveProgressLoaded{Number: 1, Ordered: []string{"vm-a"}})
--- a/shared/process/server/server_test.go
+++ b/shared/process/server/server_test.go
@@ -17,8 +17,7 @@
 	must.Eq(t, "ended", interruptWaitingRequest(t))
 }
 
-// TestDrainLeavesNoRequestWithoutAnswer guards against connections that are closed
-// before requests that waited for the whole grace period have been answered.
+// Guards against connections that are closed before waiting requests are answered.
 func TestDrainLeavesNoRequestWithoutAnswer(t *testing.T) {
 	closeBy := func() time.Time { return time.Now().Add(time.Second) }
 	must.Eq(t, "ended", interruptWaitingRequest(t, server.WithDrainFirst(), server.WithGrace(time.Second)))
--- a/standin/internal/rehearser/stop_test.go
+++ b/standin/internal/rehearser/stop_test.go
@@ -18,8 +18,7 @@
 // longTimeout is a timeout of requests beyond the grace periods of the tests.
 const longTimeout = 20 * time.Second
 
-// TestStopLeavesNoRequestWithoutAnswer guards against connections that are closed at a
-// stop while their requests wait for the store.
+// Guards against connections that a stop closes while their requests wait for the store.
 func TestStopLeavesNoRequestWithoutAnswer(t *testing.T) {
 	binaries := buildForProcesses(t)
 	for _, grace := range []time.Duration{3 * time.Second, 6 * time.Second} {
@@ -46,8 +45,7 @@
 	}
 }
 
-// TestStopLetsRequestsComplete guards against requests that get an error at a stop
-// although the store answers within the grace period.
+// Guards against errors at a stop although the store answers within the grace period.
 func TestStopLetsRequestsComplete(t *testing.T) {
 	const grace = 6 * time.Second
 	stopKeeperAndHolder(t, buildForProcesses(t), grace, func(se *stage, nd *node, number int) {
@@ -71,8 +69,7 @@
 	})
 }
 
-// TestStoppingManagerAcceptsJobs guards against managers that turn callers away, or
-// close their listeners, before the platform sends callers elsewhere.
+// Guards against managers that turn callers away before the platform does.
 func TestStoppingManagerAcceptsJobs(t *testing.T) {
 	const grace = 6 * time.Second
 	stopKeeperAndHolder(t, buildForProcesses(t), grace, func(se *stage, nd *node, number int) {
