allocator: repeat no eviction while another task of its step is unavailable

An eviction without an acknowledgement was ordered again after 0.7 s without a look at the disruption budget. Where another task of the step had become unavailable since, the repeated stop ended the one that was left (AVAIL).

TestEvictionIsNotRepeatedWhileAnotherTaskIsUnavailable failed before: two stops of the last available task.

--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -286,6 +286,21 @@
 	must.Len(t, 0, takeOrders[StopOrder](fx))
 }
 
+// Guards against a repeated stop that ends the last available task of a step.
+func TestEvictionIsNotRepeatedWhileAnotherTaskIsUnavailable(t *testing.T) {
+	fx := newFixture(t)
+	startLongRunningJob(fx)
+	fx.advance(2 * time.Second)
+	reportLongRunning(fx)
+	fx.addWave(3, vmOf("a", modeller.VMUp))
+	must.Len(t, 1, takeOrders[StopOrder](fx))
+	fx.report("b", []modeller.Run{{Task: taskName("l", 1), Attempt: 1, Progress: 40}})
+	fx.advance(2 * orderRetryInterval)
+	must.Len(t, 0, takeOrders[StopOrder](fx))
+	reportLongRunning(fx)
+	must.Len(t, 1, takeOrders[StopOrder](fx))
+}
+
 func TestGangStartsAllOrNothing(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a")
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -377,7 +377,7 @@
 		switch {
 		case rn.worker.runs[rn.name] != rn:
 			delete(al.stopping, rn)
-		case now.Sub(rn.stopSentAt) >= orderRetryInterval:
+		case now.Sub(rn.stopSentAt) >= orderRetryInterval && rn.canRepeatStop():
 			due = append(due, rn)
 		}
 	}
@@ -389,6 +389,14 @@
 	}
 }
 
+// canRepeatStop reports whether a stop may be ordered again. If it evicts a task that
+// is still available, others of its step may have become unavailable since.
+func (rn *run) canRepeatStop() bool {
+	tk := rn.task
+	isEviction := tk != nil && tk.step.spec.IsLongRunning && !tk.step.job.isCancelled && rn.progress >= 100
+	return !isEviction || tk.step.canEvict(rn)
+}
+
 // String returns the outcome's name.
 func (oc Outcome) String() string {
 	names := [...]string{"accepted", "unanswered", "not sent", "fenced", "outdated", "late", "full", "bad ticket", "replaced", "unhealthy", "malformed", "busy", "keeper lost"}
