allocator: keep no worker from tasks that can't be evacuated

Waves of maintenance named the VM of the only worker of a pool.

Such a worker isn't evacuated until another one gets tasks; the wave waits meanwhile.

--- a/shared/jobs/allocator/evict.go
+++ b/shared/jobs/allocator/evict.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"slices"
 	"time"
 )
 
@@ -41,12 +42,22 @@
 // canBeEmptiedAtOnce reports whether all runs of the worker are those of long-running
 // tasks, and the disruption budgets permit to stop all of them together.
 func (wk *worker) canBeEmptiedAtOnce() bool {
-	stopped := map[*step]int{}
 	for _, rn := range wk.runs {
 		if rn.task == nil || !rn.task.step.spec.IsLongRunning {
 			return false
 		}
-		stopped[rn.task.step]++
+	}
+	return wk.canStopLongRunning()
+}
+
+// canStopLongRunning reports whether the disruption budgets permit to stop all
+// long-running tasks of the worker together.
+func (wk *worker) canStopLongRunning() bool {
+	stopped := map[*step]int{}
+	for _, rn := range wk.runs {
+		if rn.task != nil && rn.task.step.spec.IsLongRunning {
+			stopped[rn.task.step]++
+		}
 	}
 	for st, count := range stopped {
 		unavailable := 0
@@ -62,6 +73,14 @@
 	return true
 }
 
+// isStuck reports whether a worker can't be evacuated: its long-running tasks have no
+// other place, and may not be stopped together. Its pool would stand still.
+func (al *Allocator) isStuck(wk *worker) bool {
+	return !wk.canStopLongRunning() && !slices.ContainsFunc(al.workers.byPool[wk.info.Pool], func(other *worker) bool {
+		return other != wk && other.isPresent() && !other.isCordoned && !other.info.IsDraining
+	})
+}
+
 // haveOldStopsEnded reports whether the stops that an earlier holder ordered
 // have taken effect. Until then, workers report the runs that they are stopping
 // as running.
--- a/shared/jobs/allocator/evict_test.go
+++ b/shared/jobs/allocator/evict_test.go
@@ -171,3 +171,27 @@
 	}
 	must.MapContainsKeys(t, wf.al.fleet.waves[1].evacuating, []string{"vm-c", "vm-d"})
 }
+
+// Guards against a pool that stands still since its only worker can't be evacuated.
+func TestWorkerThatCannotBeEvacuatedGetsTasks(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a")
+	st := longRunningStep(2)
+	st.MaxPerWorker = 0
+	fx.submitJob("l", st)
+	must.Len(t, 2, takeOrders[StartOrder](fx))
+	running := map[string][]modeller.Run{"a": {
+		{Task: taskName("l", 0), Attempt: 1, Progress: 100},
+		{Task: taskName("l", 1), Attempt: 1, Progress: 100},
+	}}
+	fx.reportFor(time.Second, running)
+	fx.apply(WaveRecorded{Wave: modeller.Wave{Number: 1, VMs: []string{"vm-a"}, Duration: 5 * time.Second, MaxDown: 1}})
+	for range 30 {
+		fx.listVMs(vmOf("a", modeller.VMUp))
+		fx.reportFor(100*time.Millisecond, running)
+	}
+	fx.submitJob("j", oneTaskStep())
+	fx.listVMs(vmOf("a", modeller.VMUp))
+	fx.reportFor(100*time.Millisecond, running)
+	must.Len(t, 1, takeOrders[StartOrder](fx))
+}
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -309,7 +309,7 @@
 			wv.evacuating[ca.name] = now
 			continue
 		}
-		if al.isLastOpen(wk) {
+		if al.isLastOpen(wk) || al.isStuck(wk) {
 			continue
 		}
 		wv.evacuating[ca.name] = now
@@ -393,6 +393,11 @@
 			al.uncordon(vm.Worker)
 			continue
 		}
+		if wk != nil && al.isStuck(wk) {
+			delete(wv.evacuating, name)
+			al.uncordon(vm.Worker)
+			continue
+		}
 		if wk != nil && !wk.isCordoned {
 			wk.isCordoned = true
 		}
