--- a/standin/internal/soaker/finisher.go
+++ b/standin/internal/soaker/finisher.go
@@ -152,6 +152,7 @@
 		return false
 	}
 	fs.play.report("LOST", format, args...)
+	fs.play.tracef("pools: %+v", fs.pools)
 	return true
 }
 
