allocator: give up an evacuation that stalls, for a while

A wave had kept a worker from tasks that ran two long-running tasks of one step, of which one may be unavailable, and which no other worker could take.

After 2.5 s in which long-running tasks are left that may not be stopped, the worker gets tasks for a second, and is evacuated again. No task may wait for 3 s beside a worker that can take it.

--- a/shared/jobs/allocator/evict.go
+++ b/shared/jobs/allocator/evict.go
@@ -81,6 +81,24 @@
 	})
 }
 
+// noteStall gives the evacuation of a worker up for a while if it has waited too long
+// for long-running tasks that may not be stopped.
+func (wk *worker) noteStall(now time.Time) {
+	isWaiting := false
+	for _, rn := range wk.runs {
+		isWaiting = isWaiting || rn.task != nil && rn.task.step.spec.IsLongRunning && !rn.isStopping
+	}
+	switch {
+	case !isWaiting:
+		wk.stalledSince = time.Time{}
+	case wk.stalledSince.IsZero():
+		wk.stalledSince = now
+	case now.Sub(wk.stalledSince) > maxStall:
+		wk.stalledSince = time.Time{}
+		wk.evacuableFrom = now.Add(stallRest)
+	}
+}
+
 // haveOldStopsEnded reports whether the stops that an earlier holder ordered
 // have taken effect. Until then, workers report the runs that they are stopping
 // as running.
--- a/shared/jobs/allocator/evict_test.go
+++ b/shared/jobs/allocator/evict_test.go
@@ -195,3 +195,36 @@
 	fx.reportFor(100*time.Millisecond, running)
 	must.Len(t, 1, takeOrders[StartOrder](fx))
 }
+
+// Guards against tasks that wait without end for the only worker that can run them.
+func TestEvacuationThatStallsLetsTasksStart(t *testing.T) {
+	fx := newFixture(t)
+	labelled := workerIn("a", "p")
+	labelled.Labels = []string{"only"}
+	labelled.VM = "vm-a"
+	fx.apply(WorkerListed{Worker: labelled})
+	fx.addReadyWorkers("b")
+	fx.reportFor(200*time.Millisecond, map[string][]modeller.Run{"a": nil, "b": nil})
+	st := longRunningStep(2)
+	st.MaxPerWorker = 0
+	st.RequiredLabel = "only"
+	fx.submitJob("l", st)
+	must.Len(t, 2, takeOrders[StartOrder](fx))
+	running := map[string][]modeller.Run{"b": nil, "a": {
+		{Task: taskName("l", 0), Attempt: 1, Progress: 100},
+		{Task: taskName("l", 1), Attempt: 1, Progress: 100},
+	}}
+	fx.reportFor(time.Second, running)
+	fx.apply(WaveRecorded{Wave: modeller.Wave{Number: 1, VMs: []string{"vm-a"}, Duration: 5 * time.Second, MaxDown: 1}})
+	fx.listVMs(vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
+	fx.reportFor(time.Second, running)
+	must.True(t, fx.al.workers.byID["a"].isCordoned)
+	task := oneTaskStep()
+	task.RequiredLabel = "only"
+	fx.submitJob("j", task)
+	for range 3 {
+		fx.listVMs(vmOf("a", modeller.VMUp), vmOf("b", modeller.VMUp))
+		fx.reportFor(time.Second, running)
+	}
+	must.Positive(t, len(takeOrders[StartOrder](fx)))
+}
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -35,6 +35,11 @@
 	evacuationTime = 3 * time.Second
 	scheduleFactor = 1.5
 	scheduleMargin = 6 * time.Second
+	// maxStall is how long an evacuation may wait for long-running tasks that may not
+	// be stopped. Then the worker gets tasks again for stallRest, since there may be
+	// some that only it can run.
+	maxStall  = 2500 * time.Millisecond
+	stallRest = time.Second
 	// urgentTimeShare is the share of a wave's duration after which the wave
 	// also stops checkpointing tasks, which might otherwise run for long.
 	urgentTimeShare = 0.6
@@ -309,7 +314,7 @@
 			wv.evacuating[ca.name] = now
 			continue
 		}
-		if al.isLastOpen(wk) || al.isStuck(wk) {
+		if al.isLastOpen(wk) || al.isStuck(wk) || now.Before(wk.evacuableFrom) {
 			continue
 		}
 		wv.evacuating[ca.name] = now
@@ -393,7 +398,7 @@
 			al.uncordon(vm.Worker)
 			continue
 		}
-		if wk != nil && al.isStuck(wk) {
+		if wk != nil && (al.isStuck(wk) || now.Before(wk.evacuableFrom)) {
 			delete(wv.evacuating, name)
 			al.uncordon(vm.Worker)
 			continue
@@ -402,6 +407,7 @@
 			wk.isCordoned = true
 		}
 		if wk != nil && !al.evacuate(now, wk, isUrgent, canGoDown) {
+			wk.noteStall(now)
 			continue
 		}
 		if al.fleet.downCount(wv) >= wv.info.MaxDown {
