--- a/standin/internal/soaker/command.go
+++ b/standin/internal/soaker/command.go
@@ -10,6 +10,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"coltsfootwick.example/shared/process/classifier"
@@ -20,6 +22,7 @@
 	Seed        uint64 `help:"Seed of the first play; the others follow. Zero takes one from the time." default:"0"`
 	Plays       uint64 `help:"How many plays are run." default:"1"`
 	Seconds     int    `help:"How long the callers of a play send requests." default:"30"`
+	Parallel    int    `help:"How many plays run at a time." default:"1"`
 	Managers    int    `help:"How many managers run." default:"3"`
 	Bin         string `help:"Directory of the programs." type:"existingdir" default:"bin"`
 	Keep        bool   `help:"Keep the directories of settings files, logs and traces also of plays that passed."`
@@ -30,25 +33,51 @@
 // was violated.
 func (cd *Command) Run(ctx context.Context, out io.Writer) error {
 	plans := cd.plans()
-	failed := 0
-	for _, plan := range plans {
-		if ctx.Err() != nil {
-			break
-		}
-		findings, err := cd.play(ctx, out, plan)
-		if err != nil {
-			return err
+	outcomes := make(chan outcome)
+	slots := make(chan struct{}, max(cd.Parallel, 1))
+	go func() {
+		defer close(outcomes)
+		var plays sync.WaitGroup
+		defer plays.Wait()
+		for _, plan := range plans {
+			slots <- struct{}{}
+			if ctx.Err() != nil {
+				return
+			}
+			plays.Go(func() {
+				defer func() { <-slots }()
+				outcomes <- cd.play(ctx, plan)
+			})
 		}
-		if findings > 0 {
+	}()
+	failed := 0
+	var firstErr error
+	for oc := range outcomes {
+		_, _ = io.WriteString(out, oc.text)
+		if oc.findings > 0 {
 			failed++
 		}
+		if firstErr == nil {
+			firstErr = oc.err
+		}
 	}
-	if failed > 0 {
+	switch {
+	case firstErr != nil:
+		return firstErr
+	case failed > 0:
 		return classifier.New(classifier.Internal, "%d of %d plays violated a guarantee", failed, len(plans))
 	}
 	return ctx.Err()
 }
 
+// outcome is the outcome of a play: its lines of output, how many findings there are,
+// and the error if it couldn't be played.
+type outcome struct {
+	text     string
+	findings int
+	err      error
+}
+
 // plans returns the plans of the plays.
 func (cd *Command) plans() []Plan {
 	var plans []Plan
@@ -71,32 +100,36 @@
 	return plans
 }
 
-// play plays a plan, prints its outcome and returns the number of its findings.
-func (cd *Command) play(ctx context.Context, out io.Writer, plan Plan) (int, error) {
+// play plays a plan.
+func (cd *Command) play(ctx context.Context, plan Plan) outcome {
 	files, err := os.MkdirTemp("", fmt.Sprintf("coltsfootwick-soak-%d-", plan.Seed))
 	if err != nil {
-		return 0, classifier.Wrap(err, classifier.Internal, "make a directory")
+		return outcome{err: classifier.Wrap(err, classifier.Internal, "make a directory")}
 	}
 	binaries, err := filepath.Abs(cd.Bin)
 	if err != nil {
-		return 0, classifier.Wrap(err, classifier.Internal, "%s", cd.Bin)
+		return outcome{err: classifier.Wrap(err, classifier.Internal, "%s", cd.Bin)}
 	}
 	began := time.Now()
 	pl, err := newPlay(plan, files, binaries)
 	if err != nil {
-		return 0, err
+		return outcome{err: err}
 	}
 	defer pl.close()
 	if err := pl.run(ctx); err != nil {
-		return 0, err
+		return outcome{err: err}
 	}
-	pl.printOutcome(out, time.Since(began))
+	var text strings.Builder
+	pl.printOutcome(&text, time.Since(began))
 	if len(pl.findings) > 0 || cd.Keep {
-		_, _ = fmt.Fprintf(out, "  settings files, logs and trace: %s\n", files)
+		fmt.Fprintf(&text, "  settings files, logs and trace: %s\n", files)
 	} else {
 		_ = os.RemoveAll(files)
 	}
-	return len(pl.findings), nil
+	return outcome{
+		text:     text.String(),
+		findings: len(pl.findings),
+	}
 }
 
 // printOutcome prints a line on the play and one for each finding.
--- a/standin/internal/soaker/regression.go
+++ b/standin/internal/soaker/regression.go
@@ -25,4 +25,18 @@
 		Duration: 30 * time.Second,
 	},
 	Cause: "a repeated maintenance order ended the worker of a VM that had been maintained before, and left it idle",
+}, {
+	Seed: 33001,
+	Settings: Settings{
+		Managers: 3,
+		Duration: 30 * time.Second,
+	},
+	Cause: "a wave evacuated the only worker of a pool, whose long-running tasks could not be stopped together",
+}, {
+	Seed: 20008,
+	Settings: Settings{
+		Managers: 3,
+		Duration: 30 * time.Second,
+	},
+	Cause: "a wave evacuated the only worker that a job could run on, and waited for long-running tasks that could not be stopped",
 }}
