allocator: end stalled evacuations only if tasks wait beside room

An evacuation is now given up only while tasks wait and less than half of the pool's cores are in use, which is when a task may not wait.

--- a/shared/jobs/allocator/evict.go
+++ b/shared/jobs/allocator/evict.go
@@ -82,8 +82,9 @@
 }
 
 // noteStall gives the evacuation of a worker up for a while if it has waited too long
-// for long-running tasks that may not be stopped.
-func (wk *worker) noteStall(now time.Time) {
+// for long-running tasks that may not be stopped, and tasks wait although their pool
+// has room: there may be some that only this worker can run.
+func (al *Allocator) noteStall(now time.Time, wk *worker) {
 	isWaiting := false
 	for _, rn := range wk.runs {
 		isWaiting = isWaiting || rn.task != nil && rn.task.step.spec.IsLongRunning && !rn.isStopping
@@ -93,12 +94,31 @@
 		wk.stalledSince = time.Time{}
 	case wk.stalledSince.IsZero():
 		wk.stalledSince = now
-	case now.Sub(wk.stalledSince) > maxStall:
+	case now.Sub(wk.stalledSince) > maxStall && al.hasWaitingTasks(wk.info.Pool) && al.isHalfEmpty(wk.info.Pool):
 		wk.stalledSince = time.Time{}
 		wk.evacuableFrom = now.Add(stallRest)
 	}
 }
 
+// hasWaitingTasks reports whether tasks wait for workers of a pool.
+func (al *Allocator) hasWaitingTasks(pool string) bool {
+	wl := al.waiting[pool]
+	return wl != nil && slices.ContainsFunc(wl.ranked, func(rj rankedJob) bool { return rj.job.mayWait() })
+}
+
+// isHalfEmpty reports whether less than half of the cores of a pool's workers are in
+// use.
+func (al *Allocator) isHalfEmpty(pool string) bool {
+	var used, capacity int
+	for _, wk := range al.workers.byPool[pool] {
+		if wk.isPresent() {
+			used += wk.used.MilliCores
+			capacity += wk.info.Capacity.MilliCores
+		}
+	}
+	return 2*used < capacity
+}
+
 // haveOldStopsEnded reports whether the stops that an earlier holder ordered
 // have taken effect. Until then, workers report the runs that they are stopping
 // as running.
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -35,9 +35,9 @@
 	evacuationTime = 3 * time.Second
 	scheduleFactor = 1.5
 	scheduleMargin = 6 * time.Second
-	// maxStall is how long an evacuation may wait for long-running tasks that may not
-	// be stopped. Then the worker gets tasks again for stallRest, since there may be
-	// some that only it can run.
+	// maxStall is how long an evacuation may keep tasks waiting while it waits for
+	// long-running tasks that may not be stopped. Then the worker gets tasks again for
+	// stallRest.
 	maxStall  = 2500 * time.Millisecond
 	stallRest = time.Second
 	// urgentTimeShare is the share of a wave's duration after which the wave
@@ -407,7 +407,7 @@
 			wk.isCordoned = true
 		}
 		if wk != nil && !al.evacuate(now, wk, isUrgent, canGoDown) {
-			wk.noteStall(now)
+			al.noteStall(now, wk)
 			continue
 		}
 		if al.fleet.downCount(wv) >= wv.info.MaxDown {
