--- a/standin/internal/soaker/finisher.go
+++ b/standin/internal/soaker/finisher.go
@@ -114,7 +114,11 @@
 	}
 	waiting, isTurn := fs.history.next(jb, time.Now())
 	isIdle := !fs.history.isRunning[jb.ID] && (!isTurn || fs.hasRoom(jb, waiting))
-	return fs.isLost(jb.ID, isIdle, "job %s has nothing running and is %q", jb.path, as.state)
+	next := "no task"
+	if isTurn {
+		next = waiting.String()
+	}
+	return fs.isLost(jb.ID, isIdle, "job %s has nothing running and is %q; %s is next", jb.path, as.state, next)
 }
 
 // isRunningOn reports whether all tasks of a long-running job run or are lost.
