allocator: end an evacuation only if it has kept tasks waiting beside room all along

The time in which an evacuation stalls now counts only while tasks wait and the pool is less than half in use, and starts anew when they don't.

--- a/shared/jobs/allocator/evict.go
+++ b/shared/jobs/allocator/evict.go
@@ -81,20 +81,20 @@
 	})
 }
 
-// noteStall gives the evacuation of a worker up for a while if it has waited too long
-// for long-running tasks that may not be stopped, and tasks wait although their pool
-// has room: there may be some that only this worker can run.
+// noteStall gives the evacuation of a worker up for a while if for too long it has
+// waited for long-running tasks that may not be stopped, while tasks waited although
+// their pool had room: there may be some that only this worker can run.
 func (al *Allocator) noteStall(now time.Time, wk *worker) {
 	isWaiting := false
 	for _, rn := range wk.runs {
 		isWaiting = isWaiting || rn.task != nil && rn.task.step.spec.IsLongRunning && !rn.isStopping
 	}
 	switch {
-	case !isWaiting:
+	case !isWaiting || !al.hasWaitingTasks(wk.info.Pool) || !al.isHalfEmpty(wk.info.Pool):
 		wk.stalledSince = time.Time{}
 	case wk.stalledSince.IsZero():
 		wk.stalledSince = now
-	case now.Sub(wk.stalledSince) > maxStall && al.hasWaitingTasks(wk.info.Pool) && al.isHalfEmpty(wk.info.Pool):
+	case now.Sub(wk.stalledSince) > maxStall:
 		wk.stalledSince = time.Time{}
 		wk.evacuableFrom = now.Add(stallRest)
 	}
--- a/shared/jobs/allocator/wave.go
+++ b/shared/jobs/allocator/wave.go
@@ -38,7 +38,7 @@
 	// maxStall is how long an evacuation may keep tasks waiting while it waits for
 	// long-running tasks that may not be stopped. Then the worker gets tasks again for
 	// stallRest.
-	maxStall  = 2500 * time.Millisecond
+	maxStall  = 2 * time.Second
 	stallRest = time.Second
 	// urgentTimeShare is the share of a wave's duration after which the wave
 	// also stops checkpointing tasks, which might otherwise run for long.
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -85,9 +85,8 @@
 	// isCordoned is true while the worker is evacuated for a move or
 	// maintenance.
 	isCordoned bool
-	// stalledSince is since when the worker's evacuation waits for long-running tasks
-	// that may not be stopped, or zero. Once it has been given up, the worker isn't
-	// evacuated before evacuableFrom.
+	// stalledSince is since when the worker's evacuation keeps tasks waiting, or zero.
+	// Once it has been given up, the worker isn't evacuated before evacuableFrom.
 	stalledSince, evacuableFrom time.Time
 	// isVacating is true while the worker gets no tasks since another pool needs
 	// its VM.
