manager: log the lease of a start, and what a poll carried that another incarnation answered

The logs of the incident at restarted workers couldn't tell a start that gives a new incarnation the lease of the one before from a poll that acknowledges its ends. A start now logs the end of the lease and the worker's clock, and the end of an incarnation the lease and the number of ends of the poll that showed it.

--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -133,7 +133,7 @@
 			LeaseEnd:     od.LeaseEnd,
 			FencingToken: di.fencingToken,
 		})
-		di.logOrder("start", od.Worker.ID, od.Task, od.Attempt, err, zap.Duration("reportAge", od.ReportAge), zap.Int("freeMilliCores", od.FreeMilliCores))
+		di.logOrder("start", od.Worker.ID, od.Task, od.Attempt, err, zap.Duration("reportAge", od.ReportAge), zap.Int("freeMilliCores", od.FreeMilliCores), zap.Duration("leaseEnd", od.LeaseEnd), zap.Duration("clock", clock))
 		di.emit(allocator.StartResult{
 			Worker:  od.Worker.ID,
 			Task:    od.Task,
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -27,7 +28,7 @@
 		if ev.SentAt.Before(wk.reportedAt) {
 			return
 		}
-		al.endIncarnation(now, wk, "report has another start time")
+		al.endIncarnation(now, wk, fmt.Sprintf("report has another start time, clock %s; polled with lease end %s, at most %d ends acknowledged", ev.Report.Clock, wk.polledLeaseEnd, wk.lastStoredEnd))
 	}
 	if wk.clockAt.IsZero() || !wk.isSynced || ev.Report.Clock > wk.clock {
 		wk.clock = ev.Report.Clock
