tests: orders that the next incarnation of a worker carries out, failing

A worker that starts again under its ID carries out orders that were meant for the incarnation before.

--- a/standin/internal/emulator/caller.go
+++ b/standin/internal/emulator/caller.go
@@ -118,7 +118,7 @@
 	st := sj.job.Steps[name.Step]
 	return executor.Profile{
 		Demand:          st.ReservedResources(),
-		Duration:        time.Duration(float64(st.Estimate) * (0.7 + 0.6*fraction(name))),
+		Duration:        time.Duration(float64(st.Estimate) * (0.7 + 0.6*fraction(name)) * sm.slowness(name)),
 		IsLongRunning:   st.IsLongRunning,
 		IsCheckpointing: st.IsCheckpointing,
 		IsFailing:       sj.isPoison,
--- a/standin/internal/emulator/command.go
+++ b/standin/internal/emulator/command.go
@@ -17,6 +17,7 @@
 	// The days of a seed without these options stay as they are.
 	HasLateVMOrders      bool `name:"late-vm-orders" help:"Start a wave, and carry orders to the VM interface out late."`
 	ChangesConfiguration bool `name:"changing-configuration" help:"Let operators remove queues and add them again for any pool."`
+	RestartsWorkers      bool `name:"restarting-workers" help:"Let workers crash, be back under their IDs at once, and be cut off soon after."`
 }
 
 // Run runs the simulations and prints each violated guarantee with its seed. It
@@ -33,6 +34,9 @@
 	if cd.HasLateVMOrders {
 		opts = append(opts, WithLateVMOrders())
 	}
+	if cd.RestartsWorkers {
+		opts = append(opts, WithRestartsUnderTheSameID())
+	}
 	failed := 0
 	var total Counts
 	for number := range cd.Days {
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -77,10 +77,12 @@
 	operators   *operators
 	// vmRandom decides which VM orders are carried out late; nil if none is.
 	vmRandom *rand.Rand
-	terms    []*term
-	fence    uint64
-	timers   timerQueue
-	nextID   int
+	// clockRandom draws the clocks of restarted workers; nil if they begin at zero.
+	clockRandom *rand.Rand
+	terms       []*term
+	fence       uint64
+	timers      timerQueue
+	nextID      int
 	// nextElectionAt is when the next holder is elected; zero if no election is due.
 	nextElectionAt time.Time
 	managers       []*manager
--- a/standin/internal/emulator/emulator_test.go
+++ b/standin/internal/emulator/emulator_test.go
@@ -23,6 +23,12 @@
 	playFixedSeeds(t, WithLateVMOrders())
 }
 
+// TestDaysWithRestartsUnderTheSameIDKeepAllPromises guards against orders that the next
+// incarnation of a worker carries out.
+func TestDaysWithRestartsUnderTheSameIDKeepAllPromises(t *testing.T) {
+	playFixedSeeds(t, WithRestartsUnderTheSameID())
+}
+
 func playFixedSeeds(t *testing.T, opts ...Option) {
 	var total Counts
 	var mu sync.Mutex
--- a/standin/internal/emulator/node.go
+++ b/standin/internal/emulator/node.go
@@ -26,6 +26,8 @@
 	// isMaintained is true once the wave has started maintenance of the VM.
 	isMaintained bool
 	incarnation  int
+	// keepsID is true if the next incarnation has the ID of the present one.
+	keepsID bool
 	// vmFence is the highest fencing token of an order for the VM.
 	vmFence uint64
 	// side is the side of a partition that the node is on.
@@ -75,12 +77,13 @@
 	sm.abandonPoll(nd)
 	incarnation := nd.incarnation
 	nd.ex = executor.New(sm.now, executor.Settings{
-		Worker:   nd.info,
-		StopTime: time.Duration(150+sm.random.IntN(750)) * time.Millisecond,
-		MaxLease: 10 * time.Second,
-		Drift:    0.02 * sm.random.Float64(),
-		Profile:  sm.profile,
-		OnEnd:    func(end modeller.End) { sm.recordEnd(nd, incarnation, end) },
+		Worker:      nd.info,
+		StopTime:    time.Duration(150+sm.random.IntN(750)) * time.Millisecond,
+		MaxLease:    10 * time.Second,
+		Drift:       0.02 * sm.random.Float64(),
+		ClockOffset: sm.drawClockOffset(),
+		Profile:     sm.profile,
+		OnEnd:       func(end modeller.End) { sm.recordEnd(nd, incarnation, end) },
 	})
 	sm.nodes[id] = nd
 	sm.sortedNodes = nil
@@ -131,16 +134,17 @@
 }
 
 // restartNode restarts a node; its worker keeps its ID or gets a new one with
-// equal probability.
+// equal probability, unless it is to keep it.
 func (sm *Simulation) restartNode(nd *node) {
 	nd.isUp = true
 	nd.restartAt = time.Time{}
 	nd.state = modeller.VMUp
 	id := nd.info.ID
-	if sm.random.Float64() < 0.5 {
+	if !nd.keepsID && sm.random.Float64() < 0.5 {
 		id = modeller.WorkerID(fmt.Sprintf("w-%s-%d", nd.info.VM, nd.incarnation))
 		sm.unlistWorker(nd)
 	}
+	nd.keepsID = false
 	nd.info.IsDraining = false
 	sm.restartWorker(nd, id)
 	incarnation := nd.incarnation
--- /dev/null
+++ b/standin/internal/emulator/restart.go
@@ -0,0 +1,80 @@
+package emulator
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"coltsfootwick.example/shared/jobs/modeller"
+)
+
+// The restarts of WithRestartsUnderTheSameID.
+const (
+	maxRestarts = 4
+	// maxRestartedNodes bounds the nodes that restart together.
+	maxRestartedNodes = 6
+	// maxDownTime bounds the time from a crash to the restart, maxUptime that from the
+	// restart until the node is unreachable, and maxUnreachableTime how long it is.
+	maxDownTime        = time.Second
+	maxUptime          = 2500 * time.Millisecond
+	maxUnreachableTime = 9 * time.Second
+	// maxClockOffset bounds the reading of the clock of an incarnation at its start.
+	maxClockOffset = 2 * time.Minute
+	// longShare is the share of tasks that take longFactor times as long, if they are
+	// started in the first half of a day. Later ones might not be done by its end.
+	longShare  = 0.3
+	longFactor = 8
+)
+
+// WithRestartsUnderTheSameID lets workers crash and be back under their IDs before
+// they are missed, with clocks that begin anew at any reading, and cuts them off soon
+// after. Some tasks take longer than a lease.
+func WithRestartsUnderTheSameID() Option {
+	return func(sm *Simulation) {
+		sm.clockRandom = rand.New(rand.NewPCG(sm.seed, 6))
+		sm.drawRestarts(rand.New(rand.NewPCG(sm.seed, 5)))
+	}
+}
+
+// drawRestarts draws the restarts and the partitions that follow them.
+func (sm *Simulation) drawRestarts(random *rand.Rand) {
+	upTo := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
+	for range 1 + random.IntN(maxRestarts) {
+		crashAt := sm.begin.Add(time.Second + upTo(submissionTime-time.Second))
+		restartAt := crashAt.Add(upTo(maxDownTime))
+		cutAt := restartAt.Add(upTo(maxUptime))
+		healAt := cutAt.Add(upTo(maxUnreachableTime))
+		count := 1 + random.IntN(maxRestartedNodes)
+		var affected []*node
+		sm.timers.add(crashAt, func() {
+			affected = sm.pickNodes(count)
+			for _, nd := range affected {
+				sm.tracef("%s restarts under its ID", nd.info.ID)
+				nd.keepsID = true
+			}
+			sm.crash(affected, restartAt)
+		})
+		sm.timers.add(cutAt, func() {
+			for _, nd := range affected {
+				sm.tracef("%s is cut off", nd.info.ID)
+				nd.unreachableUntil = healAt
+			}
+		})
+	}
+}
+
+// drawClockOffset draws the reading of a worker's clock at its start: that of the
+// incarnation before may be lower or higher.
+func (sm *Simulation) drawClockOffset() time.Duration {
+	if sm.clockRandom == nil || sm.clockRandom.IntN(2) == 0 {
+		return 0
+	}
+	return time.Duration(sm.clockRandom.Int64N(int64(maxClockOffset)))
+}
+
+// slowness returns the factor by which a task takes longer than estimated.
+func (sm *Simulation) slowness(name modeller.TaskName) float64 {
+	if sm.clockRandom == nil || sm.now.Sub(sm.begin) > submissionTime/2 || fraction(name) >= longShare {
+		return 1
+	}
+	return longFactor
+}
