adapter, allocator: send an order to the incarnation of a worker that it is meant for

What callers saw: tasks ran twice, at two workers at once or again after an end that had been taken note of, when workers started again under their IDs and were cut off soon after.

Cause: an order is addressed to a worker's ID, which outlives the process that it was decided for; the Expect-Instance header names the ID alone. A start that was decided before the new incarnation had reported, or that waited in a keeper's queue, was carried out by it. The start has the end of the lease by the clock of the incarnation before, so the new one took the longest lease, 10 s, where the scheduler counted 5 s from its own poll. Once the worker was cut off, its tasks were started elsewhere while it ran them, or had ended them and listed the ends later. A poll for the incarnation before could likewise extend the lease, or acknowledge ends that no report had shown.

Change: orders name the incarnation by its start time. If another one answers, the order isn't sent: the outcome 'restarted' ends the incarnation at the scheduler, which polls at once. Polls for any incarnation carry neither a lease nor acknowledged ends.

--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -183,7 +183,8 @@
 
 func endpointOf(wk modeller.Worker) adapter.Endpoint {
 	return adapter.Endpoint{
-		Worker:  wk.ID,
-		Address: wk.Address,
+		Worker:      wk.ID,
+		Address:     wk.Address,
+		StartedAtMS: wk.StartedAtMS,
 	}
 }
--- a/coltsfootwick-manager/internal/dispatcher/outcome.go
+++ b/coltsfootwick-manager/internal/dispatcher/outcome.go
@@ -23,6 +23,8 @@
 		return allocator.BadTicket
 	case classifier.WorkerReplaced:
 		return allocator.Replaced
+	case classifier.WorkerRestarted:
+		return allocator.Restarted
 	case classifier.WorkerUnhealthy:
 		return allocator.Unhealthy
 	case classifier.WorkerUnreachable, classifier.PlatformRateLimited, classifier.PlatformUnavailable:
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -242,6 +242,9 @@
 	// KeeperLost means that the manager that was to send the poll was lost, which
 	// says nothing about the worker.
 	KeeperLost
+	// Restarted means that another incarnation of the worker answers at the address,
+	// and that the order was not sent to it.
+	Restarted
 )
 
 // Apply applies an event to the state.
--- a/shared/jobs/allocator/order.go
+++ b/shared/jobs/allocator/order.go
@@ -6,7 +6,9 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
-// Order is a command to be carried out.
+// Order is a command to be carried out. An order to a worker is for one incarnation:
+// the one that started at the StartedAtMS of its Worker. Zero means any, which is so
+// until an incarnation has reported.
 type Order interface {
 	order()
 }
--- a/shared/jobs/allocator/pace.go
+++ b/shared/jobs/allocator/pace.go
@@ -45,7 +45,7 @@
 				rn.pacing.reduction = reduction
 				rn.pacing.changedAt = now
 				al.orders = append(al.orders, PaceOrder{
-					Worker:  wk.info,
+					Worker:  wk.addressee(),
 					Task:    rn.name,
 					Attempt: rn.attempt,
 					Percent: fullPace - reduction,
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -136,7 +136,7 @@
 	wk.addRun(rn)
 	al.markDirty(tk.step.job)
 	al.orders = append(al.orders, StartOrder{
-		Worker:         wk.info,
+		Worker:         wk.addressee(),
 		Task:           tk.name,
 		Attempt:        attempt,
 		Queue:          tk.step.job.info.Queue,
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -258,9 +258,17 @@
 		return
 	}
 	wk.isPollInFlight = false
-	if ev.Outcome == KeeperLost {
+	switch ev.Outcome {
+	case KeeperLost:
 		wk.pollAt = now.Add(minPollInterval)
 		return
+	case Restarted:
+		wk.pollAt = now
+		if wk.isSynced {
+			al.endIncarnation(now, wk, "another incarnation answers")
+		}
+		return
+	default:
 	}
 	if wk.clockAt.IsZero() && !wk.mayHoldOldRuns {
 		al.setNeverAnswered(wk, true)
@@ -319,6 +327,10 @@
 		}
 	case NotSent, Unhealthy, Replaced:
 		wk.suspectUntil = now.Add(orderRetryInterval)
+	case Restarted:
+		if rn.incarnation == wk.incarnation {
+			al.endIncarnation(now, wk, "another incarnation answers")
+		}
 	case BadTicket:
 		if tk != nil {
 			tk.step.forgetPermission(wk)
@@ -365,7 +377,7 @@
 	rn.stopSentAt = now
 	al.stopping[rn] = struct{}{}
 	al.orders = append(al.orders, StopOrder{
-		Worker:  rn.worker.info,
+		Worker:  rn.worker.addressee(),
 		Task:    rn.name,
 		Attempt: rn.attempt,
 	})
@@ -400,7 +412,7 @@
 
 // String returns the outcome's name.
 func (oc Outcome) String() string {
-	names := [...]string{"accepted", "unanswered", "not sent", "fenced", "outdated", "late", "full", "bad ticket", "replaced", "unhealthy", "malformed", "busy", "keeper lost"}
+	names := [...]string{"accepted", "unanswered", "not sent", "fenced", "outdated", "late", "full", "bad ticket", "replaced", "unhealthy", "malformed", "busy", "keeper lost", "restarted"}
 	if int(oc) < len(names) {
 		return names[oc]
 	}
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -195,6 +195,17 @@
 	return wk.clock + time.Duration(float64(now.Sub(wk.clockAt))*(1-clockDrift)) - clockRounding
 }
 
+// addressee returns the worker as the receiver of orders: the incarnation that has
+// reported, or any if none has.
+func (wk *worker) addressee() modeller.Worker {
+	info := wk.info
+	info.StartedAtMS = 0
+	if wk.isSynced {
+		info.StartedAtMS = wk.startedAtMS
+	}
+	return info
+}
+
 // isEligible reports whether a worker may get a start now.
 func (al *Allocator) isEligible(now time.Time, wk *worker) bool {
 	return wk.isOpen() &&
@@ -310,11 +321,11 @@
 			continue
 		}
 		po := PollOrder{
-			Worker:           wk.info,
-			AcknowledgedEnds: wk.lastStoredEnd,
-			ProcessedEnds:    wk.lastProcessedEnd,
+			Worker: wk.addressee(),
 		}
 		if wk.isSynced {
+			po.AcknowledgedEnds = wk.lastStoredEnd
+			po.ProcessedEnds = wk.lastProcessedEnd
 			// A poll without an answer may still extend the lease, so the lease
 			// of an unresponsive worker is left to expire.
 			if !wk.isUnresponsive && len(wk.unresolvedStarts) == 0 {
@@ -353,7 +364,7 @@
 		wk.unresolvedStopsSentAt = now
 		for _, name := range slices.SortedFunc(maps.Keys(wk.unresolvedStarts), modeller.TaskName.Compare) {
 			al.orders = append(al.orders, StopOrder{
-				Worker:  wk.info,
+				Worker:  wk.addressee(),
 				Task:    name,
 				Attempt: wk.unresolvedStarts[name],
 			})
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -249,3 +249,40 @@
 	fx.reportOf("a", 7, time.Millisecond, nil)
 	must.Eq(t, time.Millisecond+testBounds.MaxRunLease, fx.al.workers.byID["a"].leaseEnd)
 }
+
+// TestOrdersAreForTheIncarnationThatHasReported guards against orders that the next
+// incarnation of a worker carries out.
+func TestOrdersAreForTheIncarnationThatHasReported(t *testing.T) {
+	fx := newPolledFixture(t)
+	fx.reportOf("a", 7, time.Millisecond, nil)
+	fx.advance(50 * time.Millisecond)
+	polls := takeOrders[PollOrder](fx)
+	must.Len(t, 1, polls)
+	must.Eq(t, 7, polls[0].Worker.StartedAtMS)
+	must.Eq(t, 7, fx.startOneTaskJob("j").Worker.StartedAtMS)
+
+	fx.apply(PollFailed{Worker: "a", Outcome: Restarted})
+	polls = takeOrders[PollOrder](fx)
+	must.Len(t, 1, polls, must.Sprint("the next incarnation is polled at once"))
+	must.Eq(t, PollOrder{Worker: polls[0].Worker}, polls[0], must.Sprint("without a lease and acknowledged ends"))
+	must.Zero(t, polls[0].Worker.StartedAtMS)
+}
+
+// TestStartThatFindsTheWorkerRestartedIsPlacedAgain guards against tasks that wait for
+// an order that was not sent.
+func TestStartThatFindsTheWorkerRestartedIsPlacedAgain(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a", "b")
+	running := fx.startOneTaskJob("running")
+	fx.report(string(running.Worker.ID), []modeller.Run{{Task: running.Task, Attempt: 1}})
+	fx.submitJob("starting", oneTaskStep())
+	starts := takeOrders[StartOrder](fx)
+	must.Len(t, 1, starts)
+	must.Eq(t, running.Worker.ID, starts[0].Worker.ID)
+	fx.apply(StartResult{Worker: starts[0].Worker.ID, Task: starts[0].Task, Attempt: 1, Outcome: Restarted})
+	again := takeOrders[StartOrder](fx)
+	must.Len(t, 2, again, must.Sprint("the runs of the incarnation before are over"))
+	for _, so := range again {
+		must.NotEq(t, running.Worker.ID, so.Worker.ID)
+	}
+}
--- a/shared/jobs/distributor/codec.go
+++ b/shared/jobs/distributor/codec.go
@@ -65,6 +65,7 @@
 		frame = packer.AppendUint(append(frame, byte(typeAttend)), uint64(msg.Handle))
 		frame = packer.AppendString(frame, string(msg.Worker))
 		frame = appendAddress(frame, msg.Address)
+		frame = packer.AppendInt(frame, msg.StartedAtMS)
 	case Leave:
 		frame = packer.AppendUint(append(frame, byte(typeLeave)), uint64(msg.Handle))
 	case Payload:
@@ -259,9 +260,10 @@
 		}
 	case typeAttend:
 		return Attend{
-			Handle:  rd.handle(),
-			Worker:  modeller.WorkerID(rd.String()),
-			Address: rd.address(),
+			Handle:      rd.handle(),
+			Worker:      modeller.WorkerID(rd.String()),
+			Address:     rd.address(),
+			StartedAtMS: rd.Int(),
 		}
 	case typeLeave:
 		return Leave{
--- a/shared/jobs/distributor/distributor_test.go
+++ b/shared/jobs/distributor/distributor_test.go
@@ -54,6 +54,25 @@
 	must.Eq(t, []ToKeeper{Start{Handle: 1, Task: testTask, Attempt: 2}}, di.Outgoing()["k"], must.Sprint("the keeper knows worker and payload"))
 }
 
+// TestOrdersAreForOneIncarnation guards against orders that the next incarnation of a
+// worker carries out.
+func TestOrdersAreForOneIncarnation(t *testing.T) {
+	di, now := newConnected("k")
+	kp := NewKeeper()
+	for _, startedAtMS := range []int64{7, 7, 8, 0} {
+		worker := testWorker
+		worker.StartedAtMS = startedAtMS
+		di.Dispatch(now, []allocator.Order{allocator.StopOrder{Worker: worker, Task: testTask, Attempt: 1}})
+		for _, msg := range di.Outgoing()["k"] {
+			orders, _, err := kp.Receive(msg)
+			must.NoError(t, err)
+			for _, to := range orders {
+				must.Eq(t, startedAtMS, to.Order.(allocator.StopOrder).Worker.StartedAtMS)
+			}
+		}
+	}
+}
+
 func TestOrdersWithoutAKeeperAreNotSent(t *testing.T) {
 	di, now := newConnected()
 	events := di.Dispatch(now, []allocator.Order{start(1), allocator.PollOrder{Worker: testWorker}})
--- a/shared/jobs/distributor/keeper.go
+++ b/shared/jobs/distributor/keeper.go
@@ -227,8 +227,9 @@
 	}
 	kp.handles[msg.Worker] = msg.Handle
 	kp.workers[msg.Handle] = modeller.Worker{
-		ID:      msg.Worker,
-		Address: msg.Address,
+		ID:          msg.Worker,
+		Address:     msg.Address,
+		StartedAtMS: msg.StartedAtMS,
 	}
 }
 
--- a/shared/jobs/distributor/link.go
+++ b/shared/jobs/distributor/link.go
@@ -48,11 +48,14 @@
 }
 
 // attend returns the handle of a worker. It defines the handle on the first use
-// and after a change of the address.
+// and after a change of the address or the incarnation.
 func (li *link) attend(wk modeller.Worker) Handle {
 	handle, ok := li.handles[wk.ID]
-	if ok && li.attended[handle].worker.Address == wk.Address {
-		return handle
+	if ok {
+		last := li.attended[handle].worker
+		if last.Address == wk.Address && last.StartedAtMS == wk.StartedAtMS {
+			return handle
+		}
 	}
 	if !ok {
 		li.last++
@@ -62,9 +65,10 @@
 	}
 	li.attended[handle].worker = wk
 	li.outgoing = append(li.outgoing, Attend{
-		Handle:  handle,
-		Worker:  wk.ID,
-		Address: wk.Address,
+		Handle:      handle,
+		Worker:      wk.ID,
+		Address:     wk.Address,
+		StartedAtMS: wk.StartedAtMS,
 	})
 	return handle
 }
--- a/shared/jobs/distributor/message.go
+++ b/shared/jobs/distributor/message.go
@@ -22,13 +22,17 @@
 	Number uint64
 }
 
-// Attend defines a handle, or gives its worker another address.
+// Attend defines a handle, or gives its worker another address or incarnation. It
+// holds for the orders that follow.
 type Attend struct {
 	// Handle is the worker's handle in all other messages.
 	Handle Handle
 	// Worker is the worker's ID, and Address where it accepts orders.
 	Worker  modeller.WorkerID
 	Address netip.AddrPort
+	// StartedAtMS is the start time of the incarnation that the orders are for, in Unix
+	// milliseconds, or zero for any.
+	StartedAtMS int64
 }
 
 // Leave removes a handle.
--- a/shared/process/classifier/code_job.go
+++ b/shared/process/classifier/code_job.go
@@ -39,6 +39,9 @@
 	WorkerUnreachable Code = 819
 	// OrderMalformed means that an order was rejected because it can't be decoded.
 	OrderMalformed Code = 820
+	// WorkerRestarted means that another incarnation of the worker now answers at the
+	// address.
+	WorkerRestarted Code = 821
 )
 
 var jobCodes = []Description{
@@ -150,4 +153,10 @@
 		Summary: "An order was refused as unreadable.",
 		Remedy:  "Report the error with its detail from the log.",
 	},
+	{
+		Code:    WorkerRestarted,
+		Name:    "workerRestarted",
+		Summary: "The worker has started again since the order was decided.",
+		Remedy:  "None; the scheduler polls the worker and places the task again.",
+	},
 }
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -19,7 +19,7 @@
 	// tick is the step of virtual time.
 	tick = 5 * time.Millisecond
 	// submissionTime is how long callers submit jobs, and settleTime how long
-	// the fleet then has to finish them.
+	// the fleet then has to finish them by default.
 	submissionTime = 25 * time.Second
 	settleTime     = 25 * time.Second
 	// messageDelay is the time to deliver a message, and storeDelay the time to
@@ -98,6 +98,8 @@
 	longRunning      map[modeller.TaskName]*longRunningTask
 	checkedAt        time.Time
 	counts           Counts
+	// settleTime is how long the fleet has to finish the jobs.
+	settleTime time.Duration
 	// trace, if set, receives a line for each fault and each log entry of a holder.
 	trace func(line string)
 }
@@ -176,6 +178,7 @@
 		starts:      map[modeller.TaskName][]time.Time{},
 		failures:    map[modeller.TaskName]int{},
 		longRunning: map[modeller.TaskName]*longRunningTask{},
+		settleTime:  settleTime,
 	}
 	sm.faults = schedule(random)
 	sm.addManagers()
@@ -194,7 +197,7 @@
 // violations found.
 func (sm *Simulation) Run() ([]string, Counts) {
 	sm.elect()
-	end := sm.begin.Add(submissionTime + settleTime)
+	end := sm.begin.Add(submissionTime + sm.settleTime)
 	for sm.now.Before(end) && len(sm.violations) == 0 {
 		sm.now = sm.now.Add(tick)
 		sm.applyFaults()
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -100,7 +100,7 @@
 		sm.sendPoll(cn, od)
 	case allocator.StartOrder:
 		var clock time.Duration
-		sm.sendOrder(cn, isExpired, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
+		sm.sendOrder(cn, isExpired, od.Worker, func(oc allocator.Outcome) allocator.Event {
 			return allocator.StartResult{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Outcome: oc, Clock: clock}
 		}, func(nd *node) allocator.Outcome {
 			clock = nd.ex.Clock(sm.now)
@@ -108,11 +108,11 @@
 		})
 	case allocator.StopOrder:
 		sm.tracef("holder %d: stop %s attempt %d at %s", cn.term.fence, od.Task, od.Attempt, od.Worker.ID)
-		sm.sendOrder(cn, isExpired, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
+		sm.sendOrder(cn, isExpired, od.Worker, func(oc allocator.Outcome) allocator.Event {
 			return allocator.StopResult{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Outcome: oc}
 		}, func(nd *node) allocator.Outcome { return sm.carryOutStop(cn.term, nd, od) })
 	case allocator.PaceOrder:
-		sm.sendOrder(cn, isExpired, od.Worker.ID, func(oc allocator.Outcome) allocator.Event {
+		sm.sendOrder(cn, isExpired, od.Worker, func(oc allocator.Outcome) allocator.Event {
 			return allocator.PaceResult{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Percent: od.Percent, Outcome: oc}
 		}, func(nd *node) allocator.Outcome {
 			return outcomeOf(nd.ex.Pace(sm.now, cn.term.fence, od.Task, od.Attempt, od.Percent))
@@ -122,13 +122,13 @@
 
 // sendOrder schedules an order to a worker. The order may be carried out after
 // the message delay, seconds late or not at all, with or without an answer.
-func (sm *Simulation) sendOrder(cn *connection, isExpired bool, id modeller.WorkerID, outcome func(oc allocator.Outcome) allocator.Event, carryOut func(nd *node) allocator.Outcome) {
+func (sm *Simulation) sendOrder(cn *connection, isExpired bool, worker modeller.Worker, outcome func(oc allocator.Outcome) allocator.Event, carryOut func(nd *node) allocator.Outcome) {
 	if isExpired {
 		sm.answer(cn, outcome(allocator.NotSent))
 		return
 	}
 	arrival := messageDelay
-	nd := sm.nodes[id]
+	nd := sm.nodes[worker.ID]
 	isDelayed := nd != nil && sm.random.Float64() < nd.delayedShare
 	incarnation := 0
 	if isDelayed {
@@ -137,7 +137,7 @@
 		sm.answerAfter(cn, orderTimeout, outcome, allocator.Unanswered)
 	}
 	sm.timers.add(sm.now.Add(arrival), func() {
-		nd := sm.nodes[id]
+		nd := sm.nodes[worker.ID]
 		switch {
 		case isDelayed && (nd == nil || nd.incarnation != incarnation):
 			// A delayed order is lost when its worker restarts.
@@ -145,6 +145,10 @@
 			if !isDelayed {
 				sm.answerAfter(cn, orderTimeout, outcome, allocator.Unanswered)
 			}
+		case !nd.isAddressee(worker):
+			if !isDelayed {
+				sm.answerAfter(cn, messageDelay, outcome, allocator.Restarted)
+			}
 		default:
 			oc := carryOut(nd)
 			if !isDelayed {
@@ -174,6 +178,10 @@
 			sm.failPoll(cn, po.Wait+orderTimeout, id, allocator.Unanswered)
 			return
 		}
+		if !nd.isAddressee(po.Worker) {
+			sm.failPoll(cn, messageDelay, id, allocator.Restarted)
+			return
+		}
 		sm.checkAcknowledged(nd, po)
 		if _, _, ok := nd.ex.Poll(sm.now, cn.term.fence, po.LeaseEnd, po.AcknowledgedEnds); !ok {
 			sm.failPoll(cn, messageDelay, id, allocator.Fenced)
--- a/standin/internal/emulator/node.go
+++ b/standin/internal/emulator/node.go
@@ -123,6 +123,12 @@
 	}
 }
 
+// isAddressee reports whether an order to a worker reaches the present incarnation. A
+// manager sends it on a connection on which the worker has said which one it is.
+func (nd *node) isAddressee(worker modeller.Worker) bool {
+	return worker.StartedAtMS == 0 || worker.StartedAtMS == nd.info.StartedAtMS
+}
+
 // nodesInOrder returns the nodes sorted by worker ID.
 func (sm *Simulation) nodesInOrder() []*node {
 	if sm.sortedNodes == nil {
