--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -47,6 +47,7 @@
 	if wq, ok := di.queues[id]; ok {
 		wq.end()
 		delete(di.queues, id)
+		di.workers.Forget(id)
 	}
 }
 
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -263,7 +263,7 @@
 		wk.pollAt = now.Add(minPollInterval)
 		return
 	case Restarted:
-		wk.pollAt = now
+		wk.pollAt = now.Add(minPollInterval)
 		if wk.isSynced {
 			al.endIncarnation(now, wk, "another incarnation answers")
 		}
