standin: workers that are back under their IDs, whose connections end with them

In the stand-in a connection went on to the next worker at the address, so no test with processes could tell the two apart. Connections now end with their worker, and a worker that is back under its ID has another clock.

--- a/standin/internal/provider/provider.go
+++ b/standin/internal/provider/provider.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -131,6 +132,8 @@
 	labels     []string
 	clock      Clock
 	faults     []WorkerFault
+	// conns are the open connections to the worker.
+	conns map[net.Conn]struct{}
 	// runs are the records of the worker's current runs, and done those of the runs
 	// that ended done.
 	runs, done map[modeller.TaskName]*Run
@@ -144,7 +147,8 @@
 
 // Clock is the error of the clocks of a VM's workers.
 type Clock struct {
-	// Offset is the reading of the steady clock at a worker's start.
+	// Offset is the reading of the steady clock at a worker's start. If the worker is
+	// back under its ID, its clock begins anew below twice the offset.
 	Offset time.Duration
 	// Drift is the fraction by which the steady clock runs slow.
 	Drift float64
@@ -237,6 +241,7 @@
 		maintained: map[int64]bool{},
 		capacity:   capacity,
 		labels:     []string{"a", "r1"},
+		conns:      map[net.Conn]struct{}{},
 	}
 	for _, opt := range opts {
 		opt(machine)
@@ -250,6 +255,10 @@
 // startWorker starts a new incarnation of a VM's worker and lists it in the
 // directory.
 func (pv *Provider) startWorker(machine *vm) {
+	offset := machine.clock.Offset
+	if machine.keepsID && offset > 0 {
+		offset = time.Duration(pv.random.Int64N(2 * int64(offset)))
+	}
 	if !machine.keepsID {
 		machine.idNumber++
 	}
@@ -271,7 +280,7 @@
 		StopTime:           stopTime,
 		MaxLease:           maxLease,
 		Drift:              machine.clock.Drift,
-		ClockOffset:        machine.clock.Offset,
+		ClockOffset:        offset,
 		WallClockOffset:    machine.clock.WallOffset,
 		GangWait:           pv.gangWait,
 		CheckpointInterval: pv.checkpointInterval,
@@ -299,6 +308,7 @@
 	}
 	machine.worker = nil
 	machine.drainsUntil = time.Time{}
+	machine.closeConns()
 	pv.breakGangs(machine)
 }
 
--- a/standin/internal/provider/worker_fault_test.go
+++ b/standin/internal/provider/worker_fault_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
 	"testing"
 	"time"
 
@@ -234,3 +239,34 @@
 	must.NoError(t, err)
 	must.Eq(t, `{"limits":{"max_body_bytes":0},"routes":[{"name":"q","host":"h","prefix":"/q/","service":"p","timeout_ms":3000,"max_attempts":3,"advice":{"decision_ms":5,"period_ms":1,"validity_ms":1000}}],"services":[{"name":"p"},{"name":"standby","standby":true}],"version":7}`, string(et.Value))
 }
+
+// A connection to a worker that is back under its ID is a new one.
+func TestConnectionsEndWithTheirWorker(t *testing.T) {
+	rg := newRig(t)
+	server := httptest.NewUnstartedServer(rg.handlers["a"])
+	server.Config.ConnState = rg.provider.WorkerConnState("a")
+	server.Start()
+	t.Cleanup(server.Close)
+	isReused := false
+	poll := func() error {
+		ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+			GotConn: func(info httptrace.GotConnInfo) { isReused = info.Reused },
+		})
+		rq, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/hold", strings.NewReader(`{}`))
+		must.NoError(t, err)
+		rs, err := server.Client().Do(rq)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, rs.Body)
+		return errors.Join(err, rs.Body.Close())
+	}
+	must.NoError(t, poll())
+	must.NoError(t, poll())
+	must.True(t, isReused)
+	rg.provider.CrashAndKeepID("a", 20*callTimeout)
+	must.Error(t, poll(), must.Sprint("nobody answers until the restart"))
+	rg.awaitWorker("a", 2)
+	must.NoError(t, poll())
+	must.False(t, isReused)
+}
--- a/standin/internal/soaker/command.go
+++ b/standin/internal/soaker/command.go
@@ -93,8 +93,9 @@
 	}
 	for number := range cd.Plays {
 		plans = append(plans, NewPlan(first+number, Settings{
-			Managers: cd.Managers,
-			Duration: time.Duration(cd.Seconds) * time.Second,
+			Managers:    cd.Managers,
+			Duration:    time.Duration(cd.Seconds) * time.Second,
+			HasRestarts: true,
 		}))
 	}
 	return plans
--- a/standin/internal/soaker/event.go
+++ b/standin/internal/soaker/event.go
@@ -75,6 +75,8 @@
 	VM string
 	// Restart is the time after which another worker starts; zero for never.
 	Restart time.Duration
+	// KeepsID is true if the next worker has the same ID.
+	KeepsID bool
 }
 
 // Wave orders maintenance of VMs.
--- a/standin/internal/soaker/perform.go
+++ b/standin/internal/soaker/perform.go
@@ -75,7 +75,11 @@
 		pl.stage.Provider().Lose(ev.VM)
 		return
 	}
-	pl.stage.Provider().Crash(ev.VM, ev.Restart)
+	if ev.KeepsID {
+		pl.stage.Provider().CrashAndKeepID(ev.VM, ev.Restart)
+	} else {
+		pl.stage.Provider().Crash(ev.VM, ev.Restart)
+	}
 	pause(ctx, ev.Restart)
 }
 
--- a/standin/internal/soaker/plan.go
+++ b/standin/internal/soaker/plan.go
@@ -17,6 +17,9 @@
 	Managers int
 	// Duration is how long callers send requests.
 	Duration time.Duration
+	// HasRestarts is true if workers also crash to be back under their IDs, and are cut
+	// off soon after. The plans of a seed without it are those of earlier versions.
+	HasRestarts bool
 }
 
 // Plan is what happens in a play.
@@ -123,13 +126,21 @@
 			pr.plan.VMs[number].Clock = pr.clock()
 		}
 		pr.plan.Moments = append(pr.plan.Moments, pr.drawLinkMoments()...)
+		if settings.HasRestarts {
+			pr.rand = rand.New(rand.NewPCG(seed, restartStream))
+			pr.plan.Moments = append(pr.plan.Moments, pr.drawRestarts()...)
+		}
 		slices.SortStableFunc(pr.plan.Moments, func(a, b Moment) int { return cmp.Compare(a.At, b.At) })
 	}
 	return pr.plan
 }
 
-// linkStream selects the generator of the faults of links and workers.
-const linkStream = 1 << 32
+// linkStream selects the generator of the faults of links and workers, and
+// restartStream that of the workers that are back under their IDs.
+const (
+	linkStream    = 1 << 32
+	restartStream = 2 << 32
+)
 
 // until returns a random duration of at least low and below high.
 func (pr *planner) until(low, high time.Duration) time.Duration {
--- a/standin/internal/soaker/regression.go
+++ b/standin/internal/soaker/regression.go
@@ -39,4 +39,12 @@
 		Duration: 30 * time.Second,
 	},
 	Cause: "a wave evacuated the only worker that a job could run on, and waited for long-running tasks that could not be stopped",
+}, {
+	Seed: 60001,
+	Settings: Settings{
+		Managers:    3,
+		Duration:    25 * time.Second,
+		HasRestarts: true,
+	},
+	Cause: "a worker that was back under its ID accepted starts of the incarnation before, and was cut off; they counted as over while it had done them",
 }}
--- a/standin/internal/stager/stager.go
+++ b/standin/internal/stager/stager.go
@@ -104,7 +104,9 @@
 
 // AddVM adds a VM to a pool.
 func (se *Stage) AddVM(name, pool string, capacity modeller.Resources, isStandby bool, opts ...provider.VMOption) error {
-	address, err := se.serve(se.provider.WorkerHandler(name))
+	address, err := se.serve(se.provider.WorkerHandler(name), func(sr *http.Server) {
+		sr.ConnState = se.provider.WorkerConnState(name)
+	})
 	if err != nil {
 		return err
 	}
@@ -140,7 +142,7 @@
 }
 
 // serve serves a handler on a loopback address until Close is called.
-func (se *Stage) serve(handler http.Handler) (netip.AddrPort, error) {
+func (se *Stage) serve(handler http.Handler, opts ...func(sr *http.Server)) (netip.AddrPort, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return netip.AddrPort{}, classifier.Wrap(err, classifier.ListenFailed, "stand-in")
@@ -149,6 +151,9 @@
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 	}
+	for _, opt := range opts {
+		opt(sr)
+	}
 	se.servers = append(se.servers, sr)
 	// The server ends with the stage.
 	go func() { _ = sr.Serve(listener) }()
