--- a/standin/internal/soaker/command.go
+++ b/standin/internal/soaker/command.go
@@ -26,6 +26,7 @@
 	Managers    int    `help:"How many managers run." default:"3"`
 	Bin         string `help:"Directory of the programs." type:"existingdir" default:"bin"`
 	Keep        bool   `help:"Keep the directories of settings files, logs and traces also of plays that passed."`
+	Restarts    bool   `help:"Let workers also be back under their IDs at once. Seeds of before December 2026 need --no-restarts." default:"true" negatable:""`
 	Regressions bool   `help:"Run the plays that have failed before, instead of those of the seeds."`
 }
 
@@ -95,7 +96,7 @@
 		plans = append(plans, NewPlan(first+number, Settings{
 			Managers:    cd.Managers,
 			Duration:    time.Duration(cd.Seconds) * time.Second,
-			HasRestarts: true,
+			HasRestarts: cd.Restarts,
 		}))
 	}
 	return plans
