standin: loopback addresses that no other play hands out, and a pause after a process that ended

Two soaks side by side: a manager that started again found its port taken ("903 listenFailed", address already in use) and was started again thousands of times within seconds. Ports were free when they were chosen, on addresses that all plays and tests share, among those that the kernel chooses for others; a second play could take them before their use.

An Allocator now holds a block of loopback addresses, 127.BLOCK.0.0/16, of its own, by listening on a port there, until it is closed or its process ends. A process that ended by itself starts again after 0.5 s.

--- a/standin/internal/demonstrator/layout.go
+++ b/standin/internal/demonstrator/layout.go
@@ -27,7 +27,7 @@
 const sparePool = "spare"
 
 // layout is where everything of the demo listens. Availability zone N has the
-// addresses 127.0.N.x.
+// addresses 127.BLOCK.N.x.
 type layout struct {
 	Seed          uint64
 	Length        time.Duration
--- a/standin/internal/soaker/manager.go
+++ b/standin/internal/soaker/manager.go
@@ -16,6 +16,9 @@
 // grace is the time from SIGTERM to SIGKILL.
 const grace = 6 * time.Second
 
+// selfEndPause is the time from the end of a process by itself to the start of the next.
+const selfEndPause = 500 * time.Millisecond
+
 // manager runs the processes of one manager, one after the other.
 type manager struct {
 	number int
@@ -84,6 +87,8 @@
 	}
 	var restart, hangup time.Duration
 	switch ev := end.(type) {
+	case nil:
+		restart = selfEndPause
 	case Stop:
 		restart, hangup = ev.Restart, ev.Hangup
 	case Kill:
--- a/standin/internal/stager/stager.go
+++ b/standin/internal/stager/stager.go
@@ -169,4 +169,5 @@
 		_ = sr.Close()
 	}
 	se.provider.Close()
+	se.ports.Close()
 }
