standin: workers of a zone that are back at once, with connections that end, stay silent or lead on

The stand-in's workers crashed with their connections, and callers were refused until the next incarnation. On the users' machines connections stay open: a crashed worker is silent, and what was sent to it may reach the next incarnation. Crashes under the same ID now say what becomes of connections (closed, silent, kept), when the entry in the directory changes, at which reading the clock begins, and whether the start time is the one before.

There is no standby pool, so that idle VMs stay and get tasks.

--- a/standin/internal/provider/impairer.go
+++ b/standin/internal/provider/impairer.go
@@ -15,10 +15,6 @@
 	handler  http.Handler
 }
 
-// incarnationKey is the key of the incarnation of the worker that a call reached, in
-// the call's context.
-type incarnationKey struct{}
-
 // ServeHTTP implements http.Handler.
 func (im *impairer) ServeHTTP(rw http.ResponseWriter, rq *http.Request) {
 	body, err := io.ReadAll(rq.Body)
@@ -27,6 +23,9 @@
 		return
 	}
 	incarnation, ft := im.draw()
+	if opened, ok := rq.Context().Value(incarnationKey{}).(int); ok {
+		incarnation = opened
+	}
 	repeat := func(ctx context.Context) *http.Request {
 		rq := rq.Clone(context.WithValue(ctx, incarnationKey{}, incarnation))
 		rq.Body = io.NopCloser(bytes.NewReader(body))
@@ -57,7 +56,7 @@
 	im.handler.ServeHTTP(&unansweredWriter{}, rq)
 }
 
-// draw returns the incarnation of the worker and the fault that affects a call, or
+// draw returns the incarnation that a call reaches and the fault that affects it, or
 // nil. The delay of a late order is drawn, too.
 func (im *impairer) draw() (int, WorkerFault) {
 	pv := im.provider
@@ -68,12 +67,12 @@
 		switch ft := ft.(type) {
 		case RefusedOrders:
 			if pv.random.Float64() < ft.Share {
-				return machine.incarnation, ft
+				return machine.reached(), ft
 			}
 		case LostAnswers:
 			if pv.random.Float64() < ft.Share {
 				pv.counts.LostAnswers++
-				return machine.incarnation, ft
+				return machine.reached(), ft
 			}
 		case LateOrders:
 			if pv.random.Float64() < ft.Share {
@@ -81,13 +80,13 @@
 				if ft.Jitter > 0 {
 					ft.Delay += time.Duration(pv.random.Int64N(int64(ft.Jitter)))
 				}
-				return machine.incarnation, ft
+				return machine.reached(), ft
 			}
 		case FailingRuns, HangingRuns, SlowRuns:
 			// These affect runs.
 		}
 	}
-	return machine.incarnation, nil
+	return machine.reached(), nil
 }
 
 // unansweredWriter discards an answer.
--- a/standin/internal/provider/provider.go
+++ b/standin/internal/provider/provider.go
@@ -52,10 +52,12 @@
 	reporting  sync.Mutex
 	violations []Violation
 
-	mu     sync.Mutex
-	random *rand.Rand
-	vms    map[string]*vm
-	counts Counts
+	mu sync.Mutex
+	// hasChanged is signalled when a worker has started or stopped.
+	hasChanged *sync.Cond
+	random     *rand.Rand
+	vms        map[string]*vm
+	counts     Counts
 	// runs are ordered by their starts, and maintenances by their beginnings.
 	runs         []*Run
 	maintenances []Maintenance
@@ -123,17 +125,28 @@
 	incarnation int
 	// idNumber is the number in the ID of the worker; keepsID is true if the next
 	// incarnation has the same one.
-	idNumber   int
-	keepsID    bool
-	worker     *executor.Executor
-	fence      uint64
-	maintained map[int64]bool
-	capacity   modeller.Resources
-	labels     []string
-	clock      Clock
-	faults     []WorkerFault
+	idNumber int
+	keepsID  bool
+	// reportedStart is the start time that the next incarnation reports, or zero for
+	// the true one, listedAfter the delay of its directory entry, and nextClock the
+	// reading of its clock at its start, or nil for a random one.
+	reportedStart time.Time
+	listedAfter   time.Duration
+	nextClock     *time.Duration
+	worker        *executor.Executor
+	fence         uint64
+	maintained    map[int64]bool
+	capacity      modeller.Resources
+	labels        []string
+	clock         Clock
+	faults        []WorkerFault
 	// conns are the open connections to the worker.
 	conns map[net.Conn]struct{}
+	// servedFrom is the earliest incarnation whose calls are carried out. Those of
+	// earlier ones stay without an answer if isSilent is true. While isBooting is true, no
+	// worker runs and connections wait for the next one.
+	servedFrom          int
+	isSilent, isBooting bool
 	// runs are the records of the worker's current runs, and done those of the runs
 	// that ended done.
 	runs, done map[modeller.TaskName]*Run
@@ -189,6 +202,7 @@
 	for _, opt := range opts {
 		opt(pv)
 	}
+	pv.hasChanged = sync.NewCond(&pv.mu)
 	pv.random = rand.New(rand.NewPCG(pv.seed, pv.seed))
 	pv.writer = newWriter(kr.Zone("platform"), pv.stop)
 	go pv.advanceWorkers()
@@ -238,6 +252,7 @@
 		zone:       zone,
 		address:    address,
 		state:      modeller.VMUp,
+		servedFrom: 1,
 		maintained: map[int64]bool{},
 		capacity:   capacity,
 		labels:     []string{"a", "r1"},
@@ -262,7 +277,17 @@
 	if !machine.keepsID {
 		machine.idNumber++
 	}
+	wallOffset := machine.clock.WallOffset
+	if !machine.reportedStart.IsZero() {
+		wallOffset = time.Until(machine.reportedStart)
+		machine.reportedStart = time.Time{}
+	}
+	if machine.nextClock != nil {
+		offset = *machine.nextClock
+		machine.nextClock = nil
+	}
 	machine.keepsID = false
+	machine.isBooting = false
 	machine.incarnation++
 	incarnation := machine.incarnation
 	machine.state = modeller.VMUp
@@ -281,7 +306,7 @@
 		MaxLease:           maxLease,
 		Drift:              machine.clock.Drift,
 		ClockOffset:        offset,
-		WallClockOffset:    machine.clock.WallOffset,
+		WallClockOffset:    wallOffset,
 		GangWait:           pv.gangWait,
 		CheckpointInterval: pv.checkpointInterval,
 		RestoreTime:        pv.restoreTime,
@@ -289,7 +314,20 @@
 		Profile:            pv.profile,
 		OnEnd:              func(end modeller.End) { pv.recordEnd(machine, incarnation, end) },
 	})
-	pv.listWorker(machine)
+	pv.hasChanged.Broadcast()
+	listedAfter := machine.listedAfter
+	machine.listedAfter = 0
+	if listedAfter == 0 {
+		pv.listWorker(machine)
+		return
+	}
+	time.AfterFunc(listedAfter, func() {
+		pv.mu.Lock()
+		defer pv.mu.Unlock()
+		if machine.worker != nil && machine.incarnation == incarnation {
+			pv.listWorker(machine)
+		}
+	})
 }
 
 // workerID returns the ID of a VM's current or last worker.
@@ -297,8 +335,18 @@
 	return modeller.WorkerID(fmt.Sprintf("i-%s-%d", machine.name, machine.idNumber))
 }
 
-// stopWorker stops a VM's current worker, if any. Its directory entry remains.
+// stopWorker stops a VM's current worker, if any, and ends its connections and calls.
+// Its directory entry remains.
 func (pv *Provider) stopWorker(machine *vm) {
+	pv.haltWorker(machine)
+	machine.servedFrom = machine.incarnation + 1
+	machine.isSilent, machine.isBooting = false, false
+	machine.closeConns()
+	pv.hasChanged.Broadcast()
+}
+
+// haltWorker stops a VM's current worker, if any, and leaves its connections open.
+func (pv *Provider) haltWorker(machine *vm) {
 	if machine.worker == nil {
 		return
 	}
@@ -308,7 +356,6 @@
 	}
 	machine.worker = nil
 	machine.drainsUntil = time.Time{}
-	machine.closeConns()
 	pv.breakGangs(machine)
 }
 
@@ -397,21 +444,6 @@
 	pv.restartAfter(machine, after)
 }
 
-// CrashAndKeepID is Crash, but the new worker has the ID of the one before, whose
-// directory entry remains.
-func (pv *Provider) CrashAndKeepID(name string, after time.Duration) {
-	pv.mu.Lock()
-	defer pv.mu.Unlock()
-	machine := pv.vms[name]
-	if machine.worker == nil {
-		return
-	}
-	pv.stopWorker(machine)
-	machine.state = modeller.VMDown
-	machine.keepsID = true
-	pv.restartAfter(machine, after)
-}
-
 // Drain lists a VM's worker as draining. The worker leaves after the remaining time,
 // and a new one starts after a further time. It does nothing if no worker runs on
 // the VM or if the worker drains already.
--- a/standin/internal/provider/worker.go
+++ b/standin/internal/provider/worker.go
@@ -62,14 +62,24 @@
 	vm       string
 }
 
-// withWorker calls step with the VM while the provider is locked. It closes the
-// connection if the worker that the call reached has stopped, and refuses a request
-// that names another worker instance.
+// withWorker calls step with the VM while the provider is locked. A call of a worker
+// that has stopped is aborted or waits, by what becomes of its connection. It refuses a
+// request that names another worker instance.
 func (wh *workerHandler) withWorker(rw http.ResponseWriter, rq *http.Request, step func(machine *vm)) {
 	wh.provider.mu.Lock()
 	defer wh.provider.mu.Unlock()
 	machine := wh.provider.vms[wh.vm]
-	if machine.worker == nil || machine.incarnation != rq.Context().Value(incarnationKey{}) {
+	incarnation, _ := rq.Context().Value(incarnationKey{}).(int)
+	for machine.worker == nil && machine.isBooting && incarnation >= machine.servedFrom {
+		wh.provider.hasChanged.Wait()
+	}
+	switch {
+	case incarnation < machine.servedFrom && machine.isSilent:
+		wh.provider.mu.Unlock()
+		<-rq.Context().Done()
+		wh.provider.mu.Lock()
+		panic(http.ErrAbortHandler)
+	case incarnation < machine.servedFrom || machine.worker == nil:
 		panic(http.ErrAbortHandler)
 	}
 	if expected := rq.Header.Get("Expect-Instance"); expected != "" && expected != string(machine.worker.Worker().ID) {
--- a/standin/internal/soaker/caller.go
+++ b/standin/internal/soaker/caller.go
@@ -94,7 +94,7 @@
 func (cl *caller) submit(ctx context.Context) {
 	plan := cl.play.plan
 	route := plan.Routes[cl.random.IntN(len(plan.Routes))]
-	jb := newJob(cl.random, time.Now(), plan.queue(route), cl.play.hasRoomForLong())
+	jb := newJob(cl.random, time.Now(), plan.queue(route), cl.play.hasRoomForLong(), plan.LongShare)
 	cl.play.addJob(jb)
 	for range maxTries {
 		as, ok := cl.send(ctx, jb, http.MethodPost)
--- a/standin/internal/soaker/command.go
+++ b/standin/internal/soaker/command.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/standin/internal/provider"
 )
 
 // Command is the subcommand that runs the fault soak.
@@ -27,6 +28,8 @@
 	Bin         string `help:"Directory of the programs." type:"existingdir" default:"bin"`
 	Keep        bool   `help:"Keep the directories of settings files, logs and traces also of plays that passed."`
 	Restarts    bool   `help:"Let workers also be back under their IDs at once. Seeds of before December 2026 need --no-restarts." default:"true" negatable:""`
+	Zones       string `help:"Play restarts of all workers of an availability zone, and no random faults. Their connections are closed, silent or kept." enum:",closed,silent,kept" default:""`
+	SameStart   bool   `help:"Let workers that are back report the start times of before."`
 	Regressions bool   `help:"Run the plays that have failed before, instead of those of the seeds."`
 }
 
@@ -88,15 +91,23 @@
 		}
 		return plans
 	}
+	var restarts *ZoneRestarts
+	if cd.Zones != "" {
+		restarts = &ZoneRestarts{
+			Connections:    provider.Connections(cd.Zones),
+			KeepsStartTime: cd.SameStart,
+		}
+	}
 	first := cd.Seed
 	if first == 0 {
 		first = uint64(time.Now().UnixNano())
 	}
 	for number := range cd.Plays {
 		plans = append(plans, NewPlan(first+number, Settings{
-			Managers:    cd.Managers,
-			Duration:    time.Duration(cd.Seconds) * time.Second,
-			HasRestarts: cd.Restarts,
+			Managers:     cd.Managers,
+			Duration:     time.Duration(cd.Seconds) * time.Second,
+			HasRestarts:  cd.Restarts,
+			ZoneRestarts: restarts,
 		}))
 	}
 	return plans
--- a/standin/internal/soaker/configuration.go
+++ b/standin/internal/soaker/configuration.go
@@ -26,14 +26,18 @@
 	cf := modeller.Configuration{
 		Version: ev.Version,
 		Queues:  map[string]modeller.Queue{},
-		Pools: map[string]modeller.Pool{provider.StandbyPool: {
-			Name:      provider.StandbyPool,
-			IsStandby: true,
-		}},
+		Pools:   map[string]modeller.Pool{},
 		Limits: modeller.Limits{
 			MaxBodyBytes: maxBodyBytes,
 		},
 	}
+	// Without a standby pool, idle VMs stay where they are, and get tasks.
+	if pl.plan.ZoneRestarts == nil {
+		cf.Pools[provider.StandbyPool] = modeller.Pool{
+			Name:      provider.StandbyPool,
+			IsStandby: true,
+		}
+	}
 	for _, rt := range ev.Routes {
 		cf.Queues[rt.Name] = pl.plan.queue(rt)
 	}
--- a/standin/internal/soaker/event.go
+++ b/standin/internal/soaker/event.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"coltsfootwick.example/standin/internal/provider"
 )
 
 // Event is what happens at a moment of a play: Stop, Kill, KillAll, Freeze, Hangup,
@@ -75,8 +77,14 @@
 	VM string
 	// Restart is the time after which another worker starts; zero for never.
 	Restart time.Duration
-	// KeepsID is true if the next worker has the same ID.
-	KeepsID bool
+	// KeepsID is true if the next worker has the same ID. Its directory entry is then
+	// written ListedAfter its start, and its clock begins at Clock unless that is zero.
+	KeepsID            bool
+	ListedAfter, Clock time.Duration
+	// Connections is what then becomes of the connections. KeepsStartTime is true if the
+	// next worker reports the same start time.
+	Connections    provider.Connections
+	KeepsStartTime bool
 }
 
 // Wave orders maintenance of VMs.
--- a/standin/internal/soaker/job.go
+++ b/standin/internal/soaker/job.go
@@ -24,6 +24,8 @@
 	checkpointedTime = 2500 * time.Millisecond
 	minTaskTime      = 100 * time.Millisecond
 	maxTaskTime      = 800 * time.Millisecond
+	// longFactor is the factor by which the tasks of some jobs take longer.
+	longFactor = 25
 	// longTasks is the number of tasks of a long-running job.
 	longTasks      = 2
 	startUpTime    = 300 * time.Millisecond
@@ -84,8 +86,11 @@
 }
 
 // newJob draws a job for a queue.
-func newJob(random *rand.Rand, now time.Time, queue modeller.Queue, mayBeLong bool) *job {
+func newJob(random *rand.Rand, now time.Time, queue modeller.Queue, mayBeLong bool, longShare float64) *job {
 	duration := minTaskTime + time.Duration(random.Int64N(int64(maxTaskTime-minTaskTime)))
+	if longShare > 0 && random.Float64() < longShare {
+		duration *= longFactor
+	}
 	jb := &job{
 		Job: modeller.Job{
 			ID:     modeller.JobID(fmt.Sprintf("%016x", random.Uint64())),
--- a/standin/internal/soaker/perform.go
+++ b/standin/internal/soaker/perform.go
@@ -76,7 +76,17 @@
 		return
 	}
 	if ev.KeepsID {
-		pl.stage.Provider().CrashAndKeepID(ev.VM, ev.Restart)
+		opts := []provider.RestartOption{provider.WithLateEntry(ev.ListedAfter)}
+		if ev.Clock > 0 {
+			opts = append(opts, provider.WithNewClock(ev.Clock))
+		}
+		if ev.Connections != "" {
+			opts = append(opts, provider.WithConnections(ev.Connections))
+		}
+		if ev.KeepsStartTime {
+			opts = append(opts, provider.WithSameStartTime())
+		}
+		pl.stage.Provider().CrashAndKeepID(ev.VM, ev.Restart, opts...)
 	} else {
 		pl.stage.Provider().Crash(ev.VM, ev.Restart)
 	}
--- a/standin/internal/soaker/plan.go
+++ b/standin/internal/soaker/plan.go
@@ -20,6 +20,9 @@
 	// HasRestarts is true if workers also crash to be back under their IDs, and are cut
 	// off soon after. The plans of a seed without it are those of earlier versions.
 	HasRestarts bool
+	// ZoneRestarts describe a plan in which all workers of an availability zone restart
+	// at once. It is nil for a plan of random faults.
+	ZoneRestarts *ZoneRestarts
 }
 
 // Plan is what happens in a play.
@@ -27,8 +30,9 @@
 	Settings
 	Seed uint64
 	VMs  []VM
-	// JobRate is the number of jobs that callers submit in a second.
-	JobRate float64
+	// JobRate is the number of jobs that callers submit in a second, and LongShare the
+	// share of them whose tasks take longFactor times as long.
+	JobRate, LongShare float64
 	// Routes are those of the first configuration. The last one has the same prefixes.
 	Routes []Route
 	// HasLinkFaults is true if connections lead through proxies.
@@ -114,6 +118,10 @@
 			Seed:     seed,
 		},
 	}
+	if settings.ZoneRestarts != nil {
+		pr.drawZoneRestarts()
+		return pr.plan
+	}
 	pr.drawPools()
 	pr.drawKinds()
 	pr.drawMoments()
--- a/standin/internal/stager/stager.go
+++ b/standin/internal/stager/stager.go
@@ -106,6 +106,7 @@
 func (se *Stage) AddVM(name, pool string, capacity modeller.Resources, isStandby bool, opts ...provider.VMOption) error {
 	address, err := se.serve(se.provider.WorkerHandler(name), func(sr *http.Server) {
 		sr.ConnState = se.provider.WorkerConnState(name)
+		sr.ConnContext = se.provider.WorkerConnContext(name)
 	})
 	if err != nil {
 		return err
