--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -91,7 +91,7 @@
 		Wait:                po.Wait,
 	})
 	if err != nil {
-		di.logger.Info("poll of a worker failed", zap.String("worker", string(po.Worker.ID)), zap.Error(err))
+		di.logger.Info("poll of a worker failed", zap.String("worker", string(po.Worker.ID)), zap.Duration("leaseEnd", po.LeaseEnd), zap.Int64("acknowledgedEnds", po.AcknowledgedEnds), zap.Error(err))
 		di.emit(allocator.PollFailed{
 			Worker:  po.Worker.ID,
 			SentAt:  sentAt,
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -299,7 +299,7 @@
 	switch ev.Outcome {
 	case Accepted:
 		if rn.incarnation == wk.incarnation && ev.Clock > 0 && ev.Clock < rn.minClock {
-			al.endIncarnation(now, wk, "a start was accepted by a later incarnation")
+			al.endIncarnation(now, wk, fmt.Sprintf("a start was accepted by a later incarnation, clock %s, not %s or later", ev.Clock, rn.minClock))
 		}
 		rn.state = runRunning
 		rn.confirmedAt = now
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -295,7 +296,7 @@
 				}
 				al.dropRun(now, rn, "worker lease expired")
 			}
-			al.endIncarnation(now, wk, "unresponsive until its lease expired")
+			al.endIncarnation(now, wk, fmt.Sprintf("unresponsive until its lease expired; last report %s ago, lease counted until %s ago", now.Sub(wk.reportedAt), now.Sub(expiry)))
 			wk.unresolvedStarts = unresolved
 		}
 		wk.mayHoldOldRuns = false
