tests: connections that lead on to the next incarnation of a worker, failing

In the emulator, a call that is under way when a worker crashes to be back under its ID, or is sent while none runs, can now reach the next incarnation: orders are carried out by it at its start, a poll that waits goes on extending the lease and acknowledging ends, and an order that is carried out late outlives the restart.

--- a/standin/internal/emulator/command.go
+++ b/standin/internal/emulator/command.go
@@ -18,6 +18,7 @@
 	HasLateVMOrders      bool `name:"late-vm-orders" help:"Start a wave, and carry orders to the VM interface out late."`
 	ChangesConfiguration bool `name:"changing-configuration" help:"Let operators remove queues and add them again for any pool."`
 	RestartsWorkers      bool `name:"restarting-workers" help:"Let workers crash, be back under their IDs at once, and be cut off soon after."`
+	KeepsConnections     bool `name:"kept-connections" help:"Let connections lead on to the next incarnation of a worker that is back under its ID."`
 }
 
 // Run runs the simulations and prints each violated guarantee with its seed. It
@@ -37,6 +38,9 @@
 	if cd.RestartsWorkers {
 		opts = append(opts, WithRestartsUnderTheSameID())
 	}
+	if cd.KeepsConnections {
+		opts = append(opts, WithConnectionsThatOutliveWorkers())
+	}
 	failed := 0
 	var total Counts
 	for number := range cd.Days {
--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -77,6 +77,9 @@
 	operators   *operators
 	// vmRandom decides which VM orders are carried out late; nil if none is.
 	vmRandom *rand.Rand
+	// keepsConnections is true if connections lead on to the next incarnation of a
+	// worker.
+	keepsConnections bool
 	// clockRandom draws the clocks of restarted workers; nil if they begin at zero.
 	clockRandom *rand.Rand
 	terms       []*term
--- a/standin/internal/emulator/emulator_test.go
+++ b/standin/internal/emulator/emulator_test.go
@@ -29,6 +29,12 @@
 	playFixedSeeds(t, WithRestartsUnderTheSameID())
 }
 
+// TestDaysWithConnectionsThatOutliveWorkersKeepAllPromises guards against guarantees that
+// rest on the end of a connection.
+func TestDaysWithConnectionsThatOutliveWorkersKeepAllPromises(t *testing.T) {
+	playFixedSeeds(t, WithRestartsUnderTheSameID(), WithConnectionsThatOutliveWorkers())
+}
+
 func playFixedSeeds(t *testing.T, opts ...Option) {
 	var total Counts
 	var mu sync.Mutex
--- a/standin/internal/emulator/fault.go
+++ b/standin/internal/emulator/fault.go
@@ -300,8 +300,10 @@
 			continue
 		}
 		nd.isUp = false
-		sm.abandonPoll(nd)
 		nd.restartAt = restartAt
+		if !sm.keepsCalls(nd) {
+			sm.abandonPoll(nd)
+		}
 		nd.state = modeller.VMDown
 		sm.timers.add(sm.now.Add(3*time.Second), func() {
 			if !nd.isUp && nd.isListed {
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -115,7 +115,7 @@
 		sm.sendOrder(cn, isExpired, od.Worker, func(oc allocator.Outcome) allocator.Event {
 			return allocator.PaceResult{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Percent: od.Percent, Outcome: oc}
 		}, func(nd *node) allocator.Outcome {
-			return outcomeOf(nd.ex.Pace(sm.now, cn.term.fence, od.Task, od.Attempt, od.Percent))
+			return outcomeOf(nd.ex.Pace(sm.now, fenceOf(cn.term, od.Worker), od.Task, od.Attempt, od.Percent))
 		})
 	}
 }
@@ -136,28 +136,34 @@
 		arrival = 2*time.Second + time.Duration(sm.random.IntN(10_000))*time.Millisecond
 		sm.answerAfter(cn, orderTimeout, outcome, allocator.Unanswered)
 	}
-	sm.timers.add(sm.now.Add(arrival), func() {
+	isAnswered := isDelayed
+	answer := func(delay time.Duration, oc allocator.Outcome) {
+		if !isAnswered {
+			isAnswered = true
+			sm.answerAfter(cn, delay, outcome, oc)
+		}
+	}
+	deliver := func() {
 		nd := sm.nodes[worker.ID]
 		switch {
-		case isDelayed && (nd == nil || nd.incarnation != incarnation):
+		case isDelayed && (nd == nil || nd.incarnation != incarnation) && !sm.keepsConnections:
 			// A delayed order is lost when its worker restarts.
 		case !sm.canReach(cn.manager, nd):
-			if !isDelayed {
-				sm.answerAfter(cn, orderTimeout, outcome, allocator.Unanswered)
-			}
-		case !nd.isAddressee(worker):
-			if !isDelayed {
-				sm.answerAfter(cn, messageDelay, outcome, allocator.Restarted)
-			}
+			answer(orderTimeout, allocator.Unanswered)
+		case !sm.isAddressee(nd, worker):
+			answer(messageDelay, allocator.Restarted)
 		default:
-			oc := carryOut(nd)
-			if !isDelayed {
-				sm.answerAfter(cn, messageDelay, outcome, oc)
-			}
+			answer(messageDelay, carryOut(nd))
 		}
+	}
+	sm.timers.add(sm.now.Add(arrival), func() {
+		sm.hold(cn, worker.ID, deliver, func() { answer(0, allocator.Unanswered) })
 	})
 }
 
+// fenceOf returns the fencing token of a holder's orders to a worker.
+func fenceOf(tm *term, _ modeller.Worker) uint64 { return tm.fence }
+
 // answerAfter sends the outcome of an order from its manager after a delay.
 func (sm *Simulation) answerAfter(cn *connection, delay time.Duration, outcome func(oc allocator.Outcome) allocator.Event, oc allocator.Outcome) {
 	sm.atManager(cn, sm.now.Add(delay), func() { sm.answer(cn, outcome(oc)) })
@@ -172,27 +178,42 @@
 
 func (sm *Simulation) sendPoll(cn *connection, po allocator.PollOrder) {
 	id := po.Worker.ID
-	sm.timers.add(sm.now.Add(messageDelay), func() {
+	isAnswered := false
+	fail := func(delay time.Duration, oc allocator.Outcome) {
+		if !isAnswered {
+			isAnswered = true
+			sm.failPoll(cn, delay, id, oc)
+		}
+	}
+	deliver := func() {
 		nd := sm.nodes[id]
 		if !sm.canReach(cn.manager, nd) {
-			sm.failPoll(cn, po.Wait+orderTimeout, id, allocator.Unanswered)
+			fail(po.Wait+orderTimeout, allocator.Unanswered)
 			return
 		}
-		if !nd.isAddressee(po.Worker) {
-			sm.failPoll(cn, messageDelay, id, allocator.Restarted)
+		if !sm.isAddressee(nd, po.Worker) {
+			fail(messageDelay, allocator.Restarted)
 			return
 		}
 		sm.checkAcknowledged(nd, po)
-		if _, _, ok := nd.ex.Poll(sm.now, cn.term.fence, po.LeaseEnd, po.AcknowledgedEnds); !ok {
-			sm.failPoll(cn, messageDelay, id, allocator.Fenced)
+		if _, _, ok := nd.ex.Poll(sm.now, fenceOf(cn.term, po.Worker), po.LeaseEnd, po.AcknowledgedEnds); !ok {
+			fail(messageDelay, allocator.Fenced)
+			return
+		}
+		if isAnswered {
 			return
 		}
 		sm.abandonPoll(nd)
+		isAnswered = true
 		nd.poll = &pendingPoll{
-			conn:  cn,
-			order: po,
-			until: sm.now.Add(po.Wait),
+			conn:        cn,
+			order:       po,
+			until:       sm.now.Add(po.Wait),
+			incarnation: nd.incarnation,
 		}
+	}
+	sm.timers.add(sm.now.Add(messageDelay), func() {
+		sm.hold(cn, id, deliver, func() { fail(0, allocator.Unanswered) })
 	})
 }
 
@@ -226,7 +247,7 @@
 	}
 	before := nd.ex.Runs()[so.Task]
 	oc := outcomeOf(nd.ex.Start(sm.now, executor.StartOrder{
-		Fence:      tm.fence,
+		Fence:      fenceOf(tm, so.Worker),
 		Task:       so.Task,
 		Attempt:    so.Attempt,
 		Checkpoint: so.Checkpoint,
@@ -240,7 +261,7 @@
 
 func (sm *Simulation) carryOutStop(tm *term, nd *node, so allocator.StopOrder) allocator.Outcome {
 	sm.checkStop(nd, so)
-	return outcomeOf(nd.ex.Stop(sm.now, tm.fence, so.Task, so.Attempt))
+	return outcomeOf(nd.ex.Stop(sm.now, fenceOf(tm, so.Worker), so.Task, so.Attempt))
 }
 
 func outcomeOf(refusal executor.Refusal, ok bool) allocator.Outcome {
--- a/standin/internal/emulator/node.go
+++ b/standin/internal/emulator/node.go
@@ -34,6 +34,8 @@
 	side int
 	// poll is the pending long poll, or nil.
 	poll *pendingPoll
+	// held are the calls that wait for the next incarnation.
+	held []func()
 	// delayedShare is the share of orders that get no answer in time and are
 	// carried out late.
 	delayedShare float64
@@ -44,6 +46,8 @@
 	conn  *connection
 	order allocator.PollOrder
 	until time.Time
+	// incarnation is the one that the poll was sent to.
+	incarnation int
 }
 
 func (sm *Simulation) addNode(pool, vm, zone string) {
@@ -74,7 +78,9 @@
 	nd.info.ID = id
 	nd.info.StartedAtMS = sm.now.UnixMilli()
 	nd.incarnation++
-	sm.abandonPoll(nd)
+	if !sm.keepsCalls(nd) {
+		sm.abandonPoll(nd)
+	}
 	incarnation := nd.incarnation
 	nd.ex = executor.New(sm.now, executor.Settings{
 		Worker:      nd.info,
@@ -116,6 +122,7 @@
 		if nd.isListed && !sm.store.isDown && sm.now.Sub(nd.writtenAt) >= heartbeatInterval {
 			sm.listWorker(nd)
 		}
+		sm.continuePoll(nd)
 		if pol := nd.poll; pol != nil && (nd.ex.HasEnds(pol.order.AcknowledgedEnds) || !sm.now.Before(pol.until)) {
 			nd.poll = nil
 			sm.answerPoll(nd, pol)
@@ -125,8 +132,8 @@
 
 // isAddressee reports whether an order to a worker reaches the present incarnation. A
 // manager sends it on a connection on which the worker has said which one it is.
-func (nd *node) isAddressee(worker modeller.Worker) bool {
-	return worker.StartedAtMS == 0 || worker.StartedAtMS == nd.info.StartedAtMS
+func (sm *Simulation) isAddressee(nd *node, worker modeller.Worker) bool {
+	return sm.keepsConnections || worker.StartedAtMS == 0 || worker.StartedAtMS == nd.info.StartedAtMS
 }
 
 // nodesInOrder returns the nodes sorted by worker ID.
@@ -150,9 +157,14 @@
 		id = modeller.WorkerID(fmt.Sprintf("w-%s-%d", nd.info.VM, nd.incarnation))
 		sm.unlistWorker(nd)
 	}
-	nd.keepsID = false
 	nd.info.IsDraining = false
 	sm.restartWorker(nd, id)
+	nd.keepsID = false
+	held := nd.held
+	nd.held = nil
+	for _, carryOut := range held {
+		carryOut()
+	}
 	incarnation := nd.incarnation
 	sm.timers.add(sm.now.Add(time.Duration(sm.random.Int64N(int64(heartbeatInterval)))), func() {
 		if nd.isUp && nd.incarnation == incarnation {
--- a/standin/internal/emulator/restart.go
+++ b/standin/internal/emulator/restart.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
@@ -39,6 +40,43 @@
 	}
 }
 
+// WithConnectionsThatOutliveWorkers lets connections lead on to the next incarnation of a
+// worker that is back under its ID. It carries out the calls that the one before hasn't
+// answered, and those that were sent while none ran.
+func WithConnectionsThatOutliveWorkers() Option {
+	return func(sm *Simulation) { sm.keepsConnections = true }
+}
+
+// keepsCalls reports whether the next incarnation of a node carries out the calls of
+// the one before.
+func (sm *Simulation) keepsCalls(nd *node) bool { return sm.keepsConnections && nd.keepsID }
+
+// hold calls deliver, or lets it wait for the next incarnation of a worker that is to
+// carry out the calls of the one before. fail is called once the caller waits no longer.
+func (sm *Simulation) hold(cn *connection, id modeller.WorkerID, deliver, fail func()) {
+	nd := sm.nodes[id]
+	if nd == nil || nd.isUp || !sm.keepsCalls(nd) || sm.now.Before(nd.unreachableUntil) || !sm.isSameSide(cn.manager.side, nd.side) {
+		deliver()
+		return
+	}
+	nd.held = append(nd.held, deliver)
+	sm.timers.add(sm.now.Add(orderTimeout), fail)
+}
+
+// continuePoll lets the poll of an earlier incarnation extend the lease and acknowledge
+// ends as long as it waits.
+func (sm *Simulation) continuePoll(nd *node) {
+	pol := nd.poll
+	if pol == nil || pol.incarnation == nd.incarnation {
+		return
+	}
+	sm.checkAcknowledged(nd, pol.order)
+	if _, _, ok := nd.ex.Poll(sm.now, fenceOf(pol.conn.term, pol.order.Worker), pol.order.LeaseEnd, pol.order.AcknowledgedEnds); !ok {
+		nd.poll = nil
+		sm.failPoll(pol.conn, messageDelay, nd.info.ID, allocator.Fenced)
+	}
+}
+
 // drawRestarts draws the restarts and the partitions that follow them.
 func (sm *Simulation) drawRestarts(random *rand.Rand) {
 	upTo := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
