allocator: a generation in the fencing token, and the longest lease for what another incarnation may run

What callers saw: tasks ran on two workers at once, when workers were back under their IDs and were cut off soon after.

Cause: the guarantee rested on the end of a connection with the process behind it. A connection that leads on to the next incarnation, or a call that waits for it, lets it carry out what was meant for the one before, by whose clock the end of the lease is far away: it takes the longest lease, 10 s, where the scheduler counted 5 s from its own poll, or none at all. Runs whose start was answered, but that no report had shown, were dropped as those of the incarnation before, also when the next one had accepted them.

Change: the class is an order that is addressed to an ID and outlives the process that it was meant for; the only thing that an incarnation itself refuses is a lower fencing token. The token is now the holder's epoch and a generation of the worker's orders. It rises when another incarnation may have answered: another start time, or a clock that the one before can't show, too early or too late. Only a report under the new token tells what the worker runs, for it refuses all earlier orders from then on. Runs that no report has shown are left to that report. The worker then counts as having the longest lease, and a start without an answer is given up only when the longest lease has passed. Stops of such starts, and the memory of them, are no longer needed. An order that is refused for its generation is one that was not sent, and no sign of a later holder. The protocol between holder and keepers is version 3.

Adapted: tests that took the first report of another incarnation for the one that shows its runs now send two; those of the lease check what is awaited instead of a field; TestLeaseIsNotExtendedWhileStarts- AreUnresolved is replaced by one that asks for a higher fencing token before the lease is extended.

--- a/coltsfootwick-manager/internal/attendant/attendant_test.go
+++ b/coltsfootwick-manager/internal/attendant/attendant_test.go
@@ -167,7 +167,7 @@
 	task := modeller.TaskName{Job: "j"}
 	he.distributor.Dispatch(time.Now(), []allocator.Order{allocator.StartOrder{Worker: worker, Task: task, Attempt: 1, Payload: "text", HasPayload: true}})
 	must.Eq(t, allocator.Event(allocator.StartResult{Worker: "i-1", Task: task, Attempt: 1, Outcome: allocator.Accepted, Clock: 7 * time.Millisecond}), he.next())
-	must.Eq(t, orderedStart{Task: "j.0.0.0", Spec: "text", FencingToken: testEpoch}, <-starts)
+	must.Eq(t, orderedStart{Task: "j.0.0.0", Spec: "text", FencingToken: worker.FencingToken(testEpoch)}, <-starts)
 }
 
 func TestPayloadIsReadFromTheStore(t *testing.T) {
--- a/coltsfootwick-manager/internal/dispatcher/dispatcher.go
+++ b/coltsfootwick-manager/internal/dispatcher/dispatcher.go
@@ -22,22 +22,22 @@
 
 // Dispatcher sends the orders of one holder of the scheduler's duty to workers.
 type Dispatcher struct {
-	workers      *adapter.Workers
-	fencingToken uint64
-	emit         func(ev allocator.Event)
-	logger       *zap.Logger
-	queues       map[modeller.WorkerID]*workerQueue
+	workers *adapter.Workers
+	epoch   uint64
+	emit    func(ev allocator.Event)
+	logger  *zap.Logger
+	queues  map[modeller.WorkerID]*workerQueue
 }
 
-// New returns a Dispatcher for the duty holder with the given fencing token. emit
+// New returns a Dispatcher for the duty holder of an epoch. emit
 // receives an event with the outcome of each order and must not block.
-func New(workers *adapter.Workers, fencingToken uint64, emit func(ev allocator.Event), logger *zap.Logger) *Dispatcher {
+func New(workers *adapter.Workers, epoch uint64, emit func(ev allocator.Event), logger *zap.Logger) *Dispatcher {
 	return &Dispatcher{
-		workers:      workers,
-		fencingToken: fencingToken,
-		emit:         emit,
-		logger:       logger,
-		queues:       map[modeller.WorkerID]*workerQueue{},
+		workers: workers,
+		epoch:   epoch,
+		emit:    emit,
+		logger:  logger,
+		queues:  map[modeller.WorkerID]*workerQueue{},
 	}
 }
 
--- a/coltsfootwick-manager/internal/dispatcher/lane.go
+++ b/coltsfootwick-manager/internal/dispatcher/lane.go
@@ -85,7 +85,7 @@
 	}
 	sentAt := timekeeper.Now()
 	report, err := di.workers.Poll(ctx, endpointOf(po.Worker), adapter.PollRequest{
-		FencingToken:        di.fencingToken,
+		FencingToken:        po.Worker.FencingToken(di.epoch),
 		LeaseEnd:            po.LeaseEnd,
 		LastAcknowledgedEnd: po.AcknowledgedEnds,
 		Wait:                po.Wait,
@@ -132,9 +132,9 @@
 			Checkpoint:   od.Checkpoint,
 			Ticket:       od.Ticket,
 			LeaseEnd:     od.LeaseEnd,
-			FencingToken: di.fencingToken,
+			FencingToken: od.Worker.FencingToken(di.epoch),
 		})
-		di.logOrder("start", od.Worker.ID, od.Task, od.Attempt, err, zap.Duration("reportAge", od.ReportAge), zap.Int("freeMilliCores", od.FreeMilliCores), zap.Duration("leaseEnd", od.LeaseEnd), zap.Duration("clock", clock))
+		di.logOrder("start", od.Worker, od.Task, od.Attempt, err, zap.Duration("reportAge", od.ReportAge), zap.Int("freeMilliCores", od.FreeMilliCores), zap.Duration("leaseEnd", od.LeaseEnd), zap.Duration("clock", clock))
 		di.emit(allocator.StartResult{
 			Worker:  od.Worker.ID,
 			Task:    od.Task,
@@ -146,9 +146,9 @@
 		err := di.workers.Stop(ctx, endpointOf(od.Worker), adapter.StopOrder{
 			Task:         od.Task,
 			Attempt:      od.Attempt,
-			FencingToken: di.fencingToken,
+			FencingToken: od.Worker.FencingToken(di.epoch),
 		})
-		di.logOrder("stop", od.Worker.ID, od.Task, od.Attempt, err)
+		di.logOrder("stop", od.Worker, od.Task, od.Attempt, err)
 		di.emit(allocator.StopResult{
 			Worker:  od.Worker.ID,
 			Task:    od.Task,
@@ -160,9 +160,9 @@
 			Task:         od.Task,
 			Attempt:      od.Attempt,
 			Percent:      od.Percent,
-			FencingToken: di.fencingToken,
+			FencingToken: od.Worker.FencingToken(di.epoch),
 		})
-		di.logOrder("pace", od.Worker.ID, od.Task, od.Attempt, err)
+		di.logOrder("pace", od.Worker, od.Task, od.Attempt, err)
 		di.emit(allocator.PaceResult{
 			Worker:  od.Worker.ID,
 			Task:    od.Task,
@@ -173,8 +173,8 @@
 	}
 }
 
-func (di *Dispatcher) logOrder(order string, worker modeller.WorkerID, task modeller.TaskName, attempt int, err error, extra ...zap.Field) {
-	fields := append([]zap.Field{zap.String("worker", string(worker)), zap.Stringer("task", task), zap.Int("attempt", attempt), zap.Uint64("fence", di.fencingToken)}, extra...)
+func (di *Dispatcher) logOrder(order string, worker modeller.Worker, task modeller.TaskName, attempt int, err error, extra ...zap.Field) {
+	fields := append([]zap.Field{zap.String("worker", string(worker.ID)), zap.Stringer("task", task), zap.Int("attempt", attempt), zap.Uint64("fence", worker.FencingToken(di.epoch))}, extra...)
 	if err != nil {
 		di.logger.Warn(order+" order rejected or its outcome is unknown", append(fields, zap.Error(err))...)
 		return
--- a/coltsfootwick-manager/internal/linker/upgrade.go
+++ b/coltsfootwick-manager/internal/linker/upgrade.go
@@ -19,7 +19,7 @@
 	// Path is the path of the request that opens a connection.
 	Path = "/sessions"
 	// protocol is the name and version of the protocol in the Upgrade header.
-	protocol = "coltsfootwick-sessions/2"
+	protocol = "coltsfootwick-sessions/3"
 	// epochHeader is the header with the holder's epoch in the response.
 	epochHeader = "Coltsfootwick-Epoch"
 	// dialTimeout bounds the time to open a connection.
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -62,6 +62,12 @@
 	// leaseMargin covers the delay between the check of an order's lease and
 	// the sending of the order.
 	leaseMargin = 300 * time.Millisecond
+	// maxCallDelay is how long a call without an answer may wait at a worker that is
+	// about to start again, before it is carried out.
+	maxCallDelay = 2 * time.Second
+	// maxReportDelay is the longest time from the reading of a worker's clock to the
+	// arrival of its report.
+	maxReportDelay = 4 * time.Second
 	// orderRetryInterval is the time after which an order that had no effect is
 	// sent again.
 	orderRetryInterval = 700 * time.Millisecond
@@ -121,6 +127,9 @@
 	bounds        Bounds
 	configuration modeller.Configuration
 	workers       workerIndex
+	// forgottenGenerations are the generations of workers that were removed. Those of a
+	// worker that is back must not be lower.
+	forgottenGenerations map[modeller.WorkerID]int
 	// unacknowledged are the workers with unstored ends, and stopping the runs
 	// whose stop was ordered. Both may contain ones that have ended since.
 	unacknowledged map[*worker]struct{}
@@ -180,18 +189,19 @@
 // New returns an Allocator for a holder that has won the duty at time now.
 func New(now time.Time, bounds Bounds) *Allocator {
 	return &Allocator{
-		bounds:         bounds,
-		workers:        newWorkerIndex(),
-		unacknowledged: map[*worker]struct{}{},
-		stopping:       map[*run]struct{}{},
-		jobs:           map[modeller.JobID]*job{},
-		retained:       map[modeller.JobID]retainedJob{},
-		waiting:        map[string]*waitingList{},
-		arrivals:       map[string]*forecaster.Forecaster{},
-		fleet:          newFleet(),
-		startedAt:      now,
-		confirmedAt:    now,
-		dirtyJobs:      map[modeller.JobID]*job{},
+		bounds:               bounds,
+		workers:              newWorkerIndex(),
+		forgottenGenerations: map[modeller.WorkerID]int{},
+		unacknowledged:       map[*worker]struct{}{},
+		stopping:             map[*run]struct{}{},
+		jobs:                 map[modeller.JobID]*job{},
+		retained:             map[modeller.JobID]retainedJob{},
+		waiting:              map[string]*waitingList{},
+		arrivals:             map[string]*forecaster.Forecaster{},
+		fleet:                newFleet(),
+		startedAt:            now,
+		confirmedAt:          now,
+		dirtyJobs:            map[modeller.JobID]*job{},
 	}
 }
 
--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -123,40 +123,31 @@
 	must.Eq(t, 2, starts[0].Attempt)
 }
 
-func TestLeaseIsNotExtendedWhileStartsAreUnresolved(t *testing.T) {
+// Guards against a start that is given up with the lease and carried out once the worker
+// is back and its lease is extended.
+func TestLeaseIsExtendedOnlyOnceStartsThatWereGivenUpAreRefused(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a")
 	fx.submitJob("j", oneTaskStep())
 	start := takeOrders[StartOrder](fx)[0]
 	fx.apply(StartResult{Worker: "a", Task: start.Task, Attempt: 1, Outcome: Unanswered})
-	for range 70 {
+	for range 140 {
 		fx.apply(PollFailed{Worker: "a", Outcome: Unanswered})
 		fx.advance(100 * time.Millisecond)
 	}
-	fx.orders = nil
-	fx.report("a", nil)
-	fx.advance(50 * time.Millisecond)
-	fx.report("a", nil)
-	fx.advance(50 * time.Millisecond)
-	var polls []PollOrder
-	var stops []StopOrder
-	for _, od := range fx.orders {
-		switch od := od.(type) {
-		case PollOrder:
-			polls = append(polls, od)
-		case StopOrder:
-			stops = append(stops, od)
-		default:
+	token := func(wk modeller.Worker) uint64 { return wk.FencingToken(1) }
+	for range 3 {
+		polls := takeOrders[PollOrder](fx)
+		must.Positive(t, len(polls))
+		last := polls[len(polls)-1]
+		must.Less(t, token(last.Worker), token(start.Worker), must.Sprint("the worker refuses the start after this poll"))
+		if last.LeaseEnd > 0 {
+			return
 		}
+		fx.report("a", nil)
+		fx.advance(50 * time.Millisecond)
 	}
-	must.Len(t, 1, stops)
-	must.Eq(t, 0, polls[len(polls)-1].LeaseEnd)
-	fx.orders = nil
-	fx.apply(StopResult{Worker: "a", Task: start.Task, Attempt: 1, Outcome: Accepted})
-	fx.report("a", nil)
-	fx.advance(50 * time.Millisecond)
-	polls = takeOrders[PollOrder](fx)
-	must.Greater(t, 0, polls[len(polls)-1].LeaseEnd)
+	t.Fatal("the lease isn't extended")
 }
 
 func TestRunEndsAreAcknowledgedOnceStored(t *testing.T) {
@@ -374,12 +365,7 @@
 	fx.confirmsDuty = false
 	fx.advance(2 * time.Second)
 	fx.report(other, nil)
-	fx.apply(ReportReceived{
-		Worker:     so.Worker.ID,
-		SentAt:     fx.now.Add(-time.Millisecond),
-		ReceivedAt: fx.now,
-		Report:     modeller.Report{StartedAtMS: 2, Clock: time.Second},
-	})
+	fx.reportOfNext(string(so.Worker.ID), 2, time.Second, nil)
 	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("starts while a later holder may exist"))
 	fx.confirmsDuty = true
 	must.Len(t, 1, takeOrders[StartOrder](fx), must.Sprint("starts once the duty is confirmed"))
@@ -392,7 +378,7 @@
 	fx.startOneTaskJob("j")
 	fx.confirmsDuty = false
 	fx.advance(2 * time.Second)
-	for number := range 2 {
+	for number := range 3 {
 		fx.apply(ReportReceived{
 			Worker:     "a",
 			SentAt:     fx.now.Add(-time.Millisecond),
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -166,7 +166,7 @@
 func (al *Allocator) vacatedWorkers() []*worker {
 	var vacated []*worker
 	for _, wk := range al.workers.sorted {
-		if wk.isVacating && len(wk.runs) == 0 && len(wk.unresolvedStarts) == 0 && al.isMovable(wk) {
+		if wk.isVacating && len(wk.runs) == 0 && al.isMovable(wk) {
 			vacated = append(vacated, wk)
 		}
 	}
@@ -571,7 +571,7 @@
 // its lease expires.
 func (al *Allocator) handleTakedown(now time.Time, wk *worker, reason string) {
 	wk.isCordoned = false
-	if len(wk.runs)+len(wk.unresolvedStarts) > 0 {
+	if len(wk.runs) > 0 {
 		al.log(LogEntry{Message: "worker kept after takedown", Worker: wk.info.ID, VM: wk.info.VM, Reason: "it still has runs although its " + reason})
 		return
 	}
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -119,17 +119,17 @@
 // startTask reserves capacity for a task on a worker and orders its start.
 func (al *Allocator) startTask(now time.Time, tk *task, wk *worker, attempt int) {
 	rn := &run{
-		name:        tk.name,
-		attempt:     attempt,
-		worker:      wk,
-		task:        tk,
-		reserved:    tk.step.reserved,
-		state:       runStarting,
-		sentAt:      now,
-		incarnation: wk.incarnation,
-		minClock:    wk.minClock(now),
-		progressAt:  now,
-		progress:    -1,
+		name:       tk.name,
+		attempt:    attempt,
+		worker:     wk,
+		task:       tk,
+		reserved:   tk.step.reserved,
+		state:      runStarting,
+		sentAt:     now,
+		generation: wk.generation,
+		minClock:   wk.minClock(now),
+		progressAt: now,
+		progress:   -1,
 	}
 	free := wk.free()
 	al.assignRun(tk, rn)
--- a/shared/jobs/allocator/plan.go
+++ b/shared/jobs/allocator/plan.go
@@ -17,7 +17,6 @@
 		al.expireLeases(now)
 		al.beginDueOccurrences(now, wallTime)
 		al.retryStops(now)
-		al.stopUnresolvedStarts(now)
 		al.adjustPaces(now)
 		// Decisions that end healthy runs require a confirmed duty.
 		if al.isConfirmed(now) {
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -21,14 +21,27 @@
 	}
 	wk.isPollInFlight = false
 	wk.pollAt = now.Add(minPollInterval)
-	if wk.isSynced && ev.Report.StartedAtMS != wk.startedAtMS {
+	if wk.polledGeneration != wk.generation {
+		// Orders of the generation before may take effect after this report.
+		wk.pollAt = now
+		return
+	}
+	if wk.isSynced && !wk.isOf(ev) {
 		// Start times don't tell which incarnation is the later one, since a worker's
 		// wall clock may jump. A poll that was sent after a report of one is answered by
 		// that one or by a later one.
 		if ev.SentAt.Before(wk.reportedAt) {
 			return
 		}
-		al.endIncarnation(now, wk, fmt.Sprintf("report has another start time, clock %s; polled with lease end %s, at most %d ends acknowledged", ev.Report.Clock, wk.polledLeaseEnd, wk.lastStoredEnd))
+		reason := fmt.Sprintf("report has start time %d, not %d, and clock %s, not %s or later; polled with lease end %s, at most %d ends acknowledged",
+			ev.Report.StartedAtMS, wk.startedAtMS, ev.Report.Clock, wk.minClock(ev.SentAt), wk.polledLeaseEnd, wk.lastStoredEnd)
+		if ev.Report.StartedAtMS == wk.startedAtMS {
+			al.suspectIncarnation(now, wk, reason)
+		} else {
+			al.endIncarnation(now, wk, reason)
+		}
+		wk.pollAt = now
+		return
 	}
 	if wk.clockAt.IsZero() || !wk.isSynced || ev.Report.Clock > wk.clock {
 		wk.clock = ev.Report.Clock
@@ -38,9 +51,9 @@
 		wk.pollAt = now
 		wk.isSynced = true
 		wk.syncedAt = now
-		// The poll may have been sent to the incarnation before, and has extended the lease
-		// of the one that answers it.
-		wk.leaseEnd = min(wk.polledLeaseEnd, ev.Report.Clock+al.bounds.MaxRunLease)
+		if wk.generation > 0 || wk.mayHoldOldRuns {
+			wk.strayLeaseExpiry = now.Add(al.maxLeaseTime())
+		}
 		al.setNeverAnswered(wk, false)
 		al.endTakenDownWorkers(now, al.workers.byVM[wk.info.VM])
 	}
@@ -78,6 +91,11 @@
 	}
 }
 
+// isOf reports whether a report is one of the incarnation that has reported before.
+func (wk *worker) isOf(ev ReportReceived) bool {
+	return ev.Report.StartedAtMS == wk.startedAtMS && wk.isPossibleClock(ev.Report.Clock, ev.SentAt, ev.ReceivedAt)
+}
+
 // reconcileRun updates or adopts a run that a worker reports as running.
 func (al *Allocator) reconcileRun(now time.Time, wk *worker, reported modeller.Run) {
 	rn := wk.runs[reported.Task]
@@ -92,6 +110,8 @@
 		rn.confirmedAt = now
 		rn.progressAt = now
 	}
+	rn.isReported = true
+	rn.generation = wk.generation
 	if reported.Progress != rn.progress {
 		rn.progress = reported.Progress
 		rn.progressAt = now
@@ -154,6 +174,9 @@
 // sent at pollSentAt.
 func (al *Allocator) reconcileMissingRun(now time.Time, rn *run, pollSentAt time.Time) {
 	switch {
+	case rn.state != runRunning && rn.generation != rn.worker.generation:
+		// The worker refuses orders of an earlier generation since the poll.
+		al.dropRun(now, rn, "not carried out before another incarnation was polled")
 	case !rn.stopAckedAt.IsZero() && pollSentAt.After(rn.stopAckedAt):
 		al.dropRun(now, rn, "stopped before it started")
 	case rn.state == runRunning && pollSentAt.After(rn.confirmedAt):
@@ -258,6 +281,10 @@
 		return
 	}
 	wk.isPollInFlight = false
+	if wk.polledGeneration != wk.generation {
+		wk.pollAt = now.Add(minPollInterval)
+		return
+	}
 	switch ev.Outcome {
 	case KeeperLost:
 		wk.pollAt = now.Add(minPollInterval)
@@ -298,15 +325,20 @@
 	}
 	switch ev.Outcome {
 	case Accepted:
-		if rn.incarnation == wk.incarnation && ev.Clock > 0 && ev.Clock < rn.minClock {
-			al.endIncarnation(now, wk, fmt.Sprintf("a start was accepted by a later incarnation, clock %s, not %s or later", ev.Clock, rn.minClock))
+		if rn.task != nil {
+			rn.task.step.job.hasStarted = true
+		}
+		if rn.generation == wk.generation && ev.Clock > 0 && (ev.Clock < rn.minClock || !wk.isPossibleClock(ev.Clock, rn.sentAt, now)) {
+			al.suspectIncarnation(now, wk, fmt.Sprintf("a start was accepted by a later incarnation, clock %s, not %s or later", ev.Clock, rn.minClock))
+		}
+		if rn.generation != wk.generation {
+			rn.state = runUnconfirmed
+			rn.sentAt = now
+			return
 		}
 		rn.state = runRunning
 		rn.confirmedAt = now
 		rn.progressAt = now
-		if rn.task != nil {
-			rn.task.step.job.hasStarted = true
-		}
 	case Unanswered:
 		rn.state = runUnconfirmed
 		rn.sentAt = now
@@ -328,7 +360,7 @@
 	case NotSent, Unhealthy, Replaced:
 		wk.suspectUntil = now.Add(orderRetryInterval)
 	case Restarted:
-		if rn.incarnation == wk.incarnation {
+		if rn.generation == wk.generation {
 			al.endIncarnation(now, wk, "another incarnation answers")
 		}
 	case BadTicket:
@@ -355,9 +387,6 @@
 		return
 	}
 	isLaterStartRefused := ev.Outcome == Accepted || ev.Outcome == Outdated
-	if isLaterStartRefused && wk.unresolvedStarts[ev.Task] == ev.Attempt {
-		delete(wk.unresolvedStarts, ev.Task)
-	}
 	rn := wk.runs[ev.Task]
 	if rn == nil || rn.attempt != ev.Attempt {
 		return
--- a/shared/jobs/allocator/run.go
+++ b/shared/jobs/allocator/run.go
@@ -15,7 +15,8 @@
 const (
 	// runStarting means that the start order is in flight.
 	runStarting runState = iota
-	// runUnconfirmed means that the start order got no answer.
+	// runUnconfirmed means that the start order got no answer, or one that may be that of
+	// another incarnation.
 	runUnconfirmed
 	// runRunning means that the worker has acknowledged the start or reported
 	// the run.
@@ -31,13 +32,15 @@
 	task     *task
 	reserved modeller.Resources
 	state    runState
-	// sentAt is when the start was decided, or when it was found to have got no
-	// answer. confirmedAt is when the run was first known to be running.
+	// sentAt is when the start was decided, or since when it is unconfirmed.
+	// confirmedAt is when the run was first known to be running.
 	sentAt, confirmedAt time.Time
-	// incarnation is the number of the worker's incarnation that the start was
-	// meant for, and minClock the least reading of its clock at the start.
-	incarnation int
-	minClock    time.Duration
+	// isReported is true once a report has shown the run.
+	isReported bool
+	// generation is that of the start order, or of the poll whose report has shown the
+	// run. minClock is the least reading of the worker's clock at the start.
+	generation int
+	minClock   time.Duration
 	// isStopping is true once a stop has been ordered. The order was last sent
 	// at stopSentAt and first acknowledged at stopAckedAt.
 	isStopping              bool
@@ -121,6 +124,18 @@
 	return 0
 }
 
+// doubtExpiry returns the time until which an unconfirmed run may continue on a worker
+// that does not report: another incarnation may have carried the start out, by whose
+// clock the end of the lease is far away.
+func (al *Allocator) doubtExpiry(rn *run) time.Time {
+	return rn.sentAt.Add(maxCallDelay + al.maxLeaseTime())
+}
+
+// maxLeaseTime returns the longest time for which a lease lasts that begins now.
+func (al *Allocator) maxLeaseTime() time.Duration {
+	return maxElapsed(al.bounds.MaxRunLease) + leaseMargin
+}
+
 // dropRun removes a run whose end the worker has not reported, and requeues its
 // task.
 func (al *Allocator) dropRun(now time.Time, rn *run, reason string) {
--- a/shared/jobs/allocator/wave_test.go
+++ b/shared/jobs/allocator/wave_test.go
@@ -90,7 +90,7 @@
 	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("the order may still take the VM down"))
 	fx.apply(VMOrderResult{Order: order, Outcome: Accepted})
 	fx.listWorker("new")
-	for range 2 {
+	for range 3 {
 		fx.advance(50 * time.Millisecond)
 		fx.report("new", nil)
 	}
@@ -100,7 +100,9 @@
 func TestRunsSurviveLateMaintenanceAnswer(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a")
-	fx.startOneTaskJob("j")
+	so := fx.startOneTaskJob("j")
+	fx.advance(50 * time.Millisecond)
+	fx.report("a", []modeller.Run{{Task: so.Task, Attempt: so.Attempt}})
 	fx.listWorker("b")
 	fx.storeBatch()
 	for range 2 {
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +28,9 @@
 	hasNeverAnswered bool
 	// incarnation counts the incarnations that have ended.
 	incarnation int
+	// generation is that of the next orders. The worker refuses those of an earlier one
+	// once it has got one of this generation. polledGeneration is that of the last poll.
+	generation, polledGeneration int
 	// syncedAt is when the present incarnation first reported.
 	syncedAt time.Time
 	// startedAtMS is the Unix millisecond at which the reporting incarnation
@@ -44,6 +46,9 @@
 	clock    time.Duration
 	clockAt  time.Time
 	leaseEnd time.Duration
+	// strayLeaseExpiry is when a lease has ended that the present incarnation may have
+	// got by orders for the one before.
+	strayLeaseExpiry time.Time
 	// isUnresponsive is true if the last poll got no report. failedPolls counts
 	// the consecutive failed polls.
 	isUnresponsive bool
@@ -64,10 +69,6 @@
 	used modeller.Resources
 	// neighbours counts the runs by what they mean for other runs.
 	neighbours neighbourCounts
-	// unresolvedStarts are the attempts of starts without an answer that were
-	// dropped when the lease expired. The worker may still carry them out, so
-	// its lease isn't extended until it has acknowledged a stop of each.
-	unresolvedStarts map[modeller.TaskName]int
 	// lastProcessedEnd and lastStoredEnd are the numbers of the last end that
 	// was processed and of the last that was stored.
 	lastProcessedEnd, lastStoredEnd int64
@@ -77,9 +78,6 @@
 	// success.
 	failedJobs       map[modeller.JobID]struct{}
 	quarantinedUntil time.Time
-	// unresolvedStopsSentAt is when stops of the unresolved starts were last
-	// sent.
-	unresolvedStopsSentAt time.Time
 	// suspectUntil is the time until which the worker gets no starts after an
 	// unanswered or refused order.
 	suspectUntil time.Time
@@ -98,9 +96,9 @@
 	wk, ok := al.workers.byID[info.ID]
 	if !ok {
 		wk = &worker{
-			runs:             map[modeller.TaskName]*run{},
-			failedJobs:       map[modeller.JobID]struct{}{},
-			unresolvedStarts: map[modeller.TaskName]int{},
+			runs:       map[modeller.TaskName]*run{},
+			failedJobs: map[modeller.JobID]struct{}{},
+			generation: al.forgottenGenerations[info.ID],
 		}
 		wk.mayHoldOldRuns = !al.isLoaded && al.isRosterIncomplete
 		wk.info = info
@@ -180,22 +178,36 @@
 // leaseExpiry returns the time until which runs may continue on an unresponsive
 // worker.
 func (al *Allocator) leaseExpiry(wk *worker) time.Time {
-	if wk.clockAt.IsZero() || wk.leaseEnd == 0 {
-		return al.oldRunsExpiry()
+	expiry := wk.strayLeaseExpiry
+	isLeaseKnown := !wk.clockAt.IsZero() && wk.leaseEnd > 0
+	if isLeaseKnown {
+		expiry = latest(expiry, wk.clockAt.Add(maxElapsed(max(wk.leaseEnd-wk.clock, 0))+leaseMargin))
 	}
-	expiry := wk.clockAt.Add(maxElapsed(max(wk.leaseEnd-wk.clock, 0)) + leaseMargin)
-	if wk.mayHoldOldRuns && al.oldRunsExpiry().After(expiry) {
-		return al.oldRunsExpiry()
+	if !isLeaseKnown || wk.mayHoldOldRuns {
+		expiry = latest(expiry, al.oldRunsExpiry())
 	}
 	return expiry
 }
 
+func latest(at, other time.Time) time.Time {
+	if other.After(at) {
+		return other
+	}
+	return at
+}
+
 // minClock returns the least possible present reading of a worker's own clock,
 // unless it starts again.
 func (wk *worker) minClock(now time.Time) time.Duration {
 	return wk.clock + time.Duration(float64(now.Sub(wk.clockAt))*(1-clockDrift)) - clockRounding
 }
 
+// isPossibleClock reports whether the incarnation that has reported may have read its
+// clock between two times.
+func (wk *worker) isPossibleClock(clock time.Duration, from, to time.Time) bool {
+	return clock >= wk.minClock(from) && clock <= wk.clock+to.Sub(wk.clockAt)+maxReportDelay
+}
+
 // addressee returns the worker as the receiver of orders: the incarnation that has
 // reported, or any if none has.
 func (wk *worker) addressee() modeller.Worker {
@@ -204,6 +216,7 @@
 	if wk.isSynced {
 		info.StartedAtMS = wk.startedAtMS
 	}
+	info.Generation = wk.generation
 	return info
 }
 
@@ -243,18 +256,38 @@
 	return wk.clock + now.Sub(wk.clockAt)
 }
 
-// endIncarnation drops the running runs of a worker whose incarnation is over
-// and resets the worker's state. Starts that are in flight or unconfirmed keep
-// their runs.
+// endIncarnation ends the incarnation of a worker that is known to be over. The runs that
+// it has reported are dropped. Others may be runs of the next incarnation, to whose
+// first report they are left.
 func (al *Allocator) endIncarnation(now time.Time, wk *worker, reason string) {
 	for _, rn := range wk.sortedRuns() {
-		if rn.state == runRunning {
+		if rn.state == runRunning && rn.isReported {
 			al.dropRun(now, rn, reason)
 		}
 	}
+	al.suspectIncarnation(now, wk, reason)
+}
+
+// suspectIncarnation resets the state of a worker of which another incarnation may have
+// answered. Its runs are left to the next report.
+func (al *Allocator) suspectIncarnation(now time.Time, wk *worker, reason string) {
+	for _, rn := range wk.runs {
+		if rn.state == runRunning {
+			rn.state = runUnconfirmed
+			rn.sentAt = now
+		}
+	}
+	wk.strayLeaseExpiry = now.Add(al.maxLeaseTime())
+	al.resetIncarnation(wk, reason)
+}
+
+// resetIncarnation resets what is known of the incarnation of a worker. The next report
+// is that of another one, or shows the worker as if it were.
+func (al *Allocator) resetIncarnation(wk *worker, reason string) {
 	wk.isSynced = false
 	wk.isVacating = false
 	wk.incarnation++
+	wk.generation++
 	wk.mayHoldOldRuns = false
 	wk.lastProcessedEnd = 0
 	wk.lastStoredEnd = 0
@@ -264,7 +297,6 @@
 		wk.endedStartedAtMS = wk.startedAtMS
 	}
 	wk.startedAtMS = 0
-	wk.unresolvedStarts = map[modeller.TaskName]int{}
 	wk.failedJobs = map[modeller.JobID]struct{}{}
 	wk.quarantinedUntil = time.Time{}
 	al.log(LogEntry{Message: "worker incarnation ended", Worker: wk.info.ID, Reason: reason})
@@ -288,28 +320,40 @@
 		if !al.confirmedAt.After(expiry) || len(wk.runs) > 0 && !wk.failedPollAt.After(expiry) {
 			continue
 		}
-		if len(wk.runs) > 0 || wk.isSynced {
-			unresolved := wk.unresolvedStarts
-			for _, rn := range wk.sortedRuns() {
-				if rn.state != runRunning {
-					unresolved[rn.name] = max(unresolved[rn.name], rn.attempt)
-				}
-				al.dropRun(now, rn, "worker lease expired")
-			}
-			al.endIncarnation(now, wk, fmt.Sprintf("unresponsive until its lease expired; last report %s ago, lease counted until %s ago", now.Sub(wk.reportedAt), now.Sub(expiry)))
-			wk.unresolvedStarts = unresolved
-		}
+		al.expireRuns(now, wk, expiry)
 		wk.mayHoldOldRuns = false
-		if !wk.isListed && wk.takenDownAt.IsZero() && !wk.isPollInFlight && len(wk.unresolvedStarts) == 0 {
+		if !wk.isListed && wk.takenDownAt.IsZero() && !wk.isPollInFlight && len(wk.runs) == 0 {
 			gone = append(gone, wk)
 		}
 	}
 	for _, wk := range gone {
 		al.workers.remove(wk)
 		al.isRosterDirty = true
+		if wk.generation > 0 {
+			al.forgottenGenerations[wk.info.ID] = wk.generation
+		}
 	}
 }
 
+// expireRuns drops the runs of a worker whose lease has ended. Unconfirmed ones are kept
+// until the longest lease has passed.
+func (al *Allocator) expireRuns(now time.Time, wk *worker, expiry time.Time) {
+	isOver := wk.isSynced
+	for _, rn := range wk.sortedRuns() {
+		if rn.state != runRunning {
+			if doubt := al.doubtExpiry(rn); !al.confirmedAt.After(doubt) || !wk.failedPollAt.After(doubt) {
+				continue
+			}
+		}
+		al.dropRun(now, rn, "worker lease expired")
+		isOver = true
+	}
+	if !isOver {
+		return
+	}
+	al.resetIncarnation(wk, fmt.Sprintf("unresponsive until its lease expired; last report %s ago, lease counted until %s ago", now.Sub(wk.reportedAt), now.Sub(expiry)))
+}
+
 // pollWorkers orders the polls that are due. It waits until all records are
 // loaded, since earlier reports would show runs of jobs that are not known yet.
 func (al *Allocator) pollWorkers(now time.Time) {
@@ -327,24 +371,22 @@
 		if wk.isSynced {
 			po.AcknowledgedEnds = wk.lastStoredEnd
 			po.ProcessedEnds = wk.lastProcessedEnd
-			// A poll without an answer may still extend the lease, so the lease
-			// of an unresponsive worker is left to expire.
-			if !wk.isUnresponsive && len(wk.unresolvedStarts) == 0 {
+			// A poll without an answer may still extend the lease, so the lease of an
+			// unresponsive worker is left to expire. The next incarnation may answer it,
+			// by whose clock the end of the lease is far away.
+			if !wk.isUnresponsive {
 				if wk.leaseEnd == 0 {
 					al.changes.note(wk.info.Pool)
 				}
 				wk.leaseEnd = max(wk.leaseEnd, al.estimateClock(now, wk)+al.bounds.RunLease)
-				po.Wait = al.bounds.PollWait
-			}
-			// The next incarnation may answer a worker that was unresponsive. It has
-			// another clock, by which the end of the lease is far away.
-			if !wk.isUnresponsive {
 				po.LeaseEnd = wk.leaseEnd
+				po.Wait = al.bounds.PollWait
 			}
 		}
 		wk.isPollInFlight = true
 		wk.polledAt = now
 		wk.polledLeaseEnd = po.LeaseEnd
+		wk.polledGeneration = wk.generation
 		al.orders = append(al.orders, po)
 	}
 }
@@ -355,24 +397,6 @@
 	return wk.leaseEnd > 0 && len(wk.unstoredEnds) > 0 && now.Before(wk.reportedAt.Add(wk.repeatInterval))
 }
 
-// stopUnresolvedStarts orders stops of starts that a worker, now that it
-// reports again, may still carry out.
-func (al *Allocator) stopUnresolvedStarts(now time.Time) {
-	for _, wk := range al.workers.sorted {
-		if len(wk.unresolvedStarts) == 0 || !wk.isSynced || now.Sub(wk.unresolvedStopsSentAt) < orderRetryInterval {
-			continue
-		}
-		wk.unresolvedStopsSentAt = now
-		for _, name := range slices.SortedFunc(maps.Keys(wk.unresolvedStarts), modeller.TaskName.Compare) {
-			al.orders = append(al.orders, StopOrder{
-				Worker:  wk.addressee(),
-				Task:    name,
-				Attempt: wk.unresolvedStarts[name],
-			})
-		}
-	}
-}
-
 // Roster returns the workers that may have runs.
 func (al *Allocator) Roster() []modeller.Worker {
 	roster := make([]modeller.Worker, 0, len(al.workers.sorted))
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -136,6 +136,8 @@
 	restarted := fx.al.workers.byID[old.Worker.ID].info
 	restarted.StartedAtMS = 2
 	fx.apply(WorkerListed{Worker: restarted})
+	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("either run may be one of the next incarnation"))
+	fx.reportOfNext(string(old.Worker.ID), 2, 100*time.Millisecond, []modeller.Run{{Task: starts[0].Task, Attempt: 1}})
 	again := takeOrders[StartOrder](fx)
 	must.Len(t, 1, again, must.Sprint("only the run of the incarnation before is lost"))
 	must.Eq(t, old.Task, again[0].Task)
@@ -169,6 +171,14 @@
 	})
 }
 
+// reportOfNext applies the report that shows that another incarnation answers, and that
+// of the poll that follows.
+func (fx *fixture) reportOfNext(id string, startedAtMS int64, clock time.Duration, running []modeller.Run) {
+	fx.reportOf(id, startedAtMS, clock, running)
+	fx.advance(25 * time.Millisecond)
+	fx.reportOf(id, startedAtMS, clock+25*time.Millisecond, running)
+}
+
 // TestIncarnationWithAnEarlierStartTimeIsTheLaterOne guards against tasks that never
 // start again: a worker's clock has jumped back, so that its restart seems to precede
 // the start before, and its reports were taken for outdated ones.
@@ -198,7 +208,7 @@
 	fx.advance(50 * time.Millisecond)
 	sentAt := fx.now
 	fx.advance(50 * time.Millisecond)
-	fx.reportOf("a", 7, time.Millisecond, nil)
+	fx.reportOfNext("a", 7, time.Millisecond, nil)
 	before := fx.al.workers.byID["a"].incarnation
 	fx.reportPollSentAt(sentAt, "a", nil)
 	must.Eq(t, before, fx.al.workers.byID["a"].incarnation)
@@ -230,13 +240,21 @@
 	}
 }
 
+// mustAwaitLongestLease checks that a worker counts as running its tasks for the longest
+// lease from now on, by a clock that may be slow.
+func (fx *fixture) mustAwaitLongestLease(id string) {
+	fx.t.Helper()
+	expiry := fx.al.leaseExpiry(fx.al.workers.byID[modeller.WorkerID(id)])
+	must.GreaterEq(fx.t, maxElapsed(testBounds.MaxRunLease), expiry.Sub(fx.now))
+}
+
 // TestLeaseGrantedToTheNextIncarnationIsAwaited guards against tasks that are started
 // again while the worker runs them: it has restarted between two polls, and the second
 // one has extended its lease by the clock before.
 func TestLeaseGrantedToTheNextIncarnationIsAwaited(t *testing.T) {
 	fx := newPolledFixture(t)
-	fx.reportOf("a", 7, time.Millisecond, nil)
-	must.Eq(t, time.Millisecond+testBounds.MaxRunLease, fx.al.workers.byID["a"].leaseEnd)
+	fx.reportOfNext("a", 7, time.Millisecond, nil)
+	fx.mustAwaitLongestLease("a")
 }
 
 // TestLeaseIsAwaitedWhenTheDirectoryShowsTheRestartFirst covers the same if the
@@ -246,15 +264,17 @@
 	restarted := fx.al.workers.byID["a"].info
 	restarted.StartedAtMS = 7
 	fx.apply(WorkerListed{Worker: restarted})
-	fx.reportOf("a", 7, time.Millisecond, nil)
-	must.Eq(t, time.Millisecond+testBounds.MaxRunLease, fx.al.workers.byID["a"].leaseEnd)
+	fx.mustAwaitLongestLease("a")
+	fx.reportOfNext("a", 7, time.Millisecond, nil)
+	fx.mustAwaitLongestLease("a")
 }
 
 // TestOrdersAreForTheIncarnationThatHasReported guards against orders that the next
 // incarnation of a worker carries out.
 func TestOrdersAreForTheIncarnationThatHasReported(t *testing.T) {
 	fx := newPolledFixture(t)
-	fx.reportOf("a", 7, time.Millisecond, nil)
+	fx.reportOfNext("a", 7, time.Millisecond, nil)
+	fx.orders = nil
 	fx.advance(50 * time.Millisecond)
 	polls := takeOrders[PollOrder](fx)
 	must.Len(t, 1, polls)
--- a/shared/jobs/distributor/codec.go
+++ b/shared/jobs/distributor/codec.go
@@ -66,6 +66,7 @@
 		frame = packer.AppendString(frame, string(msg.Worker))
 		frame = appendAddress(frame, msg.Address)
 		frame = packer.AppendInt(frame, msg.StartedAtMS)
+		frame = packer.AppendUint(frame, uint64(max(msg.Generation, 0)))
 	case Leave:
 		frame = packer.AppendUint(append(frame, byte(typeLeave)), uint64(msg.Handle))
 	case Payload:
@@ -264,6 +265,7 @@
 			Worker:      modeller.WorkerID(rd.String()),
 			Address:     rd.address(),
 			StartedAtMS: rd.Int(),
+			Generation:  rd.Index(),
 		}
 	case typeLeave:
 		return Leave{
--- a/shared/jobs/distributor/codec_test.go
+++ b/shared/jobs/distributor/codec_test.go
@@ -22,7 +22,7 @@
 // toKeeperMessages has each message to keepers, by the name of its golden file.
 var toKeeperMessages = map[string]ToKeeper{
 	"permit":  Permit{Number: 7},
-	"attend":  Attend{Handle: 3, Worker: "i-7f3a91c2", Address: netip.MustParseAddrPort("10.1.64.9:8661"), StartedAtMS: 1_700_000_000_000},
+	"attend":  Attend{Handle: 3, Worker: "i-7f3a91c2", Address: netip.MustParseAddrPort("10.1.64.9:8661"), StartedAtMS: 1_700_000_000_000, Generation: 300},
 	"leave":   Leave{Handle: 3},
 	"payload": Payload{Job: testTask.Job, Text: "(text)"},
 	"fetch":   Fetch{Job: "A job's own name", Queue: "claims"},
--- a/shared/jobs/distributor/distributor.go
+++ b/shared/jobs/distributor/distributor.go
@@ -60,6 +60,8 @@
 // workerState is what the distributor knows of a worker.
 type workerState struct {
 	usedAt time.Time
+	// generation is the highest generation of the orders to the worker.
+	generation int
 	// unreached counts the consecutive polls without an answer.
 	unreached int
 	avoidedAt time.Time
@@ -73,8 +75,8 @@
 	attended map[Handle]*attendedWorker
 	last     Handle
 	lastPoll uint64
-	// orders are the orders without an outcome, with the time of their sending.
-	orders map[orderKey]time.Time
+	// orders are the orders without an outcome.
+	orders map[orderKey]sentOrder
 	// payloads are the jobs whose payloads the keeper holds or reads, and missing
 	// those whose payloads it could not read. budget is that of all links.
 	payloads, missing map[modeller.JobID]struct{}
@@ -95,9 +97,16 @@
 
 // pollInFlight is a poll without an outcome.
 type pollInFlight struct {
-	number uint64
-	sentAt time.Time
-	wait   time.Duration
+	number     uint64
+	sentAt     time.Time
+	wait       time.Duration
+	generation int
+}
+
+// sentOrder is the time at which an order was sent, and its generation.
+type sentOrder struct {
+	at         time.Time
+	generation int
 }
 
 // orderKind is the kind of an order other than a poll.
@@ -140,7 +149,7 @@
 		heardAt:  now,
 		handles:  map[modeller.WorkerID]Handle{},
 		attended: map[Handle]*attendedWorker{},
-		orders:   map[orderKey]time.Time{},
+		orders:   map[orderKey]sentOrder{},
 		payloads: map[modeller.JobID]struct{}{},
 		missing:  map[modeller.JobID]struct{}{},
 		budget:   &di.payloads,
@@ -241,6 +250,7 @@
 		di.assigner.AddWorker(wk.ID, wk.Zone)
 	}
 	ws.usedAt = now
+	ws.generation = max(ws.generation, wk.Generation)
 	keeper, ok := di.assigner.KeeperOf(wk.ID)
 	if !ok {
 		return nil
@@ -272,11 +282,11 @@
 	case PollFailure:
 		return di.pollFailure(now, li, msg)
 	case StartAnswer:
-		return li.answer(msg.Handle, orderKey{kind: startKind, task: msg.Task, attempt: msg.Attempt}, msg.Outcome, msg.Clock)
+		return di.answer(li, msg.Handle, orderKey{kind: startKind, task: msg.Task, attempt: msg.Attempt}, msg.Outcome, msg.Clock)
 	case StopAnswer:
-		return li.answer(msg.Handle, orderKey{kind: stopKind, task: msg.Task, attempt: msg.Attempt}, msg.Outcome, 0)
+		return di.answer(li, msg.Handle, orderKey{kind: stopKind, task: msg.Task, attempt: msg.Attempt}, msg.Outcome, 0)
 	case PaceAnswer:
-		return li.answer(msg.Handle, orderKey{kind: paceKind, task: msg.Task, attempt: msg.Attempt, percent: msg.Percent}, msg.Outcome, 0)
+		return di.answer(li, msg.Handle, orderKey{kind: paceKind, task: msg.Task, attempt: msg.Attempt, percent: msg.Percent}, msg.Outcome, 0)
 	}
 	return nil, errors.Errorf("unexpected message %T of keeper %s", msg, id)
 }
@@ -339,17 +349,27 @@
 	return []allocator.Event{allocator.PollFailed{
 		Worker:  aw.worker.ID,
 		SentAt:  poll.sentAt,
-		Outcome: msg.Outcome,
+		Outcome: di.supersede(aw.worker.ID, poll.generation, msg.Outcome),
 	}}, nil
 }
 
+// supersede returns the outcome of an order. A fencing token that is stale since orders
+// of a later generation have been sent doesn't mean that there is a later holder.
+func (di *Distributor) supersede(id modeller.WorkerID, generation int, outcome allocator.Outcome) allocator.Outcome {
+	if ws := di.workers[id]; outcome == allocator.Fenced && ws != nil && generation < ws.generation {
+		return allocator.NotSent
+	}
+	return outcome
+}
+
 // answer returns the outcome of an order, or nothing if the order is not known.
-func (li *link) answer(handle Handle, key orderKey, outcome allocator.Outcome, clock time.Duration) ([]allocator.Event, error) {
+func (di *Distributor) answer(li *link, handle Handle, key orderKey, outcome allocator.Outcome, clock time.Duration) ([]allocator.Event, error) {
 	aw := li.attended[handle]
 	if aw == nil {
 		return nil, errors.Errorf("outcome of an order for handle %d, which has no worker", handle)
 	}
 	key.worker = aw.worker.ID
+	outcome = di.supersede(key.worker, li.orders[key].generation, outcome)
 	delete(li.orders, key)
 	return []allocator.Event{key.result(outcome, clock)}, nil
 }
@@ -385,8 +405,8 @@
 			return true
 		}
 	}
-	for _, sentAt := range li.orders {
-		if now.Sub(sentAt) >= maxAnswerDelay {
+	for _, so := range li.orders {
+		if now.Sub(so.at) >= maxAnswerDelay {
 			return true
 		}
 	}
--- a/shared/jobs/distributor/distributor_test.go
+++ b/shared/jobs/distributor/distributor_test.go
@@ -59,15 +59,17 @@
 func TestOrdersAreForOneIncarnation(t *testing.T) {
 	di, now := newConnected("k")
 	kp := NewKeeper()
-	for _, startedAtMS := range []int64{7, 7, 8, 0} {
+	for generation, startedAtMS := range []int64{7, 7, 8, 0} {
 		worker := testWorker
 		worker.StartedAtMS = startedAtMS
+		worker.Generation = generation
 		di.Dispatch(now, []allocator.Order{allocator.StopOrder{Worker: worker, Task: testTask, Attempt: 1}})
 		for _, msg := range di.Outgoing()["k"] {
 			orders, _, err := kp.Receive(msg)
 			must.NoError(t, err)
 			for _, to := range orders {
 				must.Eq(t, startedAtMS, to.Order.(allocator.StopOrder).Worker.StartedAtMS)
+				must.Eq(t, generation, to.Order.(allocator.StopOrder).Worker.Generation)
 			}
 		}
 	}
@@ -236,3 +238,26 @@
 	_, ok := di.assigner.KeeperOf("i-1")
 	must.False(t, ok)
 }
+
+// Guards against a holder that gives its duty up, since a worker has refused an order
+// from before its restart.
+func TestOrderOfAnEarlierGenerationIsNotRefusedForALaterHolder(t *testing.T) {
+	di, now := newConnected("k")
+	later := testWorker
+	later.Generation = 1
+	di.Dispatch(now, []allocator.Order{start(1), allocator.StopOrder{Worker: later, Task: testTask, Attempt: 1}})
+	answers := []ToScheduler{
+		StartAnswer{Handle: 1, Task: testTask, Attempt: 1, Outcome: allocator.Fenced},
+		StopAnswer{Handle: 1, Task: testTask, Attempt: 1, Outcome: allocator.Fenced},
+	}
+	var events []allocator.Event
+	for _, answer := range answers {
+		received, err := di.Receive(now, "k", answer, true)
+		must.NoError(t, err)
+		events = append(events, received...)
+	}
+	must.Eq(t, []allocator.Event{
+		allocator.StartResult{Worker: "i-1", Task: testTask, Attempt: 1, Outcome: allocator.NotSent},
+		allocator.StopResult{Worker: "i-1", Task: testTask, Attempt: 1, Outcome: allocator.Fenced},
+	}, events)
+}
--- a/shared/jobs/distributor/keeper.go
+++ b/shared/jobs/distributor/keeper.go
@@ -230,6 +230,7 @@
 		ID:          msg.Worker,
 		Address:     msg.Address,
 		StartedAtMS: msg.StartedAtMS,
+		Generation:  msg.Generation,
 	}
 }
 
--- a/shared/jobs/distributor/link.go
+++ b/shared/jobs/distributor/link.go
@@ -18,7 +18,10 @@
 		li.sendPoll(now, handle, od)
 	case allocator.StartOrder:
 		li.sendPayload(now, od)
-		li.orders[startKey(od)] = now
+		li.orders[startKey(od)] = sentOrder{
+			at:         now,
+			generation: wk.Generation,
+		}
 		li.outgoing = append(li.outgoing, Start{
 			Handle:         handle,
 			Task:           od.Task,
@@ -30,14 +33,20 @@
 			FreeMilliCores: od.FreeMilliCores,
 		})
 	case allocator.StopOrder:
-		li.orders[stopKey(od)] = now
+		li.orders[stopKey(od)] = sentOrder{
+			at:         now,
+			generation: wk.Generation,
+		}
 		li.outgoing = append(li.outgoing, Stop{
 			Handle:  handle,
 			Task:    od.Task,
 			Attempt: od.Attempt,
 		})
 	case allocator.PaceOrder:
-		li.orders[paceKey(od)] = now
+		li.orders[paceKey(od)] = sentOrder{
+			at:         now,
+			generation: wk.Generation,
+		}
 		li.outgoing = append(li.outgoing, Pace{
 			Handle:  handle,
 			Task:    od.Task,
@@ -53,7 +62,7 @@
 	handle, ok := li.handles[wk.ID]
 	if ok {
 		last := li.attended[handle].worker
-		if last.Address == wk.Address && last.StartedAtMS == wk.StartedAtMS {
+		if last.Address == wk.Address && last.StartedAtMS == wk.StartedAtMS && last.Generation == wk.Generation {
 			return handle
 		}
 	}
@@ -69,6 +78,7 @@
 		Worker:      wk.ID,
 		Address:     wk.Address,
 		StartedAtMS: wk.StartedAtMS,
+		Generation:  wk.Generation,
 	})
 	return handle
 }
@@ -77,9 +87,10 @@
 	aw := li.attended[handle]
 	li.lastPoll++
 	aw.poll = &pollInFlight{
-		number: li.lastPoll,
-		sentAt: now,
-		wait:   od.Wait,
+		number:     li.lastPoll,
+		sentAt:     now,
+		wait:       od.Wait,
+		generation: od.Worker.Generation,
 	}
 	li.outgoing = append(li.outgoing, Poll{
 		Handle:           handle,
--- a/shared/jobs/distributor/message.go
+++ b/shared/jobs/distributor/message.go
@@ -33,6 +33,8 @@
 	// StartedAtMS is the start time of the incarnation that the orders are for, in Unix
 	// milliseconds, or zero for any.
 	StartedAtMS int64
+	// Generation is the generation of the orders.
+	Generation int
 }
 
 // Leave removes a handle.
--- a/shared/jobs/modeller/worker.go
+++ b/shared/jobs/modeller/worker.go
@@ -31,6 +31,18 @@
 	StartedAtMS int64
 	// VM is the VM that the worker runs on, or empty if the directory omits it.
 	VM string
+	// Generation is the generation of the orders to the worker. It rises with each
+	// incarnation that the scheduler learns of.
+	Generation int
+}
+
+// generationBits is the number of bits of a fencing token for the generation.
+const generationBits = 16
+
+// FencingToken returns the fencing token of orders to the worker under an epoch. It rises
+// with the epoch, and under the same one with the generation.
+func (wk Worker) FencingToken(epoch uint64) uint64 {
+	return epoch<<generationBits | uint64(min(max(wk.Generation, 0), 1<<generationBits-1))
 }
 
 // HasLabel reports whether the worker has a label. Every worker has the empty
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -146,7 +146,7 @@
 	deliver := func() {
 		nd := sm.nodes[worker.ID]
 		switch {
-		case isDelayed && (nd == nil || nd.incarnation != incarnation) && !sm.keepsConnections:
+		case isDelayed && (nd == nil || nd.incarnation != incarnation):
 			// A delayed order is lost when its worker restarts.
 		case !sm.canReach(cn.manager, nd):
 			answer(orderTimeout, allocator.Unanswered)
@@ -162,7 +162,7 @@
 }
 
 // fenceOf returns the fencing token of a holder's orders to a worker.
-func fenceOf(tm *term, _ modeller.Worker) uint64 { return tm.fence }
+func fenceOf(tm *term, worker modeller.Worker) uint64 { return worker.FencingToken(tm.fence) }
 
 // answerAfter sends the outcome of an order from its manager after a delay.
 func (sm *Simulation) answerAfter(cn *connection, delay time.Duration, outcome func(oc allocator.Outcome) allocator.Event, oc allocator.Outcome) {
