allocator: acknowledge ends only to the incarnation that has reported them

What callers saw: tasks started again after they had ended as done, and after those ends had been taken note of, when workers were back under their IDs.

Cause: each poll carried the number of the last stored end, also those that wait for ends and those to workers that don't answer. Ends are numbered anew in each incarnation. If the next one gets such a poll, it discards ends that no report has shown; the run is then missing, and its task starts again.

Change: ends are acknowledged by polls that don't wait, while no start to the worker is on its way or in doubt, and no start is sent before the answer. So the next incarnation has no end by then that it could discard unseen. Polls that wait, and those to workers that don't answer, acknowledge nothing. After an acknowledgement without an answer the generation of orders rises, so that the worker refuses it later. Each stored batch of ends costs one more poll of its worker.

--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -58,15 +58,16 @@
 		al.endTakenDownWorkers(now, al.workers.byVM[wk.info.VM])
 	}
 	wk.mayHoldOldRuns = false
+	wk.lastAckedEnd = max(wk.lastAckedEnd, wk.polledAck)
 	wk.startedAtMS = ev.Report.StartedAtMS
 	wk.reportedAt = ev.ReceivedAt
 	wk.isUnresponsive = false
 	wk.failedPolls = 0
 	wk.suspectUntil = time.Time{}
-	if len(wk.unstoredEnds) == 0 {
-		wk.repeatInterval = unstoredPollInterval
-	} else {
+	if wk.repeatsEnds() {
 		wk.repeatInterval = min(2*wk.repeatInterval, al.bounds.PollWait)
+	} else {
+		wk.repeatInterval = unstoredPollInterval
 	}
 	for _, end := range ev.Report.Ended {
 		al.handleEnd(now, wk, end)
@@ -285,6 +286,11 @@
 		wk.pollAt = now.Add(minPollInterval)
 		return
 	}
+	if wk.polledAck > 0 && ev.Outcome != NotSent {
+		// The acknowledgement may take effect later, also at the next incarnation. The
+		// worker refuses it once it has got an order of another generation.
+		wk.generation++
+	}
 	switch ev.Outcome {
 	case KeeperLost:
 		wk.pollAt = now.Add(minPollInterval)
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -58,8 +58,10 @@
 	// the last of those was ordered that got no report.
 	isPollInFlight                 bool
 	pollAt, polledAt, failedPollAt time.Time
-	// polledLeaseEnd is the end of the lease in the last poll.
+	// polledLeaseEnd is the end of the lease in the last poll, and polledAck the number of
+	// the last end that it acknowledged, or zero.
 	polledLeaseEnd time.Duration
+	polledAck      int64
 	// repeatInterval is the time from a report with unstored ends to the next
 	// poll if the ends are not stored earlier.
 	repeatInterval time.Duration
@@ -69,9 +71,10 @@
 	used modeller.Resources
 	// neighbours counts the runs by what they mean for other runs.
 	neighbours neighbourCounts
-	// lastProcessedEnd and lastStoredEnd are the numbers of the last end that
-	// was processed and of the last that was stored.
-	lastProcessedEnd, lastStoredEnd int64
+	// lastProcessedEnd, lastStoredEnd and lastAckedEnd are the numbers of the last end
+	// that was processed, of the last that was stored, and of the last whose
+	// acknowledgement was answered.
+	lastProcessedEnd, lastStoredEnd, lastAckedEnd int64
 	// unstoredEnds are the ends after lastStoredEnd, in order.
 	unstoredEnds []unstoredEnd
 	// failedJobs are the jobs that have failed on this worker since its last
@@ -224,7 +227,7 @@
 func (al *Allocator) isEligible(now time.Time, wk *worker) bool {
 	return wk.isOpen() &&
 		now.Sub(wk.reportedAt) < maxReportAge && !al.isQuarantined(now, wk) && !now.Before(wk.suspectUntil) &&
-		wk.leaseEnd > 0 && al.estimateClock(now, wk) < wk.leaseEnd && al.isFenced(now, wk) && !al.fleet.hasPendingTakedown(wk.info.VM)
+		wk.leaseEnd > 0 && al.estimateClock(now, wk) < wk.leaseEnd && !wk.isAcknowledging(now) && al.isFenced(now, wk) && !al.fleet.hasPendingTakedown(wk.info.VM)
 }
 
 // isQuarantined reports whether a worker gets no work because of its failures.
@@ -291,6 +294,7 @@
 	wk.mayHoldOldRuns = false
 	wk.lastProcessedEnd = 0
 	wk.lastStoredEnd = 0
+	wk.lastAckedEnd = 0
 	wk.unstoredEnds = nil
 	wk.leaseEnd = 0
 	if wk.startedAtMS != 0 {
@@ -369,7 +373,6 @@
 			Worker: wk.addressee(),
 		}
 		if wk.isSynced {
-			po.AcknowledgedEnds = wk.lastStoredEnd
 			po.ProcessedEnds = wk.lastProcessedEnd
 			// A poll without an answer may still extend the lease, so the lease of an
 			// unresponsive worker is left to expire. The next incarnation may answer it,
@@ -382,19 +385,56 @@
 				po.LeaseEnd = wk.leaseEnd
 				po.Wait = al.bounds.PollWait
 			}
+			if wk.canAcknowledge() {
+				po.AcknowledgedEnds = wk.lastStoredEnd
+				po.Wait = 0
+			}
 		}
 		wk.isPollInFlight = true
 		wk.polledAt = now
 		wk.polledLeaseEnd = po.LeaseEnd
+		wk.polledAck = po.AcknowledgedEnds
 		wk.polledGeneration = wk.generation
 		al.orders = append(al.orders, po)
 	}
 }
 
 // awaitsStorage reports whether a poll of the worker is better sent after ends
-// are stored: until then a worker answers at once and repeats its unstored ends.
+// are stored and can be acknowledged: until then a worker answers at once and repeats
+// them.
 func (wk *worker) awaitsStorage(now time.Time) bool {
-	return wk.leaseEnd > 0 && len(wk.unstoredEnds) > 0 && now.Before(wk.reportedAt.Add(wk.repeatInterval))
+	return wk.leaseEnd > 0 && wk.repeatsEnds() && now.Before(wk.reportedAt.Add(wk.repeatInterval))
+}
+
+// repeatsEnds reports whether the worker's next report repeats ends.
+func (wk *worker) repeatsEnds() bool {
+	return len(wk.unstoredEnds) > 0 || wk.owesAcknowledgement() && !wk.canAcknowledge()
+}
+
+func (wk *worker) owesAcknowledgement() bool { return wk.lastStoredEnd > wk.lastAckedEnd }
+
+// canAcknowledge reports whether the next poll may acknowledge ends. The next
+// incarnation may get that poll instead, and discards ends of its own that it numbers
+// alike. So it must not have any by then that no report has shown: no start is on its
+// way, and none is sent until the poll, which doesn't wait for further ends, is answered.
+func (wk *worker) canAcknowledge() bool {
+	return wk.owesAcknowledgement() && !wk.isUnresponsive && !wk.hasStartInDoubt()
+}
+
+// hasStartInDoubt reports whether a start isn't known to be carried out by the
+// incarnation that it was meant for.
+func (wk *worker) hasStartInDoubt() bool {
+	for _, rn := range wk.runs {
+		if rn.state != runRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// isAcknowledging reports whether starts have to wait for an acknowledgement of ends.
+func (wk *worker) isAcknowledging(now time.Time) bool {
+	return wk.isPollInFlight && wk.polledAck > 0 || wk.owesAcknowledgement() && now.Sub(wk.reportedAt) >= unstoredPollInterval
 }
 
 // Roster returns the workers that may have runs.
