soak: a task whose end the managers have stored is not the next one

Cause: the check counted a task as done only if its end was acknowledged. Managers acknowledge an end once it is stored, and that can fail to count in two ways, after which they still don't start the task again: 1. the worker is lost after the end is stored and before the poll that acknowledges it; 2. the lease of the worker has expired between the end and the acknowledgement, so the end is never "taken note of". The check then looked for room for that task. The step that really was next had none: the advice service permits it on a lost worker only.

LOST needs capacity for the task whose turn has come.

Change: a task is also done if a run of it has ended so and the managers' stored progress says so. Progress alone doesn't count, nor an end alone: a task that isn't stored is next as before. If all tasks are stored and the job isn't shown as completed, that is now reported whether there is room or not.

--- a/standin/internal/soaker/finisher.go
+++ b/standin/internal/soaker/finisher.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/standin/internal/provider"
 )
@@ -112,15 +113,42 @@
 	case !isLate:
 		return false
 	}
-	waiting, isTurn := fs.history.next(jb, time.Now())
-	isIdle := !fs.history.isRunning[jb.ID] && (!isTurn || fs.hasRoom(jb, waiting))
-	next := "no task"
-	if isTurn {
-		next = waiting.String()
-	}
+	next, isIdle := fs.next(ctx, jb)
 	return fs.isLost(jb.ID, isIdle, "job %s has nothing running and is %q; %s is next", jb.path, as.state, next)
 }
 
+// storedProgress returns what the managers have stored of a job's tasks.
+func (fs *finisher) storedProgress(ctx context.Context, jb *job) (modeller.Progress, error) {
+	store := fs.play.stage.Provider().Keeper().Zone("operator")
+	et, err := store.Get(ctx, archiver.JobKey(jb.ID))
+	if err != nil {
+		return modeller.Progress{}, err
+	}
+	jr, err := modeller.DecodeJob(et.Value)
+	if err != nil {
+		return modeller.Progress{}, err
+	}
+	et, err = store.Get(ctx, archiver.ProgressKey(jr.Job.Queue, jb.ID))
+	if err != nil {
+		return modeller.Progress{}, err
+	}
+	return archiver.DecodeProgress(et)
+}
+
+// next names the task of a job whose turn has come, and reports whether the job has
+// nothing running though that task has room, or though there is none.
+func (fs *finisher) next(ctx context.Context, jb *job) (string, bool) {
+	// Without stored progress tasks count as done by acknowledgements alone.
+	if pg, err := fs.storedProgress(ctx, jb); err == nil {
+		fs.history.noteStored(pg)
+	}
+	name, isTurn := fs.history.next(jb, time.Now())
+	if !isTurn {
+		return "no task", !fs.history.isRunning[jb.ID]
+	}
+	return name.String(), !fs.history.isRunning[jb.ID] && fs.hasRoom(jb, name)
+}
+
 // isRunningOn reports whether all tasks of a long-running job run or are lost.
 func (fs *finisher) isRunningOn(jb *job, isLate bool) bool {
 	isFinished := true
--- a/standin/internal/soaker/history.go
+++ b/standin/internal/soaker/history.go
@@ -15,20 +15,20 @@
 	current   map[modeller.TaskName]*provider.Run
 	// endedAt holds the end of the latest run of a task.
 	endedAt map[modeller.TaskName]time.Time
-	// doneAt holds when a task was done first, and isAcknowledged the tasks whose
-	// end has been acknowledged.
-	doneAt         map[modeller.TaskName]time.Time
-	isAcknowledged map[modeller.TaskName]bool
+	// doneAt holds when a task was done first, and isNoted the tasks that are done
+	// and whose end has been acknowledged or stored.
+	doneAt  map[modeller.TaskName]time.Time
+	isNoted map[modeller.TaskName]bool
 }
 
 func newHistory(runs []provider.Run) history {
 	hy := history{
-		runs:           runs,
-		isRunning:      map[modeller.JobID]bool{},
-		current:        map[modeller.TaskName]*provider.Run{},
-		endedAt:        map[modeller.TaskName]time.Time{},
-		doneAt:         map[modeller.TaskName]time.Time{},
-		isAcknowledged: map[modeller.TaskName]bool{},
+		runs:      runs,
+		isRunning: map[modeller.JobID]bool{},
+		current:   map[modeller.TaskName]*provider.Run{},
+		endedAt:   map[modeller.TaskName]time.Time{},
+		doneAt:    map[modeller.TaskName]time.Time{},
+		isNoted:   map[modeller.TaskName]bool{},
 	}
 	for idx := range runs {
 		rn := &runs[idx]
@@ -47,12 +47,29 @@
 			hy.doneAt[rn.Task] = rn.EndedAt
 		}
 		if rn.IsAcknowledged {
-			hy.isAcknowledged[rn.Task] = true
+			hy.isNoted[rn.Task] = true
 		}
 	}
 	return hy
 }
 
+// noteStored notes the ends that the managers have stored. The acknowledgement of such
+// an end may be lost with its worker, or doesn't count since the lease has expired; the
+// managers don't start its task again.
+func (hy history) noteStored(pg modeller.Progress) {
+	for _, tp := range pg.Tasks {
+		name := modeller.TaskName{
+			Job:        pg.ID,
+			Occurrence: tp.Occurrence,
+			Step:       tp.Step,
+			Index:      tp.Index,
+		}
+		if _, isDone := hy.doneAt[name]; isDone && tp.IsDone {
+			hy.isNoted[name] = true
+		}
+	}
+}
+
 // next returns a task of a job whose turn has come and that isn't done, if any.
 func (hy history) next(jb *job, now time.Time) (modeller.TaskName, bool) {
 	for _, name := range jb.tasks() {
@@ -74,11 +91,11 @@
 	return true
 }
 
-// isTaken reports whether it was acknowledged that a task is done. The end of one
-// member of a gang represents all.
+// isTaken reports whether it is noted that a task is done. The end of one member of a
+// gang represents all.
 func (hy history) isTaken(jb *job, name modeller.TaskName) bool {
 	for _, member := range jb.members(name) {
-		if hy.isAcknowledged[member] {
+		if hy.isNoted[member] {
 			return true
 		}
 	}
--- a/standin/internal/soaker/regression.go
+++ b/standin/internal/soaker/regression.go
@@ -39,6 +39,13 @@
 		Duration: 30 * time.Second,
 	},
 	Cause: "a wave evacuated the only worker that a job could run on, and waited for long-running tasks that could not be stopped",
+}, {
+	Seed: 50010,
+	Settings: Settings{
+		Managers: 3,
+		Duration: 30 * time.Second,
+	},
+	Cause: "the check took a task to be next whose end was stored, as its acknowledgement was lost with the worker or came after the lease had expired",
 }, {
 	Seed: 60001,
 	Settings: Settings{
