soak: LOST looks for room for each task whose turn has come

Seen by reading: a job whose first task in order lacked room was never idle, also if another task whose turn had come had room.

Change: the check takes the first task with room; a job without one waits for room, as before.

Failed first: TestJobIsIdleOnlyIfTheTaskThatManagersMayStartHasRoom (another step has room).

--- a/standin/internal/soaker/finisher.go
+++ b/standin/internal/soaker/finisher.go
@@ -135,18 +135,24 @@
 	return archiver.DecodeProgress(et)
 }
 
-// next names the task of a job whose turn has come, and reports whether the job has
-// nothing running though that task has room, or though there is none.
+// next names a task of a job whose turn has come, if possible one with room. It reports
+// whether the job has nothing running though that task has room, or though there is
+// none.
 func (fs *finisher) next(ctx context.Context, jb *job) (string, bool) {
 	// Without stored progress tasks count as done by acknowledgements alone.
 	if pg, err := fs.storedProgress(ctx, jb); err == nil {
 		fs.history.noteStored(pg)
 	}
-	name, isTurn := fs.history.next(jb, time.Now())
-	if !isTurn {
+	ready := fs.history.ready(jb, time.Now())
+	if len(ready) == 0 {
 		return "no task", !fs.history.isRunning[jb.ID]
 	}
-	return name.String(), !fs.history.isRunning[jb.ID] && fs.hasRoom(jb, name)
+	for _, name := range ready {
+		if fs.hasRoom(jb, name) {
+			return name.String(), !fs.history.isRunning[jb.ID]
+		}
+	}
+	return ready[0].String(), false
 }
 
 // isRunningOn reports whether all tasks of a long-running job run or are lost.
--- a/standin/internal/soaker/finisher_test.go
+++ b/standin/internal/soaker/finisher_test.go
@@ -98,6 +98,11 @@
 			jb.Steps[0].Count = 2
 			jb.Steps[0].IsGang = true
 		}, next: "1.0.1.0"},
+		{name: "another step has room", run: acknowledged, change: func(_ *finisher, jb *job) {
+			other := jb.Steps[1]
+			other.RequiredLabel = "r1"
+			jb.Steps = append(jb.Steps, other)
+		}, next: "1.0.2.0", isIdle: true},
 		{name: "all tasks are stored, and the job isn't completed", run: unacknowledged, stored: []int{0}, change: func(_ *finisher, jb *job) {
 			jb.Steps = jb.Steps[:1]
 		}, next: "no task", isIdle: true},
--- a/standin/internal/soaker/history.go
+++ b/standin/internal/soaker/history.go
@@ -70,15 +70,16 @@
 	}
 }
 
-// next returns a task of a job whose turn has come and that isn't done, if any.
-func (hy history) next(jb *job, now time.Time) (modeller.TaskName, bool) {
+// ready returns the tasks of a job whose turn has come and that aren't done.
+func (hy history) ready(jb *job, now time.Time) []modeller.TaskName {
+	var names []modeller.TaskName
 	for _, name := range jb.tasks() {
 		isDue := jb.Occurrences == 0 || !now.Before(jb.dueAt(name.Occurrence))
 		if isDue && !hy.isTaken(jb, name) && hy.isReady(jb, name) {
-			return name, true
+			names = append(names, name)
 		}
 	}
-	return modeller.TaskName{}, false
+	return names
 }
 
 // isReady reports whether the steps before a task are done.
