allocator: a gang's member that was lost with its worker does not rejoin

Cause: a member whose start had no effect rejoins the running members at their attempt. A member that ran and was lost with its worker was taken for one of these, and rejoined with the checkpoint that it had reported last. The gang is broken by then.

Change: a run that a report has shown and that is dropped counts as ended, so that the gang starts anew at the next attempt once the others have ended.

Failed before: TestGangMemberLostWithItsWorkerDoesNotRejoin.

--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -336,6 +336,52 @@
 	must.Eq(t, 1, again[0].Attempt)
 }
 
+// Guards against gangs whose members carry different checkpoints.
+func TestGangMemberLostWithItsWorkerDoesNotRejoin(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a", "b")
+	gang := oneTaskStep()
+	gang.Count = 5
+	gang.IsGang = true
+	gang.IsCheckpointing = true
+	fx.submitJob("g", gang)
+	starts := takeOrders[StartOrder](fx)
+	must.Len(t, 5, starts)
+	running := map[string][]modeller.Run{}
+	for _, so := range starts {
+		fx.acceptStart(so)
+		id := string(so.Worker.ID)
+		running[id] = append(running[id], modeller.Run{Task: so.Task, Attempt: 1, Checkpoint: "2"})
+	}
+	fx.advance(50 * time.Millisecond)
+	fx.report("a", running["a"])
+	fx.report("b", running["b"])
+	fx.advance(50 * time.Millisecond)
+	lost, kept := "a", "b"
+	if len(running["b"]) < len(running["a"]) {
+		lost, kept = kept, lost
+	}
+	fx.reportOfNext(lost, 2, time.Second, nil)
+	fx.report(kept, running[kept])
+	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("the gang is broken"))
+	var ends []modeller.End
+	for number, rn := range running[kept] {
+		ends = append(ends, modeller.End{Number: int64(number + 1), Task: rn.Task, Attempt: 1, Kind: modeller.EndGangBroken, Checkpoint: "3"})
+	}
+	for range 4 {
+		fx.advance(50 * time.Millisecond)
+		fx.reportOf(lost, 2, time.Second+fx.now.Sub(time.Unix(1_700_000_000, 0)), nil)
+		fx.report(kept, nil, ends...)
+		fx.storeBatch()
+	}
+	again := takeOrders[StartOrder](fx)
+	must.Len(t, 5, again)
+	for _, so := range again {
+		must.Eq(t, 2, so.Attempt)
+		must.Eq(t, "3", so.Checkpoint)
+	}
+}
+
 func TestDrainingWorkerGetsNoWork(t *testing.T) {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a")
--- a/shared/jobs/allocator/run.go
+++ b/shared/jobs/allocator/run.go
@@ -143,6 +143,9 @@
 	al.changes.note(rn.worker.info.Pool)
 	if rn.task != nil && rn.task.run == rn {
 		rn.task.droppedAt = now
+		if rn.isReported {
+			rn.task.endedAttempt = max(rn.task.endedAttempt, rn.attempt)
+		}
 		al.requeue(now, rn.task, reason)
 	}
 }
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -15,7 +15,7 @@
 	isDone bool
 	// attempt is the highest known attempt that was started.
 	attempt int
-	// endedAttempt is the highest attempt that has ended.
+	// endedAttempt is the highest attempt that has ended, or was lost with its worker.
 	endedAttempt   int
 	failedAttempts []int
 	checkpoint     string
