--- a/standin/internal/soaker/plan_test.go
+++ b/standin/internal/soaker/plan_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"coltsfootwick.example/standin/internal/provider"
 )
 
 // defaults are the settings of the subcommand's defaults.
@@ -102,3 +104,31 @@
 	})
 	must.MapLen(t, 30, planned)
 }
+
+func TestRestartedZonesAreCutOffOnceTheirWorkersAreBack(t *testing.T) {
+	settings := defaults
+	settings.ZoneRestarts = &ZoneRestarts{
+		Connections: provider.ConnectionsKept,
+	}
+	hasKill := false
+	for seed := range uint64(20) {
+		plan := NewPlan(seed+1, settings)
+		must.Eq(t, plan, NewPlan(seed+1, settings))
+		backAt := map[string]time.Duration{}
+		for _, mt := range plan.Moments {
+			switch ev := mt.Event.(type) {
+			case WorkerCrash:
+				must.True(t, ev.KeepsID)
+				must.Eq(t, provider.ConnectionsKept, ev.Connections)
+				backAt[ev.VM] = mt.At + ev.Restart
+			case LinkFault:
+				must.Between(t, minZoneUptime, mt.At-backAt[ev.VM], maxZoneUptime)
+				must.Eq(t, zoneIsolation, ev.Duration)
+			case Kill:
+				hasKill = true
+			}
+		}
+		must.MapNotEmpty(t, backAt)
+	}
+	must.True(t, hasKill)
+}
--- a/standin/internal/soaker/regression.go
+++ b/standin/internal/soaker/regression.go
@@ -1,6 +1,10 @@
 package soaker
 
-import "time"
+import (
+	"time"
+
+	"coltsfootwick.example/standin/internal/provider"
+)
 
 // Regression is a play that has failed before.
 type Regression struct {
@@ -54,4 +58,24 @@
 		HasRestarts: true,
 	},
 	Cause: "a worker that was back under its ID accepted starts of the incarnation before, and was cut off; they counted as over while it had done them",
+}, {
+	Seed: 102,
+	Settings: Settings{
+		Managers: 5,
+		Duration: 46 * time.Second,
+		ZoneRestarts: &ZoneRestarts{
+			Connections: provider.ConnectionsSilent,
+		},
+	},
+	Cause: "workers that were back under their IDs accepted starts of the incarnations before on new connections, and got a longer lease than was counted",
+}, {
+	Seed: 24,
+	Settings: Settings{
+		Managers: 5,
+		Duration: 46 * time.Second,
+		ZoneRestarts: &ZoneRestarts{
+			Connections: provider.ConnectionsKept,
+		},
+	},
+	Cause: "workers that were back under their IDs carried out starts and acknowledgements that were sent to the incarnations before",
 }}
