allocator: tell incarnations apart by the greatest reading that a clock can show

Cause: a worker was back with the start time of before, and with a clock 1.3 s ahead of what the one before could show. A clock was only impossible if it was 4 s ahead, the longest time from its reading to the report. So the incarnations counted as one, and a poll acknowledged ends of the next one.

Change: the greatest possible reading is kept from the report that limits it most. A poll that doesn't wait, as the first of each incarnation, limits it to some milliseconds.

Failed before: the test of impossible clocks, with one that is 1 s ahead. What remains: a clock that is within that limit, together with the same start time.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -65,9 +65,6 @@
 	// maxCallDelay is how long a call without an answer may wait at a worker that is
 	// about to start again, before it is carried out.
 	maxCallDelay = 2 * time.Second
-	// maxReportDelay is the longest time from the reading of a worker's clock to the
-	// arrival of its report.
-	maxReportDelay = 4 * time.Second
 	// orderRetryInterval is the time after which an order that had no effect is
 	// sent again.
 	orderRetryInterval = 700 * time.Millisecond
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -43,6 +43,7 @@
 		wk.pollAt = now
 		return
 	}
+	wk.limitClock(ev)
 	if wk.clockAt.IsZero() || !wk.isSynced || ev.Report.Clock > wk.clock {
 		wk.clock = ev.Report.Clock
 		wk.clockAt = ev.ReceivedAt
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -46,6 +46,9 @@
 	clock    time.Duration
 	clockAt  time.Time
 	leaseEnd time.Duration
+	// clockLimit is the greatest possible reading of the clock at clockLimitAt.
+	clockLimit   time.Duration
+	clockLimitAt time.Time
 	// strayLeaseExpiry is when a lease has ended that the present incarnation may have
 	// got by orders for the one before.
 	strayLeaseExpiry time.Time
@@ -208,7 +211,22 @@
 // isPossibleClock reports whether the incarnation that has reported may have read its
 // clock between two times.
 func (wk *worker) isPossibleClock(clock time.Duration, from, to time.Time) bool {
-	return clock >= wk.minClock(from) && clock <= wk.clock+to.Sub(wk.clockAt)+maxReportDelay
+	return clock >= wk.minClock(from) && clock <= wk.maxClock(to)+clockRounding
+}
+
+// maxClock returns the greatest possible reading of a worker's own clock at a time,
+// unless it starts again. The clocks of holder and worker may differ either way.
+func (wk *worker) maxClock(at time.Time) time.Duration {
+	return wk.clockLimit + time.Duration(float64(at.Sub(wk.clockLimitAt))*(1+clockDrift))
+}
+
+// limitClock updates the greatest possible reading after a report: the clock showed at
+// most the reported reading when the poll was sent.
+func (wk *worker) limitClock(ev ReportReceived) {
+	if !wk.isSynced || ev.Report.Clock < wk.maxClock(ev.SentAt) {
+		wk.clockLimit = ev.Report.Clock
+		wk.clockLimitAt = ev.SentAt
+	}
 }
 
 // addressee returns the worker as the receiver of orders: the incarnation that has
