--- a/shared/jobs/distributor/distributor.go
+++ b/shared/jobs/distributor/distributor.go
@@ -103,10 +103,11 @@
 	generation int
 }
 
-// sentOrder is the time at which an order was sent, and its generation.
+// sentOrder is the time at which an order was sent last, and the generations of those
+// without an outcome: it may be repeated before it has one.
 type sentOrder struct {
-	at         time.Time
-	generation int
+	at          time.Time
+	generations []int
 }
 
 // orderKind is the kind of an order other than a poll.
@@ -369,8 +370,14 @@
 		return nil, errors.Errorf("outcome of an order for handle %d, which has no worker", handle)
 	}
 	key.worker = aw.worker.ID
-	outcome = di.supersede(key.worker, li.orders[key].generation, outcome)
-	delete(li.orders, key)
+	if so, ok := li.orders[key]; ok {
+		outcome = di.supersede(key.worker, so.generations[0], outcome)
+		so.generations = so.generations[1:]
+		li.orders[key] = so
+		if len(so.generations) == 0 {
+			delete(li.orders, key)
+		}
+	}
 	return []allocator.Event{key.result(outcome, clock)}, nil
 }
 
--- a/shared/jobs/distributor/distributor_test.go
+++ b/shared/jobs/distributor/distributor_test.go
@@ -261,3 +261,24 @@
 		allocator.StopResult{Worker: "i-1", Task: testTask, Attempt: 1, Outcome: allocator.Fenced},
 	}, events)
 }
+
+// Guards against a holder that gives its duty up for a stop that it has repeated itself.
+func TestRepeatedOrderIsMatchedToItsGeneration(t *testing.T) {
+	for _, tc := range []struct{ first, second, wantFirst, wantSecond allocator.Outcome }{
+		{allocator.Fenced, allocator.Accepted, allocator.NotSent, allocator.Accepted},
+		{allocator.Unanswered, allocator.Fenced, allocator.Unanswered, allocator.Fenced},
+	} {
+		di, now := newConnected("k")
+		later := testWorker
+		later.Generation = 1
+		di.Dispatch(now, []allocator.Order{
+			allocator.StopOrder{Worker: testWorker, Task: testTask, Attempt: 1},
+			allocator.StopOrder{Worker: later, Task: testTask, Attempt: 1},
+		})
+		for _, outcomes := range [][2]allocator.Outcome{{tc.first, tc.wantFirst}, {tc.second, tc.wantSecond}} {
+			events, err := di.Receive(now, "k", StopAnswer{Handle: 1, Task: testTask, Attempt: 1, Outcome: outcomes[0]}, true)
+			must.NoError(t, err)
+			must.Eq(t, []allocator.Event{allocator.StopResult{Worker: "i-1", Task: testTask, Attempt: 1, Outcome: outcomes[1]}}, events)
+		}
+	}
+}
--- a/shared/jobs/distributor/link.go
+++ b/shared/jobs/distributor/link.go
@@ -18,10 +18,7 @@
 		li.sendPoll(now, handle, od)
 	case allocator.StartOrder:
 		li.sendPayload(now, od)
-		li.orders[startKey(od)] = sentOrder{
-			at:         now,
-			generation: wk.Generation,
-		}
+		li.noteSent(now, startKey(od), wk)
 		li.outgoing = append(li.outgoing, Start{
 			Handle:         handle,
 			Task:           od.Task,
@@ -33,20 +30,14 @@
 			FreeMilliCores: od.FreeMilliCores,
 		})
 	case allocator.StopOrder:
-		li.orders[stopKey(od)] = sentOrder{
-			at:         now,
-			generation: wk.Generation,
-		}
+		li.noteSent(now, stopKey(od), wk)
 		li.outgoing = append(li.outgoing, Stop{
 			Handle:  handle,
 			Task:    od.Task,
 			Attempt: od.Attempt,
 		})
 	case allocator.PaceOrder:
-		li.orders[paceKey(od)] = sentOrder{
-			at:         now,
-			generation: wk.Generation,
-		}
+		li.noteSent(now, paceKey(od), wk)
 		li.outgoing = append(li.outgoing, Pace{
 			Handle:  handle,
 			Task:    od.Task,
@@ -56,6 +47,14 @@
 	}
 }
 
+// noteSent records that an order is sent.
+func (li *link) noteSent(now time.Time, key orderKey, wk modeller.Worker) {
+	so := li.orders[key]
+	so.at = now
+	so.generations = append(so.generations, wk.Generation)
+	li.orders[key] = so
+}
+
 // attend returns the handle of a worker. It defines the handle on the first use
 // and after a change of the address or the incarnation.
 func (li *link) attend(wk modeller.Worker) Handle {
