--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -130,7 +130,7 @@
 			continue
 		}
 		if reason := al.takedownReason(wk); reason != "" {
-			al.endIncarnation(now, wk, reason)
+			al.resetIncarnation(wk, reason)
 		}
 	}
 }
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -575,7 +575,7 @@
 		al.log(LogEntry{Message: "worker kept after takedown", Worker: wk.info.ID, VM: wk.info.VM, Reason: "it still has runs although its " + reason})
 		return
 	}
-	al.endIncarnation(now, wk, reason)
+	al.resetIncarnation(wk, reason)
 	wk.isListed = false
 	wk.takenDownAt = now
 }
