allocator: a new holder awaits the longest lease of a killed holder's last orders

The last orders of a killed one may reach the next incarnation of a worker, by whose clock they give the longest lease: within 1 s of validity and 2 s at the worker, 13.2 s after the kill, against 1.5 s until the takeover and 11.4 s.

The tests of leases after a restart now use a holder that is older than that wait, which hid what they check (the reviewer's mutation of the stray lease passed them). Further tests: a start that is answered after the incarnation has ended, and a worker that was taken down.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -245,9 +245,12 @@
 }
 
 // oldRunsExpiry returns the time until which runs of earlier holders may
-// continue on workers that have not reported.
+// continue on workers that have not reported: by the leases that a holder grants until it
+// ends, or by the longest lease if the last orders of one that was killed have reached
+// another incarnation of a worker.
 func (al *Allocator) oldRunsExpiry() time.Time {
-	return al.startedAt.Add(al.bounds.MaxOverrun + maxElapsed(al.bounds.RunLease) + leaseMargin)
+	lease := max(al.bounds.MaxOverrun+maxElapsed(al.bounds.RunLease), maxCallDelay+maxElapsed(al.bounds.MaxRunLease))
+	return al.startedAt.Add(lease + leaseMargin)
 }
 
 // maxElapsed returns the longest real time in which a worker's clock advances
--- a/shared/jobs/allocator/incarnation_test.go
+++ b/shared/jobs/allocator/incarnation_test.go
@@ -14,6 +14,8 @@
 func newRestartFixture(t *testing.T) (fx *fixture, id, other string, start StartOrder) {
 	fx = newFixture(t)
 	fx.addReadyWorkers("a", "b")
+	fx.outlastOldRuns("a", "b")
+	fx.orders = nil
 	fx.submitJob("j", oneTaskStep())
 	starts := takeOrders[StartOrder](fx)
 	must.Len(t, 1, starts)
@@ -152,3 +154,35 @@
 	fx.listWorker(id)
 	must.GreaterEq(t, generation, fx.al.workers.byID[start.Worker.ID].generation)
 }
+
+// Guards against runs that count as running, since the start was answered by another
+// incarnation than the one that it was meant for.
+func TestStartAnsweredAfterTheIncarnationHasEndedIsInDoubt(t *testing.T) {
+	fx, id, _, start := newRestartFixture(t)
+	fx.listNextIncarnation(id, 2)
+	fx.acceptStart(start)
+	rn := fx.al.workers.byID[start.Worker.ID].runs[start.Task]
+	must.Eq(t, runUnconfirmed, rn.state)
+	fx.reportOfNext(id, 2, time.Second, nil)
+	must.Len(t, 1, takeOrders[StartOrder](fx))
+}
+
+// Guards against leases that a new holder doesn't await: the last orders of a holder that
+// was killed have reached another incarnation.
+func TestNewHolderAwaitsTheLongestLease(t *testing.T) {
+	fx := newFixture(t)
+	must.GreaterEq(t, maxCallDelay+maxElapsed(testBounds.MaxRunLease), fx.al.oldRunsExpiry().Sub(fx.al.startedAt))
+}
+
+// Guards against a later holder that waits for a worker whose VM was taken down.
+func TestWorkerThatWasTakenDownLeavesTheRoster(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a")
+	fx.outlastOldRuns("a")
+	wk := fx.al.workers.byID["a"]
+	fx.al.handleTakedown(fx.now, wk, "VM moves to another pool")
+	wk.takenDownAt = time.Time{}
+	wk.isPollInFlight = false
+	fx.advance(2 * time.Second)
+	must.SliceEmpty(t, fx.al.Roster())
+}
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -215,12 +215,25 @@
 	must.Eq(t, 7, fx.al.workers.byID["a"].startedAtMS)
 }
 
+// outlastOldRuns lets idle workers report until no run of an earlier holder may continue.
+func (fx *fixture) outlastOldRuns(ids ...string) {
+	for !fx.now.After(fx.al.oldRunsExpiry()) {
+		fx.advance(50 * time.Millisecond)
+		for _, id := range ids {
+			fx.report(id, nil)
+		}
+		fx.storeBatch()
+	}
+}
+
 // newPolledFixture returns a fixture with a worker that has a poll in flight, which
 // extends its lease.
 func newPolledFixture(t *testing.T) *fixture {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a")
+	fx.outlastOldRuns("a")
 	fx.report("a", nil)
+	fx.orders = nil
 	fx.advance(50 * time.Millisecond)
 	polls := takeOrders[PollOrder](fx)
 	must.Len(t, 1, polls)
