allocator: acknowledge ends also under a steady flow of starts

The bound on starts began anew with each report.

Ends that wait for their acknowledgement for 100 ms now keep further starts from the worker until it is answered.

--- a/shared/jobs/allocator/acknowledge_test.go
+++ b/shared/jobs/allocator/acknowledge_test.go
@@ -131,9 +131,10 @@
 	fx.report("w1", nil, doneEnd(1, so))
 	fx.storeBatch()
 	fx.advance(50 * time.Millisecond)
-	for _, po := range takeOrders[PollOrder](fx) {
-		must.Zero(t, po.AcknowledgedEnds)
-	}
+	fx.advance(unstoredPollInterval)
+	unacknowledging := takeOrders[PollOrder](fx)
+	must.Len(t, 1, unacknowledging)
+	must.Zero(t, unacknowledging[0].AcknowledgedEnds)
 	fx.acceptStart(inDoubt)
 	fx.report("w1", []modeller.Run{{Task: inDoubt.Task, Attempt: 1}}, doneEnd(1, so))
 	fx.advance(50 * time.Millisecond)
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -75,6 +75,9 @@
 	// unstored ends, which each answer repeats. It doubles with each poll, up to
 	// PollWait.
 	unstoredPollInterval = 200 * time.Millisecond
+	// maxAcknowledgementDelay is the time from the storage of ends after which no
+	// further start delays their acknowledgement.
+	maxAcknowledgementDelay = 100 * time.Millisecond
 	// pollBackoff is the initial backoff after a poll without an answer. It
 	// doubles with each further failure, up to maxPollBackoff.
 	pollBackoff      = 150 * time.Millisecond
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -121,7 +121,7 @@
 	}
 	al.addChangedJobs(bt)
 	if bt.IsEmpty() {
-		al.acknowledgeEnds()
+		al.acknowledgeEnds(now)
 		return nil
 	}
 	al.laneUsedSince[lane] = now
@@ -290,18 +290,21 @@
 		}
 		al.dirtyQueue = append(al.dirtyQueue, jb)
 	}
-	al.acknowledgeEnds()
+	al.acknowledgeEnds(now)
 }
 
 // acknowledgeEnds marks ends as stored, so that the next polls acknowledge them
 // and the workers discard them. A poll acknowledges all ends up to a number, so
 // a worker's ends are marked in order.
-func (al *Allocator) acknowledgeEnds() {
+func (al *Allocator) acknowledgeEnds(now time.Time) {
 	for wk := range al.unacknowledged {
 		for len(wk.unstoredEnds) > 0 && wk.unstoredEnds[0].isStored() {
 			wk.lastStoredEnd = wk.unstoredEnds[0].number
 			wk.unstoredEnds = wk.unstoredEnds[1:]
 		}
+		if wk.owesAcknowledgement() && wk.owesAckSince.IsZero() {
+			wk.owesAckSince = now
+		}
 		if len(wk.unstoredEnds) == 0 {
 			delete(al.unacknowledged, wk)
 		}
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -59,7 +59,7 @@
 		al.endTakenDownWorkers(now, al.workers.byVM[wk.info.VM])
 	}
 	wk.mayHoldOldRuns = false
-	wk.lastAckedEnd = max(wk.lastAckedEnd, wk.polledAck)
+	wk.noteAcknowledged(now)
 	wk.startedAtMS = ev.Report.StartedAtMS
 	wk.reportedAt = ev.ReceivedAt
 	wk.isUnresponsive = false
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -78,6 +78,9 @@
 	// that was processed, of the last that was stored, and of the last whose
 	// acknowledgement was answered.
 	lastProcessedEnd, lastStoredEnd, lastAckedEnd int64
+	// owesAckSince is since when the worker has had stored ends to be acknowledged, or
+	// zero.
+	owesAckSince time.Time
 	// unstoredEnds are the ends after lastStoredEnd, in order.
 	unstoredEnds []unstoredEnd
 	// failedJobs are the jobs that have failed on this worker since its last
@@ -313,6 +316,7 @@
 	wk.lastProcessedEnd = 0
 	wk.lastStoredEnd = 0
 	wk.lastAckedEnd = 0
+	wk.owesAckSince = time.Time{}
 	wk.unstoredEnds = nil
 	wk.leaseEnd = 0
 	if wk.startedAtMS != 0 {
@@ -452,7 +456,20 @@
 
 // isAcknowledging reports whether starts have to wait for an acknowledgement of ends.
 func (wk *worker) isAcknowledging(now time.Time) bool {
-	return wk.isPollInFlight && wk.polledAck > 0 || wk.owesAcknowledgement() && now.Sub(wk.reportedAt) >= unstoredPollInterval
+	isOverdue := !wk.owesAckSince.IsZero() && now.Sub(wk.owesAckSince) >= maxAcknowledgementDelay
+	return wk.isPollInFlight && wk.polledAck > 0 || isOverdue
+}
+
+// noteAcknowledged records the end that a poll with an answer has acknowledged.
+func (wk *worker) noteAcknowledged(now time.Time) {
+	if wk.polledAck <= wk.lastAckedEnd {
+		return
+	}
+	wk.lastAckedEnd = wk.polledAck
+	wk.owesAckSince = time.Time{}
+	if wk.owesAcknowledgement() {
+		wk.owesAckSince = now
+	}
 }
 
 // Roster returns the workers that may have runs.
