--- a/standin/internal/emulator/emulator.go
+++ b/standin/internal/emulator/emulator.go
@@ -80,6 +80,9 @@
 	// keepsConnections is true if connections lead on to the next incarnation of a
 	// worker.
 	keepsConnections bool
+	// keepsLateOrders is true if orders that are carried out late are so by the next
+	// incarnation of a worker.
+	keepsLateOrders bool
 	// clockRandom draws the clocks of restarted workers; nil if they begin at zero.
 	clockRandom *rand.Rand
 	terms       []*term
--- a/standin/internal/emulator/emulator_test.go
+++ b/standin/internal/emulator/emulator_test.go
@@ -35,6 +35,12 @@
 	playFixedSeeds(t, WithRestartsUnderTheSameID(), WithConnectionsThatOutliveWorkers())
 }
 
+// TestDaysWithLateOrdersThatOutliveWorkersKeepAllPromises guards against starts that were
+// stopped, and that the next incarnation of a worker carries out before it is polled.
+func TestDaysWithLateOrdersThatOutliveWorkersKeepAllPromises(t *testing.T) {
+	playFixedSeeds(t, WithRestartsUnderTheSameID(), WithConnectionsThatOutliveWorkers(), WithLateOrdersThatOutliveWorkers())
+}
+
 func playFixedSeeds(t *testing.T, opts ...Option) {
 	var total Counts
 	var mu sync.Mutex
--- a/standin/internal/emulator/holder.go
+++ b/standin/internal/emulator/holder.go
@@ -146,7 +146,7 @@
 	deliver := func() {
 		nd := sm.nodes[worker.ID]
 		switch {
-		case isDelayed && (nd == nil || nd.incarnation != incarnation):
+		case isDelayed && (nd == nil || nd.incarnation != incarnation) && !sm.keepsLateOrders:
 			// A delayed order is lost when its worker restarts.
 		case !sm.canReach(cn.manager, nd):
 			answer(orderTimeout, allocator.Unanswered)
--- a/standin/internal/emulator/restart.go
+++ b/standin/internal/emulator/restart.go
@@ -47,6 +47,12 @@
 	return func(sm *Simulation) { sm.keepsConnections = true }
 }
 
+// WithLateOrdersThatOutliveWorkers lets the next incarnation of a worker carry out orders
+// that the one before has received and not carried out.
+func WithLateOrdersThatOutliveWorkers() Option {
+	return func(sm *Simulation) { sm.keepsLateOrders = true }
+}
+
 // keepsCalls reports whether the next incarnation of a node carries out the calls of
 // the one before.
 func (sm *Simulation) keepsCalls(nd *node) bool { return sm.keepsConnections && nd.keepsID }
