allocator: one range for a clock's possible readings, without parameters that nobody uses

The bounds of a clock's reading at a time before the report that they are made from allowed for the drift in the wrong direction, by up to 2% of some hundred milliseconds: a start could count as accepted at an impossible clock, which costs a poll and, for 10 s, a longer wait for a silent worker. Found by reading. The log lines name the whole range.

--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -286,7 +286,7 @@
 	case BatchStored:
 		al.handleBatchStored(now, ev.Batch)
 	case VMsListed:
-		al.updateVMs(now, ev)
+		al.updateVMs(ev)
 	case WaveRecorded:
 		al.addWave(now, ev.Wave)
 	case WaveProgressLoaded:
--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -50,7 +50,7 @@
 	}
 }
 
-func (al *Allocator) updateVMs(now time.Time, ev VMsListed) {
+func (al *Allocator) updateVMs(ev VMsListed) {
 	fl := al.fleet
 	fl.isListInFlight = false
 	if ev.VMs == nil {
@@ -65,7 +65,7 @@
 	}
 	fl.keepUnnamed(before)
 	al.relistWorkers(ev.VMs)
-	al.endTakenDownWorkers(now, al.workers.sorted)
+	al.endTakenDownWorkers(al.workers.sorted)
 }
 
 // relistWorkers lists the workers again that were taken to be down and are up. An order
@@ -124,7 +124,7 @@
 // endTakenDownWorkers ends the incarnations of earlier holders' workers that
 // have not reported and whose VMs have been taken down since, so that their
 // tasks need not wait for the leases to expire. A VM has one worker at a time.
-func (al *Allocator) endTakenDownWorkers(now time.Time, workers []*worker) {
+func (al *Allocator) endTakenDownWorkers(workers []*worker) {
 	for _, wk := range workers {
 		if !wk.mayHoldOldRuns || wk.isSynced || wk.info.VM == "" {
 			continue
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -127,7 +127,6 @@
 		state:      runStarting,
 		sentAt:     now,
 		generation: wk.generation,
-		minClock:   wk.minClock(now),
 		progressAt: now,
 		progress:   -1,
 	}
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -33,8 +33,8 @@
 		if ev.SentAt.Before(wk.reportedAt) {
 			return
 		}
-		reason := fmt.Sprintf("report has start time %d, not %d, and clock %s, not %s or later; polled with lease end %s, at most %d ends acknowledged",
-			ev.Report.StartedAtMS, wk.startedAtMS, ev.Report.Clock, wk.minClock(ev.SentAt), wk.polledLeaseEnd, wk.lastStoredEnd)
+		reason := fmt.Sprintf("report has start time %d, not %d, and clock %s, not from %s to %s; polled with lease end %s, at most %d ends acknowledged",
+			ev.Report.StartedAtMS, wk.startedAtMS, ev.Report.Clock, wk.minClock(ev.SentAt), wk.maxClock(ev.ReceivedAt), wk.polledLeaseEnd, wk.lastStoredEnd)
 		if ev.Report.StartedAtMS == wk.startedAtMS {
 			al.suspectIncarnation(now, wk, reason)
 		} else {
@@ -56,7 +56,7 @@
 			wk.strayLeaseExpiry = now.Add(al.maxLeaseTime())
 		}
 		al.setNeverAnswered(wk, false)
-		al.endTakenDownWorkers(now, al.workers.byVM[wk.info.VM])
+		al.endTakenDownWorkers(al.workers.byVM[wk.info.VM])
 	}
 	wk.mayHoldOldRuns = false
 	wk.noteAcknowledged(now)
@@ -335,8 +335,8 @@
 		if rn.task != nil {
 			rn.task.step.job.hasStarted = true
 		}
-		if rn.generation == wk.generation && ev.Clock > 0 && (ev.Clock < rn.minClock || !wk.isPossibleClock(ev.Clock, rn.sentAt, now)) {
-			al.suspectIncarnation(now, wk, fmt.Sprintf("a start was accepted by a later incarnation, clock %s, not %s or later", ev.Clock, rn.minClock))
+		if rn.generation == wk.generation && ev.Clock > 0 && !wk.isPossibleClock(ev.Clock, rn.sentAt, now) {
+			al.suspectIncarnation(now, wk, fmt.Sprintf("a start was accepted by another incarnation, clock %s, not from %s to %s", ev.Clock, wk.minClock(rn.sentAt), wk.maxClock(now)))
 		}
 		if rn.generation != wk.generation {
 			rn.state = runUnconfirmed
--- a/shared/jobs/allocator/run.go
+++ b/shared/jobs/allocator/run.go
@@ -38,9 +38,8 @@
 	// isReported is true once a report has shown the run.
 	isReported bool
 	// generation is that of the start order, or of the poll whose report has shown the
-	// run. minClock is the least reading of the worker's clock at the start.
+	// run.
 	generation int
-	minClock   time.Duration
 	// isStopping is true once a stop has been ordered. The order was last sent
 	// at stopSentAt and first acknowledged at stopAckedAt.
 	isStopping              bool
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -205,10 +205,10 @@
 	return at
 }
 
-// minClock returns the least possible present reading of a worker's own clock,
-// unless it starts again.
-func (wk *worker) minClock(now time.Time) time.Duration {
-	return wk.clock + time.Duration(float64(now.Sub(wk.clockAt))*(1-clockDrift)) - clockRounding
+// minClock returns the least possible reading of a worker's own clock at a time, unless
+// it starts again.
+func (wk *worker) minClock(at time.Time) time.Duration {
+	return wk.clock + leastAdvance(at.Sub(wk.clockAt)) - clockRounding
 }
 
 // isPossibleClock reports whether the incarnation that has reported may have read its
@@ -220,7 +220,16 @@
 // maxClock returns the greatest possible reading of a worker's own clock at a time,
 // unless it starts again. The clocks of holder and worker may differ either way.
 func (wk *worker) maxClock(at time.Time) time.Duration {
-	return wk.clockLimit + time.Duration(float64(at.Sub(wk.clockLimitAt))*(1+clockDrift))
+	return wk.clockLimit - leastAdvance(wk.clockLimitAt.Sub(at))
+}
+
+// leastAdvance returns by how much a clock advances at least in a time, which may be
+// negative.
+func leastAdvance(elapsed time.Duration) time.Duration {
+	if elapsed < 0 {
+		return time.Duration(float64(elapsed) * (1 + clockDrift))
+	}
+	return time.Duration(float64(elapsed) * (1 - clockDrift))
 }
 
 // limitClock updates the greatest possible reading after a report: the clock showed at
