--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"syscall"
 
 	"time"
@@ -16,6 +17,7 @@
 	"stale":  playStale,
 	"start":  playStart,
 	"lease":  playLease,
+	"cancel": playCancel,
 }
 
 func service(name string, isStandby bool) map[string]any {
@@ -393,3 +395,76 @@
 	// From 6 s after its last run a unit that lasts must not stand still for 3 s.
 	return wd.judge(longest, contactTime, false)
 }
+
+// playCancel hands a job in at a manager that stands still, and cancels it at another one
+// when no answer comes.
+func playCancel(root string, rec *recorder, isTrouble bool) []string {
+	const (
+		freezeTime = 3500 * time.Millisecond
+		cancelTime = 3 * time.Second
+		stopGrace  = 900 * time.Millisecond
+		jobs       = 8
+		rounds     = 4
+	)
+	running := map[string]time.Time{}
+	wd := newWorld(root, rec, isTrouble, 3, []map[string]any{service("svc", false)}, func(fl *fleet) {
+		for number := range 5 {
+			fl.addMachine(fmt.Sprintf("m%d", number+1), "svc", 32000, []string{"a", "r1"})
+		}
+		fl.hooks.started = func(_ *machine, rn *unitRun) { running[rn.unit] = time.Now() }
+		fl.hooks.ended = func(_ *machine, rn *unitRun, _ string) { delete(running, rn.unit) }
+	})
+	time.Sleep(2 * time.Second)
+	var verdict []string
+	for round := 0; round < rounds && len(verdict) == 0; round++ {
+		rec.log("case: round %d", round+1)
+		wd.playGivenUp(round, jobs, isTrouble, freezeTime)
+		// No impairment is near any more after contact_ms; then the bounds of the rule.
+		time.Sleep(freezeTime + contactTime + cancelTime + stopGrace)
+		wd.fleet.mu.Lock()
+		for unit, startedAt := range running {
+			verdict = append(verdict, fmt.Sprintf("UNASKED: %s of a cancelled job, which started %s ago, runs on", unit, time.Since(startedAt).Round(time.Millisecond)))
+		}
+		wd.fleet.mu.Unlock()
+	}
+	return verdict
+}
+
+// playGivenUp hands jobs in at a manager that doesn't hold the duty, and cancels them.
+func (wd *world) playGivenUp(round, jobs int, isTrouble bool, freezeTime time.Duration) {
+	holder := wd.holder()
+	frozen := wd.managers[0]
+	if frozen == holder {
+		frozen = wd.managers[1]
+	}
+	if isTrouble {
+		must(frozen.cmd.Process.Signal(syscall.SIGSTOP))
+		wd.rec.log("trouble: %s, which doesn't hold the duty, stands still for %s", frozen.node, freezeTime)
+		time.AfterFunc(freezeTime, func() {
+			wd.rec.log("trouble: %s wakes", frozen.node)
+			must(frozen.cmd.Process.Signal(syscall.SIGCONT))
+		})
+	}
+	var requesters sync.WaitGroup
+	for number := range jobs {
+		id := fmt.Sprintf("5c0e7a21d94b3%x%02x", round, number)
+		requesters.Go(func() { wd.handInAndCancel(frozen, holder, id) })
+	}
+	requesters.Wait()
+}
+
+// handInAndCancel hands a job in at one manager, and cancels it at another one, whether it
+// was accepted or got no answer in time.
+func (wd *world) handInAndCancel(first, second *manager, id string) {
+	status, _ := wd.call(first, http.MethodPost, "/svc/"+id, `{"spec":"{\"job\":\"lasting\"}","steps":[{"count":1,"cpu":3000,"mem_mb":1024,"estimate_ms":1000,"long_running":true}]}`)
+	wd.rec.log("requester: POST of job %s at %s: %d (0: no answer within its 3 s)", id, first.node, status)
+	for range 5 {
+		status, _ = wd.call(second, http.MethodDelete, "/svc/"+id, "")
+		wd.rec.log("requester: DELETE of job %s at %s: %d", id, second.node, status)
+		if status == http.StatusOK || status == http.StatusGone {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	must(fmt.Errorf("the cancelling was not acknowledged"))
+}
