--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 
@@ -18,6 +19,7 @@
 	"start":  playStart,
 	"lease":  playLease,
 	"cancel": playCancel,
+	"entry":  playEntry,
 }
 
 func service(name string, isStandby bool) map[string]any {
@@ -468,3 +470,61 @@
 	}
 	must(fmt.Errorf("the cancelling was not acknowledged"))
 }
+
+// playEntry lets another writer overwrite the entry of an executor that runs a unit, until
+// the executor's next status report.
+func playEntry(root string, rec *recorder, isTrouble bool) []string {
+	const workTime = 6 * time.Second
+	var verdict []string
+	runners := map[string][]string{}
+	ends := map[string]int{}
+	wd := newWorld(root, rec, isTrouble, 2, []map[string]any{service("svc", false)}, func(fl *fleet) {
+		for number := range 4 {
+			fl.addMachine(fmt.Sprintf("m%d", number+1), "svc", 32000, []string{"a", "r1"})
+		}
+		fl.hooks.started = func(m *machine, rn *unitRun) {
+			for _, other := range runners[rn.unit] {
+				verdict = append(verdict, fmt.Sprintf("TWICE: run %d of %s started on %s while another run was at work on %s, which is up", rn.number, rn.unit, m.boot.id, other))
+			}
+			if ends[rn.unit] > 0 {
+				verdict = append(verdict, fmt.Sprintf("TWICE: run %d of %s started on %s after a run had ended done", rn.number, rn.unit, m.boot.id))
+			}
+			runners[rn.unit] = append(runners[rn.unit], m.boot.id)
+		}
+		fl.hooks.ended = func(m *machine, rn *unitRun, how string) {
+			runners[rn.unit] = slices.DeleteFunc(runners[rn.unit], func(id string) bool { return m.boot != nil && id == m.boot.id })
+			if how == "done" {
+				ends[rn.unit]++
+			}
+		}
+	})
+	time.Sleep(2 * time.Second)
+	wd.submit(wd.managers[0], "svc", spec{Job: "claim", WorkMS: workTime.Milliseconds()}, step{"count": 1, "cpu": 4000, "mem_mb": 1024, "estimate_ms": workTime.Milliseconds()})
+	var victim string
+	wd.await("the unit runs", 10*time.Second, func() bool {
+		wd.fleet.mu.Lock()
+		defer wd.fleet.mu.Unlock()
+		for _, ids := range runners {
+			victim = strings.Join(ids, "")
+		}
+		return victim != ""
+	})
+	time.Sleep(2 * time.Second)
+	if isTrouble {
+		rec.log("trouble: another writer overwrites the entry of %s, with a service that no configuration names", victim)
+		wd.store.put("servers/"+victim, map[string]any{
+			"service": "elsewhere", "address": freePorts(1)[0], "zone": "z1", "version": "v3", "slots": 8, "state": "ready",
+			"cold_remaining_ms": 0, "capacity": map[string]int{"cpu": 16000, "mem_mb": 65536, "gpu": 0},
+			"labels": []string{"a", "r9"}, "clock_ms": 1200, "seq": 1, "born": time.Now().UnixMilli() - 1200, "machine": "m-elsewhere",
+		})
+	}
+	time.Sleep(2 * workTime)
+	wd.fleet.mu.Lock()
+	defer wd.fleet.mu.Unlock()
+	for unit, count := range ends {
+		if count > 1 {
+			verdict = append(verdict, fmt.Sprintf("TWICE: %d runs of %s ended done", count, unit))
+		}
+	}
+	return verdict
+}
