--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"syscall"
-
 	"time"
 )
 
@@ -100,8 +99,8 @@
 }
 
 // watch samples the fleet until the job has ended, for a job of one unit that demands cpu
-// thousandths of a core and, if it isn't empty, a label. usage returns the cores in use
-// by executor.
+// thousandths of a core and, if it isn't empty, a label. units holds what a unit of each job
+// demands.
 func (wd *world) watch(name, label string, cpu int, units map[string]int, timeout time.Duration) (longest time.Duration, hasEnded bool) {
 	var check stuckCheck
 	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
@@ -158,12 +157,17 @@
 // judge returns how LOST was broken, if it was. before is the time for which an impairment
 // at the beginning still counts.
 func (wd *world) judge(longest, before time.Duration, hasEnded bool) []string {
+	return wd.judgeAs("the job had nothing running", longest, before, hasEnded)
+}
+
+// judgeAs is judge for what stood still.
+func (wd *world) judgeAs(what string, longest, before time.Duration, hasEnded bool) []string {
 	limit := before + calmTime + stuckTime
-	wd.rec.log("case: longest time with nothing running although there is room: %s, of which %s may be excused; ended: %t", longest.Round(time.Millisecond), limit, hasEnded)
+	wd.rec.log("case: longest time for which %s although there is room: %s, of which %s may be excused; ended: %t", what, longest.Round(time.Millisecond), limit, hasEnded)
 	if longest < limit {
 		return nil
 	}
-	return []string{fmt.Sprintf("LOST: for %s the job had nothing running, there was room for it twice over and under half of the service's capacity was in use", longest.Round(time.Millisecond))}
+	return []string{fmt.Sprintf("LOST: for %s %s, there was room for it twice over and under half of the service's capacity was in use", longest.Round(time.Millisecond), what)}
 }
 
 // playCordon has a machine maintained that runs a long unit, while another job can run
@@ -395,7 +399,7 @@
 		wd.fleet.mu.Unlock()
 	}
 	// From 6 s after its last run a unit that lasts must not stand still for 3 s.
-	return wd.judge(longest, contactTime, false)
+	return wd.judgeAs("a unit that lasts didn't run", longest, contactTime, false)
 }
 
 // playCancel hands a job in at a manager that stands still, and cancels it at another one
