Give each play of the review's stand-ins a loopback address of its own

Case 10 couldn't start its managers once (exit 2) with five cases at a time in a clean clone, probably for a port that was taken in between.

--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -212,7 +212,7 @@
 		mayMiss    = 1
 		cloudTime  = 50 * time.Millisecond
 		freezeTime = 3500 * time.Millisecond
-		rounds     = 4
+		rounds     = 5
 	)
 	var verdict []string
 	// isCancelled is true once the last job's cancelling has been sent.
--- a/review/rig-2/executor.go
+++ b/review/rig-2/executor.go
@@ -123,7 +123,7 @@
 
 // addMachine adds a machine to a pool and starts its executor.
 func (fl *fleet) addMachine(name, pool string, cpu int, labels []string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback+":0")
 	must(err)
 	address := ln.Addr().String()
 	must(ln.Close())
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -35,6 +35,10 @@
 	}
 }
 
+// loopback is the loopback address of all listeners of this process. It differs from that
+// of others and from the source address of connections, so that a port that is free stays so.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
+
 // recorder writes record.txt.
 type recorder struct {
 	mu        sync.Mutex
@@ -57,7 +61,7 @@
 // newGate serves a handler on an address of its own. While the gate is cut, calls aren't
 // carried out and no answer passes.
 func newGate(handler http.Handler) *gate {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback+":0")
 	must(err)
 	ga := &gate{address: ln.Addr().String()}
 	go func() {
@@ -120,7 +124,7 @@
 func freePorts(count int) []string {
 	var addresses []string
 	for range count {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", loopback+":0")
 		must(err)
 		defer func() { _ = ln.Close() }()
 		addresses = append(addresses, ln.Addr().String())
@@ -134,7 +138,7 @@
 role = "manager"
 machine_class = "edge"
 serves = ["edge", "control_plane"]
-ip = "127.0.0.1"
+ip = %q
 zone = "z1"
 region = "reg"
 port_range = [%s, %s]
@@ -176,7 +180,7 @@
 rate_per_s = 64.0
 duties = []
 duty_per_s = 64.0
-`, mg.node, port, port, mg.internal, mg.front, mg.ready, bounds, mg.store.address, cloud)
+`, mg.node, loopback, port, port, mg.internal, mg.front, mg.ready, bounds, mg.store.address, cloud)
 	path := filepath.Join(directory, mg.node+".toml")
 	must(os.WriteFile(path, []byte(settings), 0o600))
 	mg.run(root)
