--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -220,7 +220,7 @@
 	isAway := map[string]bool{}
 	finished := 0
 	moves := make(chan string, 1000)
-	wd := newWorld(root, rec, isTrouble, 2, []map[string]any{service("svc", false), service("off", true)}, func(fl *fleet) {
+	wd := newWorld(root, rec, isTrouble, 6, []map[string]any{service("svc", false), service("off", true)}, func(fl *fleet) {
 		fl.cloudTime = cloudTime
 		for number := range machines {
 			fl.addMachine(fmt.Sprintf("m%02d", number+1), "svc", 32000, []string{"a", fmt.Sprintf("r%d", number/4+1)})
@@ -277,7 +277,7 @@
 }
 
 // playFreeze stops the holder of the duty once it moves machines, and hands a job in at the
-// other manager, which takes the duty over. The returned function cancels the job.
+// manager that takes the duty over. The returned function cancels the job.
 func (wd *world) playFreeze(moves chan string, isTrouble bool, freezeTime time.Duration, mayMiss int) (cancel func()) {
 	for len(moves) > 0 {
 		<-moves
@@ -299,7 +299,10 @@
 			wd.rec.log("trouble: %s wakes", holder.node)
 			must(holder.cmd.Process.Signal(syscall.SIGCONT))
 		})
-		wd.await(other.node+" holds the duty", 10*time.Second, func() bool { return wd.holder() == other })
+		wd.await("another machine holds the duty", 10*time.Second, func() bool {
+			other = wd.holder()
+			return other != nil && other != holder
+		})
 	}
 	// The scheduler knows all executors by then.
 	time.Sleep(300 * time.Millisecond)
@@ -413,7 +416,7 @@
 		rounds     = 12
 	)
 	running := map[string]time.Time{}
-	wd := newWorld(root, rec, isTrouble, 3, []map[string]any{service("svc", false)}, func(fl *fleet) {
+	wd := newWorld(root, rec, isTrouble, 6, []map[string]any{service("svc", false)}, func(fl *fleet) {
 		for number := range 5 {
 			fl.addMachine(fmt.Sprintf("m%d", number+1), "svc", 32000, []string{"a", "r1"})
 		}
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -277,11 +277,14 @@
 	}
 	wd.store.put("op/config", map[string]any{"version": 7, "routes": routes, "services": services, "limits": map[string]any{"max_body_bytes": 262144}})
 	cloud := newGate(wd.fleet.cloudHandler())
+	// All other listeners are open before the managers' ports are chosen.
 	for number := range managers {
-		ports := freePorts(3)
-		mg := &manager{node: fmt.Sprintf("edge-z1-%d", number+1), front: ports[0], ready: ports[1], internal: ports[2], store: newGate(wd.store.handler())}
+		wd.managers = append(wd.managers, &manager{node: fmt.Sprintf("edge-z1-%d", number+1), store: newGate(wd.store.handler())})
+	}
+	ports := freePorts(3 * managers)
+	for number, mg := range wd.managers {
+		mg.front, mg.ready, mg.internal = ports[3*number], ports[3*number+1], ports[3*number+2]
 		mg.start(root, cloud.address, bounds)
-		wd.managers = append(wd.managers, mg)
 	}
 	wd.await("all managers ready and one holding the duty", 10*time.Second, func() bool {
 		for _, mg := range wd.managers {
