allocator: an orphaned run of an unknown job holds its worker whatever the capacity

The run was orphaned, of a job that had ended under the holder before, and reserved the capacity that its worker had in the scheduler's state when it was reported. The worker was known from the stored roster alone, which has no capacities, so it reserved nothing; the directory's entry came 5 ms later and all of its capacity was free.

A run of unknown demand is marked as such, and a worker with one has no free capacity until the run's end is reported. Ruled out by logs of the worker's reports: that a worker doesn't list a run that is being stopped, and an early drop.

--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -152,13 +152,12 @@
 	}
 	// An earlier holder may have changed the run's pace.
 	rn.pacing.reduction = unknownReduction
-	// The demand of an orphaned run is unknown if its job is, so it reserves
-	// the whole worker.
-	rn.reserved = wk.info.Capacity
 	tk := al.taskForReport(now, reported.Task)
 	if tk != nil {
 		rn.reserved = tk.step.reserved
 		tk.attempt = max(tk.attempt, reported.Attempt)
+	} else {
+		rn.hasUnknownDemand = true
 	}
 	isWanted := tk != nil && !tk.isDone && tk.run == nil && tk.step.job.outcome == "" && !tk.step.job.isCancelled
 	if isWanted {
--- a/shared/jobs/allocator/run.go
+++ b/shared/jobs/allocator/run.go
@@ -31,7 +31,10 @@
 	// task is nil for an orphaned run, which is to be stopped.
 	task     *task
 	reserved modeller.Resources
-	state    runState
+	// hasUnknownDemand is true for an orphaned run of an unknown job. It holds the whole
+	// worker, whose capacity may become known later than the run.
+	hasUnknownDemand bool
+	state            runState
 	// sentAt is when the start was decided, or since when it is unconfirmed.
 	// confirmedAt is when the run was first known to be running.
 	sentAt, confirmedAt time.Time
@@ -57,6 +60,9 @@
 	}
 	wk.runs[rn.name] = rn
 	wk.used = wk.used.Plus(rn.reserved)
+	if rn.hasUnknownDemand {
+		wk.unknownDemands++
+	}
 	wk.neighbours.count(rn, 1)
 }
 
@@ -65,12 +71,21 @@
 	if wk.runs[rn.name] == rn {
 		delete(wk.runs, rn.name)
 		wk.used = wk.used.Minus(rn.reserved)
+		if rn.hasUnknownDemand {
+			wk.unknownDemands--
+		}
 		wk.neighbours.count(rn, -1)
 	}
 }
 
 // free returns the capacity that no run holds.
-func (wk *worker) free() modeller.Resources { return wk.info.Capacity.Minus(wk.used) }
+func (wk *worker) free() modeller.Resources {
+	free := wk.info.Capacity.Minus(wk.used)
+	if wk.unknownDemands > 0 {
+		return free.Minus(wk.info.Capacity)
+	}
+	return free
+}
 
 // lastingReservation returns the resources that runs hold which don't end by
 // themselves.
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -72,6 +72,8 @@
 	// hold.
 	runs map[modeller.TaskName]*run
 	used modeller.Resources
+	// unknownDemands counts the runs that hold the whole worker.
+	unknownDemands int
 	// neighbours counts the runs by what they mean for other runs.
 	neighbours neighbourCounts
 	// lastProcessedEnd, lastStoredEnd and lastAckedEnd are the numbers of the last end
