provisioner: confirm the duty when a VM order is written

The check before an order was sent counted the 6 s of overrun, although the VM interface fences each VM on its own, and after the check the order still waited for a connection.

The leaser now tells whether the duty is confirmed, without the overrun. Lists of the VMs and requests for advice change nothing and need the duty to be held, as lists did before.

--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -201,6 +201,7 @@
 		Holder: adapter.Holder{
 			Name:         cd.node,
 			FencingToken: hd.Epoch(),
+			IsConfirmed:  hd.IsConfirmed,
 		},
 		IsHeld: func() bool { return hd.Check() == nil },
 		Emit:   func(ev allocator.Event) { tm.enqueue(ctx, ev) },
--- a/coltsfootwick-manager/internal/provisioner/provisioner.go
+++ b/coltsfootwick-manager/internal/provisioner/provisioner.go
@@ -43,10 +43,11 @@
 	// service.
 	VMs     *adapter.VMs
 	Adviser *adapter.Adviser
-	// Holder identifies the duty holder.
+	// Holder identifies the duty holder. Orders that change a VM are sent only while
+	// its duty is confirmed.
 	Holder adapter.Holder
-	// IsHeld reports whether the duty is still held; it is checked before each VM
-	// order.
+	// IsHeld reports whether the duty is still held. It is checked before the calls
+	// that change nothing: lists of the VMs and requests for advice.
 	IsHeld func() bool
 	// Emit receives an event with the outcome of each order and may block.
 	Emit func(ev allocator.Event)
@@ -119,13 +120,15 @@
 	}
 }
 
+// executeVMOrder carries out an order that may have waited in the queue, so that the
+// duty may have passed to another holder since it was planned.
 func (pr *Provisioner) executeVMOrder(ctx context.Context, od allocator.Order) {
-	if !pr.isHeld() {
-		pr.emitNotSent(od)
-		return
-	}
 	switch od := od.(type) {
 	case allocator.ListVMsOrder:
+		if !pr.isHeld() {
+			pr.emitNotSent(od)
+			return
+		}
 		sentAt := timekeeper.Now()
 		vms, err := pr.listVMs(ctx)
 		if err != nil {
@@ -136,6 +139,11 @@
 			RequestedAt: sentAt,
 		})
 	case allocator.VMOrder:
+		if !pr.holder.IsConfirmed() {
+			pr.logger.Info("VM order not sent: the duty is not confirmed", zap.String("vm", od.VM), zap.String("pool", od.Pool), zap.Int64("wave", od.Wave), zap.Uint64("fence", pr.holder.FencingToken))
+			pr.emitNotSent(od)
+			return
+		}
 		var err error
 		if od.Pool != "" {
 			err = pr.vms.Move(ctx, pr.holder, od.VM, od.Pool)
@@ -170,22 +178,31 @@
 	for {
 		select {
 		case ao := <-pr.adviceOrders:
-			timeout := ao.Advice.DecisionTime + time.Duration(len(ao.Workers))*ao.Advice.TimePerWorker + adviceMargin
-			tickets, err := pr.adviser.Advise(ctx, ao.Task.StepName(), ao.Workers, timeout, func(err error) {
-				pr.logger.Warn("ignoring an invalid row of advice", zap.String("step", ao.Task.StepName()), zap.Error(err))
-			})
-			if err != nil {
-				pr.logger.Warn("advice call failed", zap.String("step", ao.Task.StepName()), zap.Error(err))
-			} else {
-				pr.logger.Info("advice received", zap.String("step", ao.Task.StepName()), zap.Int("workers", len(ao.Workers)), zap.Int("permitted", len(tickets)))
-			}
+			tickets, isAnswered := pr.advise(ctx, ao)
 			pr.emit(allocator.AdviceResult{
 				Task:    ao.Task,
 				Tickets: tickets,
-				Failed:  err != nil,
+				Failed:  !isAnswered,
 			})
 		case <-ctx.Done():
 			return
 		}
 	}
 }
+
+// advise requests advice. It reports whether the service has answered.
+func (pr *Provisioner) advise(ctx context.Context, ao allocator.AdviceOrder) (map[modeller.WorkerID]string, bool) {
+	if !pr.isHeld() {
+		return nil, false
+	}
+	timeout := ao.Advice.DecisionTime + time.Duration(len(ao.Workers))*ao.Advice.TimePerWorker + adviceMargin
+	tickets, err := pr.adviser.Advise(ctx, ao.Task.StepName(), ao.Workers, timeout, func(err error) {
+		pr.logger.Warn("ignoring an invalid row of advice", zap.String("step", ao.Task.StepName()), zap.Error(err))
+	})
+	if err != nil {
+		pr.logger.Warn("advice call failed", zap.String("step", ao.Task.StepName()), zap.Error(err))
+		return nil, false
+	}
+	pr.logger.Info("advice received", zap.String("step", ao.Task.StepName()), zap.Int("workers", len(ao.Workers)), zap.Int("permitted", len(tickets)))
+	return tickets, true
+}
--- a/shared/store/leaser/acquire.go
+++ b/shared/store/leaser/acquire.go
@@ -28,10 +28,11 @@
 		return nil, err
 	}
 	hd := &heldDuty{
-		store: lr.store,
-		lease: lease,
-		epoch: uint64(revision),
-		now:   lr.now,
+		store:    lr.store,
+		lease:    lease,
+		epoch:    uint64(revision),
+		now:      lr.now,
+		validity: lr.validity(),
 	}
 	hd.confirmedAt.Store(&sentAt)
 	hd.extend(lr.leaseDeadline(sentAt))
@@ -92,8 +93,11 @@
 }
 
 // leaseDeadline returns the time until which a holder may act, given when the call
-// that granted or renewed the lease was sent: the lease's TTL after that time,
-// less a margin for clock drift, plus the overrun.
+// that granted or renewed the lease was sent.
 func (lr *Leaser) leaseDeadline(sentAt time.Time) time.Time {
-	return sentAt.Add(lr.ttl - lr.ttl/clockMarginDivisor + lr.overrun)
+	return sentAt.Add(lr.validity() + lr.overrun)
 }
+
+// validity returns how long a confirmation of the lease holds: its TTL, less a margin
+// for clock drift.
+func (lr *Leaser) validity() time.Duration { return lr.ttl - lr.ttl/clockMarginDivisor }
--- a/shared/store/leaser/holding.go
+++ b/shared/store/leaser/holding.go
@@ -21,6 +21,9 @@
 	ConfirmedAt() time.Time
 	// Check returns a LeaseLost error if the holder must no longer act.
 	Check() error
+	// IsConfirmed reports whether the lease can't have expired yet, so that there is
+	// no later holder. Unlike Check it doesn't count the overrun.
+	IsConfirmed() bool
 	// Write changes a record, protected by the epoch, and returns the entry as
 	// written. It retries until the context is done, which has to be the context
 	// passed to serve or one derived from it. It returns a StaleEpoch error if
@@ -48,6 +51,8 @@
 	lease storer.LeaseID
 	epoch uint64
 	now   func() time.Time
+	// validity is how long a confirmation of the lease holds.
+	validity time.Duration
 	// deadline is the time until which the holder may act.
 	deadline atomic.Pointer[time.Time]
 	// confirmedAt is when the last successful grant or renewal was sent.
@@ -65,6 +70,9 @@
 // Check implements HeldDuty.
 func (hd *heldDuty) Check() error { return hd.check() }
 
+// IsConfirmed implements HeldDuty.
+func (hd *heldDuty) IsConfirmed() bool { return hd.now().Before(hd.ConfirmedAt().Add(hd.validity)) }
+
 // Write implements HeldDuty.
 func (hd *heldDuty) Write(ctx context.Context, key string, change Change) (storer.Entry, error) {
 	et, err := storer.Update(ctx, hd.store, key, storer.Change{
--- a/shared/store/leaser/leaser_test.go
+++ b/shared/store/leaser/leaser_test.go
@@ -208,3 +208,24 @@
 	}
 	return 0, classifier.New(classifier.PlatformAmbiguous, "key %s", key)
 }
+
+// TestOverrunIsNoConfirmation guards against holders that go on beside the next one and
+// take their duty for a confirmed one.
+func TestOverrunIsNoConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kr := keeper.New()
+		lr := leaser.New(kr.Zone("cut"), "a", "directory", "x", leaser.WithOverrun(10*time.Second))
+		ctx, cancel := context.WithCancel(t.Context())
+		_ = lr.Run(ctx, func(_ context.Context, hd leaser.HeldDuty) error {
+			defer cancel()
+			must.True(t, hd.IsConfirmed())
+			must.NoError(t, kr.SetFaults(keeper.Partition{Scope: keeper.Scope{Zone: "cut", Share: 1}}))
+			time.Sleep(4400 * time.Millisecond)
+			must.True(t, hd.IsConfirmed())
+			time.Sleep(time.Second)
+			must.False(t, hd.IsConfirmed())
+			must.NoError(t, hd.Check())
+			return nil
+		})
+	})
+}
