allocator: remove expired records as fast as jobs end

The search for expired records ran once a second and removed at most the 28 records that fit in a transaction, so with more than 28 ends a second the records, and the holder's map of them, grew without bound. Found by reading, on the way to more records of this kind (tombstones of cancelled jobs).

The next batch now goes on while more records have expired than the last one could remove.

TestRecordsOfEndedJobsAreRemovedAsFastAsJobsEnd fails without the change.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -117,7 +117,8 @@
 	// The dispatcher sends a start at most 1 s after its decision, and no task
 	// may start later than 3 s after its job's cancellation.
 	maxJobsAge = 2 * time.Second
-	// expiryInterval is the interval between searches for expired jobs.
+	// expiryInterval is the interval between searches for expired jobs, unless there
+	// are more of them than a batch removes.
 	expiryInterval = time.Second
 )
 
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -228,13 +228,12 @@
 	return pg
 }
 
-// expiredJobs returns the ended jobs whose states no longer need to be
-// available.
+// expiredJobs returns ended jobs whose states no longer need to be available, at most
+// as many as a batch removes. The next batch gets the others.
 func (al *Allocator) expiredJobs(now time.Time) []EndedJob {
 	if now.Sub(al.expiryCheckedAt) < expiryInterval {
 		return nil
 	}
-	al.expiryCheckedAt = now
 	var expired []EndedJob
 	for id, ended := range al.retained {
 		if now.Sub(ended.endedAt) > al.bounds.StatusRetention+expiryMargin {
@@ -245,8 +244,12 @@
 			})
 		}
 	}
+	if len(expired) <= maxExpiredJobs {
+		al.expiryCheckedAt = now
+		return expired
+	}
 	slices.SortFunc(expired, func(a, b EndedJob) int { return cmp.Compare(a.ID, b.ID) })
-	return expired[:min(len(expired), maxExpiredJobs)]
+	return expired[:maxExpiredJobs]
 }
 
 func (al *Allocator) handleBatchStored(now time.Time, bt *Batch) {
