submitter: keep cancelled jobs from being stored later

Callers whose POST got no answer cancelled their jobs at another manager and were answered 410. The cancellation of an ID without a record left nothing behind on which the condition of a late submission could fail, and batches were stored whether or not their callers still waited.

The cancellation of an unknown job now writes a tombstone under the key of the job's record, on the condition that there is none, and answers 410 once that is stored. It is the record of a cancelled job with a mark, so that every holder loads it and removes it after the retention time, and earlier versions refuse to run the job. GET still answers 410; POST of the ID is refused (503, not accepted). Submissions of callers that no longer wait aren't sent to the store.

TestCancellationIsStoredForKnownJobsOnly expected that an ID is accepted right after its cancellation, which is the fault; it uses two IDs now.

--- a/coltsfootwick-manager/internal/submitter/address.go
+++ b/coltsfootwick-manager/internal/submitter/address.go
@@ -14,7 +14,8 @@
 }
 
 // checkStored returns nil if the stored job with the ID of a submitted one is that
-// job, and a JobIDTaken error if it belongs to another queue. A record that can't be
+// job, a JobRefused error if the job was cancelled before it could be stored, and a
+// JobIDTaken error if the ID belongs to another queue. A record that can't be
 // decoded says nothing of the job, which is not stored in any case.
 func (sm *Submitter) checkStored(submitted modeller.Job, stored storer.Entry) error {
 	jr, err := modeller.DecodeJob(stored.Value)
@@ -23,6 +24,8 @@
 		return classifier.Wrap(err, classifier.JobOutcomeUnknown, "job %s", submitted.ID)
 	case !sm.isAddressedBy(submitted.Origin, jr.Job):
 		return classifier.New(classifier.JobIDTaken, "job %s belongs to queue %s", submitted.ID, jr.Job.Queue)
+	case jr.IsTombstone:
+		return classifier.New(classifier.JobRefused, "job %s was cancelled before it was stored", submitted.ID)
 	}
 	return nil
 }
--- a/coltsfootwick-manager/internal/submitter/cancel.go
+++ b/coltsfootwick-manager/internal/submitter/cancel.go
@@ -38,7 +38,7 @@
 	switch classifier.CodeOf(err) {
 	case classifier.OK:
 	case classifier.PlatformNotFound:
-		return classifier.New(classifier.JobUnknown, "job %s", id)
+		return sm.storeTombstone(ctx, queue, id)
 	default:
 		return classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
 	}
@@ -49,6 +49,8 @@
 	switch {
 	case !sm.isAddressedBy(queue, jr.Job):
 		return classifier.New(classifier.JobUnknown, "job %s belongs to queue %s", id, jr.Job.Queue)
+	case jr.IsTombstone:
+		return classifier.New(classifier.JobUnknown, "job %s has been cancelled before", id)
 	case jr.FinalState != "":
 		return nil
 	}
@@ -56,10 +58,14 @@
 		Preconditions: []storer.Precondition{{Key: et.Key, Revision: et.Revision}},
 		Writes:        []storer.Write{{Key: archiver.CancelKey(id), Value: []byte("{}")}},
 	})
-	switch classifier.CodeOf(err) {
-	case classifier.PlatformUnavailable, classifier.PlatformRateLimited:
+	return refusedWrite(err, id)
+}
+
+// refusedWrite converts the error of a cancellation's write that had no effect and need
+// not be repeated at once.
+func refusedWrite(err error, id modeller.JobID) error {
+	if isUnavailable(err) {
 		return classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
-	default:
-		return err
 	}
+	return err
 }
--- a/coltsfootwick-manager/internal/submitter/outcome_test.go
+++ b/coltsfootwick-manager/internal/submitter/outcome_test.go
@@ -16,14 +16,28 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
 )
 
-// answers are the answers that the submissions of a job got.
+// answers are the answers that the submissions and cancellations of a job got.
 type answers struct {
-	isAccepted, mayBeStored bool
+	isAccepted, mayBeStored, isCancelled bool
 }
 
-// Guards against accepted jobs that aren't stored, and refused ones that are.
+// isLive reports whether a job is stored and hasn't been cancelled.
+func isLive(t *testing.T, store storer.Store, id modeller.JobID) (isStored, isLive bool) {
+	et, err := store.Get(t.Context(), archiver.JobKey(id))
+	if err != nil {
+		return false, false
+	}
+	jr, err := modeller.DecodeJob(et.Value)
+	must.NoError(t, err)
+	_, err = store.Get(t.Context(), archiver.CancelKey(id))
+	return !jr.IsTombstone, !jr.IsTombstone && err != nil
+}
+
+// Guards against accepted jobs that aren't stored, refused ones that are, and cancelled
+// ones that are stored and not cancelled.
 func TestAnswersToSubmissionsHold(t *testing.T) {
 	for seed := range uint64(60) {
 		synctest.Test(t, func(t *testing.T) {
@@ -49,6 +63,17 @@
 				}
 				jb := newJob(fmt.Sprintf("j%d", random.IntN(60)))
 				sm := managers[random.IntN(len(managers))]
+				if random.IntN(4) == 0 {
+					submissions.Go(func() {
+						code := classifier.CodeOf(sm.Cancel(callerContext(t), queueQ, jb.ID))
+						mutex.Lock()
+						defer mutex.Unlock()
+						as := byJob[jb.ID]
+						as.isCancelled = as.isCancelled || code == classifier.OK || code == classifier.JobUnknown
+						byJob[jb.ID] = as
+					})
+					continue
+				}
 				submissions.Go(func() {
 					err := sm.Submit(callerContext(t), jb)
 					mutex.Lock()
@@ -66,15 +91,17 @@
 			cancel()
 			must.NoError(t, kr.SetFaults())
 			for id, as := range byJob {
-				_, err := kr.Zone("c").Get(t.Context(), archiver.JobKey(id))
-				isStored := err == nil
+				isStored, isLive := isLive(t, kr.Zone("c"), id)
+				if as.isCancelled {
+					must.False(t, isLive, must.Sprintf("seed %d: cancelled job %s", seed, id))
+				}
 				if as.isAccepted {
 					must.True(t, isStored, must.Sprintf("seed %d: accepted job %s", seed, id))
 				}
 				if !as.mayBeStored {
 					must.False(t, isStored, must.Sprintf("seed %d: refused job %s", seed, id))
 				}
-				_, err = kr.Zone("c").Get(t.Context(), archiver.PayloadKey(queueQ.Name, id))
+				_, err := kr.Zone("c").Get(t.Context(), archiver.PayloadKey(queueQ.Name, id))
 				must.Eq(t, isStored, err == nil, must.Sprintf("seed %d: payload of job %s", seed, id))
 			}
 			synctest.Wait()
--- a/coltsfootwick-manager/internal/submitter/state.go
+++ b/coltsfootwick-manager/internal/submitter/state.go
@@ -37,6 +37,9 @@
 			if err != nil {
 				return "", classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
 			}
+			if jr.IsTombstone {
+				return "", classifier.New(classifier.JobUnknown, "job %s was cancelled before it was stored", id)
+			}
 			state = modeller.JobRunning
 			if jr.FinalState != "" {
 				state = jr.FinalState
--- a/coltsfootwick-manager/internal/submitter/submission.go
+++ b/coltsfootwick-manager/internal/submitter/submission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -61,11 +62,36 @@
 	return distinct, repeats
 }
 
+// dropAbandoned drops the submissions whose callers no longer wait, who may have
+// cancelled the jobs by now, and returns the others.
+func dropAbandoned(batch []*submission) []*submission {
+	var remaining []*submission
+	for _, sub := range batch {
+		if sub.isAbandoned() {
+			sub.done <- classifier.New(classifier.JobOutcomeUnknown, "the caller of job %s no longer waits", sub.job.ID)
+			continue
+		}
+		remaining = append(remaining, sub)
+	}
+	return remaining
+}
+
+// isAbandoned reports whether the caller no longer waits. After the process was stopped
+// the deadline may have passed before the context is done.
+func (sub *submission) isAbandoned() bool {
+	deadline, ok := sub.ctx.Deadline()
+	return sub.ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
 // commitDistinct stores submissions with different keys in one transaction. Jobs
 // that are already stored count as accepted, and the transaction is retried without
 // them.
 func (sm *Submitter) commitDistinct(ctx context.Context, batch []*submission) {
-	for len(batch) > 0 {
+	for {
+		batch = dropAbandoned(batch)
+		if len(batch) == 0 {
+			return
+		}
 		_, err := storer.CommitHedged(ctx, sm.store, transactionOf(batch), &sm.answerTimeout)
 		var conflict *storer.ConflictError
 		switch {
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/jobs/modeller"
@@ -73,6 +74,7 @@
 	commitSlots   chan struct{}
 	announceSlots chan struct{}
 	answerTimeout storer.AdaptiveTimeout
+	tombstones    *rate.Limiter
 }
 
 // New returns a Submitter.
@@ -87,6 +89,7 @@
 		submissions:   make(chan *submission, jobQueueSize),
 		commitSlots:   make(chan struct{}, maxConcurrentCommits),
 		announceSlots: make(chan struct{}, maxConcurrentAnnouncements),
+		tombstones:    newTombstoneLimiter(),
 	}
 }
 
--- a/coltsfootwick-manager/internal/submitter/submitter_test.go
+++ b/coltsfootwick-manager/internal/submitter/submitter_test.go
@@ -152,7 +152,9 @@
 
 func TestCancellationIsStoredForKnownJobsOnly(t *testing.T) {
 	runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, kr *keeper.Keeper) {
-		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(sm.Cancel(callerContext(t), queueQ, "j")))
+		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(sm.Cancel(callerContext(t), queueQ, "unknown")))
+		_, err := kr.Zone("b").Get(t.Context(), archiver.CancelKey("unknown"))
+		must.Eq(t, classifier.PlatformNotFound, classifier.CodeOf(err))
 		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
 		must.NoError(t, sm.Cancel(callerContext(t), queueQ, "j"))
 		state, err := sm.State(callerContext(t), "j")
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -185,6 +185,8 @@
 	queue   string
 	state   modeller.JobState
 	endedAt time.Time
+	// isTombstone is true for a job that was cancelled before it was stored.
+	isTombstone bool
 }
 
 // New returns an Allocator for a holder that has won the duty at time now.
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -112,9 +112,10 @@
 	if jr.FinalState != "" {
 		if _, ok := al.retained[id]; !ok {
 			al.retained[id] = retainedJob{
-				queue:   jr.Job.Queue,
-				state:   jr.FinalState,
-				endedAt: now,
+				queue:       jr.Job.Queue,
+				state:       jr.FinalState,
+				endedAt:     now,
+				isTombstone: jr.IsTombstone,
 			}
 		}
 		al.deleteJob(id)
@@ -350,10 +351,11 @@
 	return false
 }
 
-// State returns the state of a job, and false if the job is unknown.
+// State returns the state of a job, and false if the job is unknown or was cancelled
+// before it was stored.
 func (al *Allocator) State(id modeller.JobID) (modeller.JobState, bool) {
 	if ended, ok := al.retained[id]; ok {
-		return ended.state, true
+		return ended.state, !ended.isTombstone
 	}
 	jb, ok := al.jobs[id]
 	switch {
--- a/shared/jobs/modeller/codec.go
+++ b/shared/jobs/modeller/codec.go
@@ -27,6 +27,9 @@
 	AcceptedAtMS      int64        `json:"acceptedAtMs,omitempty"`
 	FinalState        string       `json:"finalState,omitempty"`
 	EndedAtMS         int64        `json:"endedAtMs,omitempty"`
+	// IsTombstone is unknown to earlier versions, which take the job for one that was
+	// cancelled.
+	IsTombstone bool `json:"isTombstone,omitempty"`
 }
 
 // queueRecord is the stored form of the settings of a queue.
@@ -80,6 +83,7 @@
 		IntervalMS:  jr.Job.Interval.Milliseconds(),
 		FinalState:  string(jr.FinalState),
 		EndedAtMS:   jr.EndedAtMS,
+		IsTombstone: jr.IsTombstone,
 	}
 	if jr.Job.Occurrences > 0 {
 		rec.FirstAtMS = jr.Job.FirstAt.UnixMilli()
@@ -149,6 +153,8 @@
 		HasPayload: !rec.IsPayloadSeparate && len(rec.Steps) > 0,
 		FinalState: finalState,
 		EndedAtMS:  rec.EndedAtMS,
+
+		IsTombstone: rec.IsTombstone && finalState != "",
 	}
 	if rec.Occurrences > 0 {
 		jr.Job.FirstAt = time.UnixMilli(rec.FirstAtMS)
--- a/shared/jobs/modeller/codec_test.go
+++ b/shared/jobs/modeller/codec_test.go
@@ -18,6 +18,7 @@
 			Advice: &Advice{DecisionTime: 5 * time.Millisecond, TimePerWorker: 2 * time.Millisecond, Validity: 3 * time.Second},
 		}, Steps: []Step{{Count: 2, DependsOn: nil, Estimate: time.Second}, {Count: 1, DependsOn: []int{0}}}}},
 		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q"}}, FinalState: JobCompleted, EndedAtMS: 7},
+		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q", Host: "h", Prefix: "/p/"}}, FinalState: JobCancelled, EndedAtMS: 7, IsTombstone: true},
 	} {
 		data, err := EncodeJob(jr)
 		must.NoError(t, err)
--- a/shared/jobs/modeller/progress.go
+++ b/shared/jobs/modeller/progress.go
@@ -43,4 +43,8 @@
 	FinalState JobState
 	// EndedAtMS is the Unix millisecond at which the job ended.
 	EndedAtMS int64
+	// IsTombstone is true if the job was cancelled while it had no record. The final
+	// state is JobCancelled then. The record keeps a submission that is still on its
+	// way from being stored; for callers there is no such job.
+	IsTombstone bool
 }
