submitter: show no state of another queue's job

GET in one queue showed the state of another queue's job with the same ID; POST and DELETE already compare the queue. The holder was asked for an ID, and the store read for one, without a look at the queue.

Without the queue in the answer, as from a holder of an earlier version, the state is shown as before.

--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -59,7 +59,7 @@
 // errYielded ends a term in favour of a manager with more capacity.
 var errYielded = errors.New("the duty is yielded to a manager with more capacity")
 
-// Conductor runs the scheduler while the duty is held. State, Announce and
+// Conductor runs the scheduler while the duty is held. Status, Announce and
 // Pending may be called at any time.
 type Conductor struct {
 	store      storer.TransactionStore
@@ -412,18 +412,18 @@
 // goroutine.
 const requestTimeout = 150 * time.Millisecond
 
-// State returns the state of a job. The error codes are those of
-// peer.Client.State.
-func (cd *Conductor) State(ctx context.Context, id modeller.JobID) (modeller.JobState, error) {
-	var state modeller.JobState
+// Status returns the status of a job. The error codes are those of
+// peer.Client.Status.
+func (cd *Conductor) Status(ctx context.Context, id modeller.JobID) (modeller.JobStatus, error) {
+	var status modeller.JobStatus
 	var found bool
-	if err := cd.query(ctx, func(al *allocator.Allocator) { state, found = al.State(id) }); err != nil {
-		return "", err
+	if err := cd.query(ctx, func(al *allocator.Allocator) { status, found = al.Status(id) }); err != nil {
+		return modeller.JobStatus{}, err
 	}
 	if !found {
-		return "", classifier.New(classifier.JobUnknown, "job %s", id)
+		return modeller.JobStatus{}, classifier.New(classifier.JobUnknown, "job %s", id)
 	}
-	return state, nil
+	return status, nil
 }
 
 // Announce adds a stored job to the scheduler before the watch on the store
--- a/coltsfootwick-manager/internal/conductor/conductor_test.go
+++ b/coltsfootwick-manager/internal/conductor/conductor_test.go
@@ -47,7 +47,7 @@
 	must.Eq(t, 0, pending)
 }
 
-func TestStateIsUnavailableWithoutDuty(t *testing.T) {
-	_, err := New(Settings{}).State(t.Context(), "j")
+func TestStatusIsUnavailableWithoutDuty(t *testing.T) {
+	_, err := New(Settings{}).Status(t.Context(), "j")
 	must.Eq(t, classifier.JobUnavailable, classifier.CodeOf(err))
 }
--- a/coltsfootwick-manager/internal/peer/client.go
+++ b/coltsfootwick-manager/internal/peer/client.go
@@ -44,9 +44,13 @@
 	}
 }
 
-// stateResponse is the response to a query for the state of a job.
-type stateResponse struct {
-	State string `json:"state"`
+// statusResponse is the response to a query for the status of a job. Managers of
+// earlier versions leave out all but the state.
+type statusResponse struct {
+	State  string `json:"state"`
+	Queue  string `json:"queue,omitempty"`
+	Host   string `json:"host,omitempty"`
+	Prefix string `json:"prefix,omitempty"`
 }
 
 // pendingResponse is the response to a query for a queue's pending jobs.
@@ -54,12 +58,17 @@
 	Pending int `json:"pending"`
 }
 
-// State returns the state of a job. The error is JobUnknown if the holder has no
+// Status returns the status of a job. The error is JobUnknown if the holder has no
 // such job, and JobUnavailable if it cannot be reached or cannot answer.
-func (cl *Client) State(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobState, error) {
-	var response stateResponse
+func (cl *Client) Status(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobStatus, error) {
+	var response statusResponse
 	err := cl.get(ctx, holder, "/jobs/"+url.PathEscape(string(id)), &response)
-	return modeller.JobState(response.State), err
+	return modeller.JobStatus{
+		State:  modeller.JobState(response.State),
+		Queue:  response.Queue,
+		Host:   response.Host,
+		Prefix: response.Prefix,
+	}, err
 }
 
 // Pending returns the number of a queue's jobs of which no task has started.
--- a/coltsfootwick-manager/internal/peer/peer_test.go
+++ b/coltsfootwick-manager/internal/peer/peer_test.go
@@ -14,10 +14,15 @@
 	"coltsfootwick.example/shared/jobs/modeller"
 )
 
-// pendingScheduler is a Scheduler that only answers Pending.
+// pendingScheduler is a Scheduler that only answers Pending and Status.
 type pendingScheduler struct {
 	Scheduler
-	asked modeller.Queue
+	asked  modeller.Queue
+	status modeller.JobStatus
+}
+
+func (ps *pendingScheduler) Status(context.Context, modeller.JobID) (modeller.JobStatus, error) {
+	return ps.status, nil
 }
 
 func (ps *pendingScheduler) Pending(_ context.Context, queue modeller.Queue) (int, error) {
@@ -37,3 +42,18 @@
 	must.Eq(t, 7, pending)
 	must.Eq(t, queue, ps.asked)
 }
+
+// TestStatusNamesTheQueueAndItsAddress guards against states that are shown to the
+// callers of other queues.
+func TestStatusNamesTheQueueAndItsAddress(t *testing.T) {
+	for _, status := range []modeller.JobStatus{
+		{State: modeller.JobRunning, Queue: "q", Host: "jobs.example", Prefix: "/q/"},
+		{State: modeller.JobRunning},
+	} {
+		sr := httptest.NewServer(NewHandler(&pendingScheduler{status: status}, zap.NewNop()))
+		t.Cleanup(sr.Close)
+		received, err := NewClient().Status(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(sr.URL, "http://")), "j")
+		must.NoError(t, err)
+		must.Eq(t, status, received)
+	}
+}
--- a/coltsfootwick-manager/internal/submitter/address.go
+++ b/coltsfootwick-manager/internal/submitter/address.go
@@ -13,6 +13,11 @@
 	return stored.Queue == queue.Name || stored.Origin.HasAddressOf(queue) || !sm.queues.HasQueue(stored.Queue)
 }
 
+// unknownIn returns the error for the callers of a queue who ask for another queue's job.
+func unknownIn(queue modeller.Queue, stored modeller.Job) error {
+	return classifier.New(classifier.JobUnknown, "job %s belongs to queue %s and not to %s", stored.ID, stored.Queue, queue.Name)
+}
+
 // checkStored returns nil if the stored job with the ID of a submitted one is that
 // job, a JobRefused error if the job was cancelled before it could be stored, and a
 // JobIDTaken error if the ID belongs to another queue. A record that can't be
--- a/coltsfootwick-manager/internal/submitter/cancel.go
+++ b/coltsfootwick-manager/internal/submitter/cancel.go
@@ -48,7 +48,7 @@
 	}
 	switch {
 	case !sm.isAddressedBy(queue, jr.Job):
-		return classifier.New(classifier.JobUnknown, "job %s belongs to queue %s", id, jr.Job.Queue)
+		return unknownIn(queue, jr.Job)
 	case jr.IsTombstone:
 		return classifier.New(classifier.JobUnknown, "job %s has been cancelled before", id)
 	case jr.FinalState != "":
--- a/coltsfootwick-manager/internal/submitter/renamed_test.go
+++ b/coltsfootwick-manager/internal/submitter/renamed_test.go
@@ -25,7 +25,7 @@
 		runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, _ *keeper.Keeper) {
 			must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
 			must.NoError(t, sm.Cancel(callerContext(t), queue, "j"))
-			state, err := sm.State(callerContext(t), "j")
+			state, err := sm.State(callerContext(t), queueQ, "j")
 			must.NoError(t, err)
 			must.Eq(t, modeller.JobCancelled, state)
 		})
--- a/coltsfootwick-manager/internal/submitter/state.go
+++ b/coltsfootwick-manager/internal/submitter/state.go
@@ -11,18 +11,27 @@
 // State implements adapter.Jobs. It queries the holder of the scheduler's duty,
 // which has the latest state, and falls back to the store if there is no holder
 // or the query fails.
-func (sm *Submitter) State(ctx context.Context, id modeller.JobID) (modeller.JobState, error) {
+func (sm *Submitter) State(ctx context.Context, queue modeller.Queue, id modeller.JobID) (modeller.JobState, error) {
 	if holder, ok := sm.locator.Holder(); ok {
-		state, err := sm.scheduler.State(ctx, holder, id)
+		status, err := sm.scheduler.Status(ctx, holder, id)
 		if err == nil {
-			return state, nil
+			return sm.stateIn(queue, id, status)
 		}
 	}
-	return sm.storedState(ctx, id)
+	return sm.storedState(ctx, queue, id)
+}
+
+// stateIn returns the state that the holder has answered, or a JobUnknown error if the
+// job belongs to another queue. A holder of an earlier version doesn't tell the queue.
+func (sm *Submitter) stateIn(queue modeller.Queue, id modeller.JobID, status modeller.JobStatus) (modeller.JobState, error) {
+	if status.Queue != "" && !sm.isAddressedBy(queue, status.Job(id)) {
+		return "", unknownIn(queue, status.Job(id))
+	}
+	return status.State, nil
 }
 
 // storedState returns the state of a job according to its records in the store.
-func (sm *Submitter) storedState(ctx context.Context, id modeller.JobID) (modeller.JobState, error) {
+func (sm *Submitter) storedState(ctx context.Context, queue modeller.Queue, id modeller.JobID) (modeller.JobState, error) {
 	key := archiver.JobKey(id)
 	entries, _, err := sm.store.List(ctx, key)
 	if err != nil {
@@ -37,7 +46,10 @@
 			if err != nil {
 				return "", classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
 			}
-			if jr.IsTombstone {
+			switch {
+			case !sm.isAddressedBy(queue, jr.Job):
+				return "", unknownIn(queue, jr.Job)
+			case jr.IsTombstone:
 				return "", classifier.New(classifier.JobUnknown, "job %s was cancelled before it was stored", id)
 			}
 			state = modeller.JobRunning
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -35,9 +35,9 @@
 // Scheduler is a client of the holder of the scheduler's duty, which may be this
 // manager or another one.
 type Scheduler interface {
-	// State returns the state of a job. The error codes are those of
-	// peer.Client.State.
-	State(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobState, error)
+	// Status returns the status of a job. The error codes are those of
+	// peer.Client.Status.
+	Status(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobStatus, error)
 	// Pending returns the number of a queue's jobs of which no task has started.
 	Pending(ctx context.Context, holder netip.AddrPort, queue modeller.Queue) (int, error)
 	// Announce sends the record and the payload of a stored job.
--- a/coltsfootwick-manager/internal/submitter/submitter_test.go
+++ b/coltsfootwick-manager/internal/submitter/submitter_test.go
@@ -23,8 +23,8 @@
 // jobs, no holder is known, and there are the queues q and other.
 type fakeScheduler struct{ isStoreUnavailable bool }
 
-func (fakeScheduler) State(context.Context, netip.AddrPort, modeller.JobID) (modeller.JobState, error) {
-	return "", classifier.New(classifier.JobUnknown, "no jobs")
+func (fakeScheduler) Status(context.Context, netip.AddrPort, modeller.JobID) (modeller.JobStatus, error) {
+	return modeller.JobStatus{}, classifier.New(classifier.JobUnknown, "no jobs")
 }
 
 func (fakeScheduler) Pending(context.Context, netip.AddrPort, modeller.Queue) (int, error) {
@@ -89,7 +89,7 @@
 		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
 		_, err := kr.Zone("b").Get(t.Context(), archiver.JobKey("j"))
 		must.NoError(t, err)
-		state, err := sm.State(callerContext(t), "j")
+		state, err := sm.State(callerContext(t), queueQ, "j")
 		must.NoError(t, err)
 		must.Eq(t, modeller.JobRunning, state)
 	})
@@ -145,7 +145,7 @@
 		err := sm.Submit(callerContext(t), newJob("j"))
 		must.Eq(t, classifier.JobRefused, classifier.CodeOf(err))
 		must.NoError(t, kr.SetFaults())
-		_, err = sm.State(callerContext(t), "j")
+		_, err = sm.State(callerContext(t), queueQ, "j")
 		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(err))
 	})
 }
@@ -157,7 +157,7 @@
 		must.Eq(t, classifier.PlatformNotFound, classifier.CodeOf(err))
 		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
 		must.NoError(t, sm.Cancel(callerContext(t), queueQ, "j"))
-		state, err := sm.State(callerContext(t), "j")
+		state, err := sm.State(callerContext(t), queueQ, "j")
 		must.NoError(t, err)
 		must.Eq(t, modeller.JobCancelled, state)
 		_, err = kr.Zone("b").Get(t.Context(), archiver.CancelKey("j"))
--- a/coltsfootwick-manager/internal/submitter/tombstone_test.go
+++ b/coltsfootwick-manager/internal/submitter/tombstone_test.go
@@ -44,7 +44,7 @@
 		must.Eq(t, classifier.JobRefused, classifier.CodeOf(sm.Submit(callerContext(t), newJob("j"))))
 		must.Eq(t, classifier.JobIDTaken, classifier.CodeOf(sm.Submit(callerContext(t), newJobOf(otherQueue, "j"))))
 		mustNotBeStored(t, kr, "j")
-		_, err := sm.State(callerContext(t), "j")
+		_, err := sm.State(callerContext(t), queueQ, "j")
 		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(err))
 		for _, queue := range []modeller.Queue{queueQ, otherQueue} {
 			must.Eq(t, classifier.JobUnknown, classifier.CodeOf(sm.Cancel(callerContext(t), queue, "j")))
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -182,7 +182,10 @@
 
 // retainedJob is the final state of an ended job, which can still be queried.
 type retainedJob struct {
-	queue   string
+	queue string
+	// host and prefix are the address of the queue when the job was accepted.
+	host, prefix string
+
 	state   modeller.JobState
 	endedAt time.Time
 	// isTombstone is true for a job that was cancelled before it was stored.
--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -58,7 +58,7 @@
 	fx.report(other, nil)
 	must.Len(t, 0, takeOrders[StartOrder](fx))
 	fx.storeBatch()
-	state, _ := fx.al.State("j")
+	state := fx.state("j")
 	must.Eq(t, modeller.JobCompleted, state)
 }
 
@@ -158,12 +158,12 @@
 	fx.advance(unstoredPollInterval)
 	polls := takeOrders[PollOrder](fx)
 	must.Eq(t, 0, polls[len(polls)-1].AcknowledgedEnds)
-	state, _ := fx.al.State("j")
+	state := fx.state("j")
 	must.Eq(t, modeller.JobRunning, state, must.Sprint("the final state is not visible before it is stored"))
 	batch := fx.al.Batch(fx.now)
 	must.Len(t, 1, batch.Ended)
 	fx.apply(BatchStored{Batch: batch})
-	state, _ = fx.al.State("j")
+	state = fx.state("j")
 	must.Eq(t, modeller.JobCompleted, state)
 	fx.report("a", nil, modeller.End{Number: 1, Task: start.Task, Attempt: 1, Kind: modeller.EndDone})
 	fx.advance(50 * time.Millisecond)
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -257,6 +257,8 @@
 	for _, ended := range bt.Ended {
 		al.retained[ended.ID] = retainedJob{
 			queue:   ended.Queue,
+			host:    ended.Origin.Host,
+			prefix:  ended.Origin.Prefix,
 			state:   ended.State,
 			endedAt: now,
 		}
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -68,6 +68,12 @@
 
 func (fx *fixture) apply(ev Event) { fx.al.Apply(fx.now, ev) }
 
+// state returns the state of a job, or an empty one if it is unknown.
+func (fx *fixture) state(id modeller.JobID) modeller.JobState {
+	status, _ := fx.al.Status(id)
+	return status.State
+}
+
 // advance advances the time in steps and plans after each.
 func (fx *fixture) advance(duration time.Duration) {
 	const step = 25 * time.Millisecond
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -113,6 +113,8 @@
 		if _, ok := al.retained[id]; !ok {
 			al.retained[id] = retainedJob{
 				queue:       jr.Job.Queue,
+				host:        jr.Job.Origin.Host,
+				prefix:      jr.Job.Origin.Prefix,
 				state:       jr.FinalState,
 				endedAt:     now,
 				isTombstone: jr.IsTombstone,
@@ -351,22 +353,38 @@
 	return false
 }
 
-// State returns the state of a job, and false if the job is unknown or was cancelled
+// Status returns the status of a job, and false if the job is unknown or was cancelled
 // before it was stored.
-func (al *Allocator) State(id modeller.JobID) (modeller.JobState, bool) {
+func (al *Allocator) Status(id modeller.JobID) (modeller.JobStatus, bool) {
 	if ended, ok := al.retained[id]; ok {
-		return ended.state, !ended.isTombstone
+		return modeller.JobStatus{
+			State:  ended.state,
+			Queue:  ended.queue,
+			Host:   ended.host,
+			Prefix: ended.prefix,
+		}, !ended.isTombstone
 	}
 	jb, ok := al.jobs[id]
+	if !ok || len(jb.info.Steps) == 0 {
+		return modeller.JobStatus{}, false
+	}
+	return modeller.JobStatus{
+		State:  jb.state(),
+		Queue:  jb.info.Queue,
+		Host:   jb.info.Origin.Host,
+		Prefix: jb.info.Origin.Prefix,
+	}, true
+}
+
+// state returns the state of a job whose end isn't stored yet.
+func (jb *job) state() modeller.JobState {
 	switch {
-	case !ok || len(jb.info.Steps) == 0:
-		return "", false
 	case jb.isCancelled:
-		return modeller.JobCancelled, true
+		return modeller.JobCancelled
 	case jb.hasStarted:
-		return modeller.JobRunning, true
+		return modeller.JobRunning
 	}
-	return modeller.JobQueued, true
+	return modeller.JobQueued
 }
 
 // Pending returns the number of a queue's jobs of which no task has started. They
--- a/shared/jobs/allocator/job_test.go
+++ b/shared/jobs/allocator/job_test.go
@@ -99,7 +99,7 @@
 	for _, outcome := range []Outcome{Unhealthy, Unanswered} {
 		must.Eq(t, 1, fx.al.Pending(queue), must.Sprint("the order is in flight"))
 		fx.apply(StartResult{Worker: "a", Task: starts[0].Task, Attempt: starts[0].Attempt, Outcome: outcome})
-		state, _ := fx.al.State("j")
+		state := fx.state("j")
 		must.Eq(t, modeller.JobQueued, state)
 		must.Eq(t, 1, fx.al.Pending(queue), must.Sprint(outcome))
 		fx.storeBatch()
@@ -113,7 +113,7 @@
 	}
 	fx.report("a", []modeller.Run{{Task: starts[0].Task, Attempt: starts[0].Attempt}})
 	must.Eq(t, 0, fx.al.Pending(queue), must.Sprint("a report shows the run"))
-	state, _ := fx.al.State("j")
+	state := fx.state("j")
 	must.Eq(t, modeller.JobRunning, state)
 }
 
--- a/shared/jobs/allocator/restart_test.go
+++ b/shared/jobs/allocator/restart_test.go
@@ -21,7 +21,7 @@
 	fx.report(string(start.Worker.ID), nil, modeller.End{Number: 1, Task: start.Task, Attempt: start.Attempt, Kind: modeller.EndDone})
 	fx.storeBatch()
 	must.Len(t, 1, takeOrders[StartOrder](fx))
-	state, _ := fx.al.State("l")
+	state := fx.state("l")
 	must.Eq(t, modeller.JobRunning, state)
 }
 
--- a/shared/jobs/allocator/tombstone_test.go
+++ b/shared/jobs/allocator/tombstone_test.go
@@ -23,7 +23,7 @@
 	later := fx.takeOver(configurationWith(1, "p"), tombstone)
 	later.apply(RecordsLoaded{})
 	for _, holder := range []*fixture{fx, later} {
-		_, isKnown := holder.al.State("j")
+		_, isKnown := holder.al.Status("j")
 		must.False(t, isKnown)
 		holder.apply(oneTaskJobRecorded("j"))
 		must.SliceEmpty(t, takeOrders[StartOrder](holder))
