--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/jobs/modeller"
@@ -34,9 +35,9 @@
 // Scheduler is a client of the holder of the scheduler's duty, which may be this
 // manager or another one.
 type Scheduler interface {
-	// State returns the state of a job. The error codes are those of
-	// peer.Client.State.
-	State(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobState, error)
+	// Status returns the status of a job. The error codes are those of
+	// peer.Client.Status.
+	Status(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobStatus, error)
 	// Pending returns the number of a queue's jobs of which no task has started.
 	Pending(ctx context.Context, holder netip.AddrPort, queue modeller.Queue) (int, error)
 	// Announce sends the record and the payload of a stored job.
@@ -73,6 +74,7 @@
 	commitSlots   chan struct{}
 	announceSlots chan struct{}
 	answerTimeout storer.AdaptiveTimeout
+	tombstones    *rate.Limiter
 }
 
 // New returns a Submitter.
@@ -87,6 +89,7 @@
 		submissions:   make(chan *submission, jobQueueSize),
 		commitSlots:   make(chan struct{}, maxConcurrentCommits),
 		announceSlots: make(chan struct{}, maxConcurrentAnnouncements),
+		tombstones:    newTombstoneLimiter(),
 	}
 }
 
