router, front: check the callers' keys

With teams in the configuration, calls were still served without a key. The front now asks for Authorization: Bearer KEY on each queue that isn't public, after the queue is chosen (404 comes first), and answers 401 with code 809 and WWW-Authenticate otherwise.

Queue, limits and keys of a call come from one version. The first configuration with teams is served once a transaction without writes has confirmed that it is the newest, and after a pause calls wait until the watch has shown whether there is a newer one; see docs/design/0002-teams-and-keys.md.

The fixture's store waits 1 s for an answer, as the store's client does, where it waited 2 s.

--- a/coltsfootwick-manager/internal/router/router.go
+++ b/coltsfootwick-manager/internal/router/router.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"coltsfootwick.example/platform/adapter"
+	"coltsfootwick.example/shared/jobs/authenticator"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
 	"coltsfootwick.example/shared/store/storer"
@@ -32,51 +33,80 @@
 // Router routes requests by the newest configuration. It is safe for concurrent
 // use.
 type Router struct {
-	store  storer.Store
+	store  storer.TransactionStore
 	logger *zap.Logger
 	table  atomic.Pointer[routingTable]
+	watch  watchState
 }
 
 // routingTable is a configuration with its queues by host, sorted by descending
-// prefix length.
+// prefix length. It does not change once it is in force.
 type routingTable struct {
 	configuration modeller.Configuration
 	queuesByHost  map[string][]modeller.Queue
+	// teams is nil if keys are not enabled.
+	teams adapter.Teams
 }
 
 // New returns a Router without a configuration.
-func New(store storer.Store, logger *zap.Logger) *Router {
+func New(store storer.TransactionStore, logger *zap.Logger) *Router {
 	return &Router{
 		store:  store,
 		logger: logger,
+		watch: watchState{
+			changed: make(chan struct{}),
+		},
 	}
 }
 
 // Run watches the configuration until the context is done.
 func (ro *Router) Run(ctx context.Context) error {
-	return storer.Follow(ctx, ro.store, adapter.ConfigurationKey, ro.handle,
+	return storer.Follow(ctx, ro.store, adapter.ConfigurationKey, func(nt storer.Notice) { ro.handle(ctx, nt) },
 		storer.WithWait(watchTimeout), storer.WithBackoff(minBackoff, maxBackoff))
 }
 
-func (ro *Router) handle(nt storer.Notice) {
+func (ro *Router) handle(ctx context.Context, nt storer.Notice) {
 	switch nt := nt.(type) {
 	case storer.Changed:
 		if nt.Event.Entry.Key == adapter.ConfigurationKey && !nt.Event.Deleted {
-			ro.apply(nt.Event.Entry.Value)
+			ro.receive(ctx, nt.Event.Entry)
 		}
-	case storer.Synced, storer.Disconnected:
+	case storer.Synced:
+		ro.watch.noteSynced(time.Now(), nt.Age)
+	case storer.Disconnected:
+		ro.watch.noteFailure(time.Now())
 	}
 }
 
-// apply replaces the current configuration if the new one has a higher version.
-func (ro *Router) apply(value []byte) {
-	cf, err := adapter.DecodeConfiguration(value, func(err error) {
+// receive applies a configuration. The first one with teams is applied once it is known
+// to be the newest: after a restart, an outdated read would make revoked keys valid.
+// Nothing else is received meanwhile, as the check itself finds later versions.
+func (ro *Router) receive(ctx context.Context, et storer.Entry) {
+	cf, ok := ro.decode(et)
+	if ok && ro.table.Load() == nil && cf.Teams != nil {
+		newest, err := ro.confirm(ctx, et)
+		if err != nil {
+			return
+		}
+		cf, ok = ro.decode(newest)
+	}
+	if ok {
+		ro.apply(cf)
+	}
+}
+
+func (ro *Router) decode(et storer.Entry) (modeller.Configuration, bool) {
+	cf, err := adapter.DecodeConfiguration(et.Value, func(err error) {
 		ro.logger.Error("ignoring a part of the configuration that cannot be decoded", zap.Error(err))
 	})
 	if err != nil {
 		ro.logger.Error("cannot decode the configuration; keeping the current one", zap.Error(err))
-		return
 	}
+	return cf, err == nil
+}
+
+// apply replaces the current configuration if the new one has a higher version.
+func (ro *Router) apply(cf modeller.Configuration) {
 	if old := ro.table.Load(); old != nil && old.configuration.Version >= cf.Version {
 		return
 	}
@@ -92,8 +122,23 @@
 	ro.table.Store(&routingTable{
 		configuration: cf,
 		queuesByHost:  byHost,
+		teams:         ro.newTeams(cf),
 	})
-	ro.logger.Info("configuration applied", zap.Int64("version", cf.Version), zap.Int("queues", len(cf.Queues)), zap.Int("pools", len(cf.Pools)))
+	ro.logger.Info("configuration applied", zap.Int64("version", cf.Version), zap.Int("queues", len(cf.Queues)),
+		zap.Int("pools", len(cf.Pools)), zap.Bool("hasKeys", cf.Teams != nil), zap.Int("teams", len(cf.Teams)))
+}
+
+// newTeams returns the teams of a configuration, or nil if keys are not enabled.
+func (ro *Router) newTeams(cf modeller.Configuration) adapter.Teams {
+	if cf.Teams == nil {
+		return nil
+	}
+	au := authenticator.New(cf.Teams)
+	if shared := au.SharedKeys(); len(shared) > 0 {
+		ro.logger.Error("teams have the same key, which identifies the first of them", zap.Int64("version", cf.Version),
+			zap.Int("keys", len(shared)), zap.String("first", shared[0].Team), zap.String("other", shared[0].Other))
+	}
+	return au
 }
 
 // IsReady reports whether a configuration has been applied.
@@ -109,16 +154,27 @@
 	return ok
 }
 
-// Queue implements adapter.Router.
-func (ro *Router) Queue(host, path string) (modeller.Queue, modeller.Limits, error) {
+// Route implements adapter.Router.
+func (ro *Router) Route(ctx context.Context, host, path string) (adapter.Route, error) {
 	rt := ro.table.Load()
 	if rt == nil {
-		return modeller.Queue{}, modeller.Limits{}, classifier.New(classifier.JobUnavailable, "no configuration has been loaded yet")
+		return adapter.Route{}, classifier.New(classifier.JobUnavailable, "no configuration has been loaded yet")
+	}
+	if rt.teams != nil {
+		if err := ro.watch.awaitCurrent(ctx); err != nil {
+			return adapter.Route{}, err
+		}
+		rt = ro.table.Load()
 	}
 	for _, qu := range rt.queuesByHost[host] {
 		if strings.HasPrefix(path, qu.Prefix) {
-			return qu, rt.configuration.Limits, nil
+			return adapter.Route{
+				Queue:   qu,
+				Limits:  rt.configuration.Limits,
+				Teams:   rt.teams,
+				Version: rt.configuration.Version,
+			}, nil
 		}
 	}
-	return modeller.Queue{}, modeller.Limits{}, classifier.New(classifier.QueueUnknown, "host %q, path %q, configuration %d", host, path, rt.configuration.Version)
+	return adapter.Route{}, classifier.New(classifier.QueueUnknown, "host %q, path %q, configuration %d", host, path, rt.configuration.Version)
 }
--- a/coltsfootwick-manager/internal/router/router_test.go
+++ b/coltsfootwick-manager/internal/router/router_test.go
@@ -41,7 +41,8 @@
 		fx := &fixture{
 			t:  t,
 			kr: kr,
-			ro: New(kr.Zone("a"), zap.NewNop()),
+			// The store's client waits as long for an answer.
+			ro: New(kr.Zone("a", keeper.WithCallTimeout(time.Second)), zap.NewNop()),
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
@@ -65,7 +66,7 @@
 
 // hasQueue reports whether the Router has a queue for a path.
 func (fx *fixture) hasQueue(path string) bool {
-	_, _, err := fx.ro.Queue("h", path)
+	_, err := fx.ro.Route(fx.t.Context(), "h", path)
 	return err == nil
 }
 
@@ -115,7 +116,7 @@
 }
 
 func TestQueueIsUnavailableBeforeFirstConfiguration(t *testing.T) {
-	_, _, err := New(keeper.New().Zone("a"), zap.NewNop()).Queue("h", "/p/x")
+	_, err := New(keeper.New().Zone("a"), zap.NewNop()).Route(t.Context(), "h", "/p/x")
 	must.Eq(t, classifier.JobUnavailable, classifier.CodeOf(err), must.Sprint("QueueUnknown would make callers stop retrying"))
 }
 
@@ -123,10 +124,10 @@
 	runWithRouter(t, func(fx *fixture) {
 		fx.writeConfiguration([]byte(`{"version":1,"routes":[{"name":"short","host":"h","prefix":"/p/","service":"s"},{"name":"long","host":"h","prefix":"/p/q/","service":"s"}],"services":[{"name":"s"}]}`))
 		time.Sleep(maxApplyDelay)
-		qu, _, err := fx.ro.Queue("h", "/p/q/x")
+		rt, err := fx.ro.Route(t.Context(), "h", "/p/q/x")
 		must.NoError(t, err)
-		must.Eq(t, "long", qu.Name)
-		_, _, err = fx.ro.Queue("other", "/p/q/x")
+		must.Eq(t, "long", rt.Queue.Name)
+		_, err = fx.ro.Route(t.Context(), "other", "/p/q/x")
 		must.Eq(t, classifier.QueueUnknown, classifier.CodeOf(err))
 	})
 }
--- /dev/null
+++ b/coltsfootwick-manager/internal/router/teams_test.go
@@ -0,0 +1,283 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"coltsfootwick.example/platform/adapter"
+	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/store/keeper"
+	"coltsfootwick.example/shared/store/storer"
+)
+
+// maxKeyDelay is the time within which a configuration with other keys is in force.
+const maxKeyDelay = 3 * time.Second
+
+// withKeys returns a stored configuration with one queue that isn't public and one that
+// is, and a team that has the keys. Keys are JSON.
+func withKeys(version int, keys string) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"h","prefix":"/r/"},{"name":"open","host":"h","prefix":"/open/","public":true}],`+
+		`"tenants":[{"name":"a","api_keys":%s},{"name":"odd","api_keys":7}]}`, version, keys)
+}
+
+// team returns the team that a key identifies, or "".
+func (fx *fixture) team(key string) string {
+	rt, err := fx.ro.Route(fx.t.Context(), "h", "/r/x")
+	must.NoError(fx.t, err)
+	name, _ := rt.Teams.Team(key)
+	return name
+}
+
+// Guards against revoked keys that stay valid, and granted ones that stay refused.
+func TestKeysFollowTheConfiguration(t *testing.T) {
+	runWithRouter(t, func(fx *fixture) {
+		for version, step := range []struct {
+			keys           string
+			first, another string
+		}{
+			{`["k1","k2"]`, "a", "a"},
+			{`["k2"]`, "", "a"},
+			{`["k1","k2"]`, "a", "a"},
+			{`[]`, "", ""},
+		} {
+			fx.writeConfiguration(withKeys(version+1, step.keys))
+			time.Sleep(maxKeyDelay)
+			must.Eq(fx.t, step.first, fx.team("k1"), must.Sprint(step))
+			must.Eq(fx.t, step.another, fx.team("k2"), must.Sprint(step))
+			must.Eq(fx.t, "", fx.team("never"))
+		}
+		open, err := fx.ro.Route(fx.t.Context(), "h", "/open/x")
+		must.NoError(fx.t, err)
+		must.True(fx.t, open.Queue.IsPublic)
+		_, err = fx.ro.Route(fx.t.Context(), "h", "/removed/x")
+		must.Eq(fx.t, classifier.QueueUnknown, classifier.CodeOf(err))
+		fx.writeConfiguration(encodeConfiguration(9, "/r/"))
+		time.Sleep(maxKeyDelay)
+		rt, err := fx.ro.Route(fx.t.Context(), "h", "/r/x")
+		must.NoError(fx.t, err)
+		must.Nil(fx.t, rt.Teams, must.Sprint("a configuration without teams"))
+	})
+}
+
+// laggingStore answers reads by an earlier state while one is set, and may refuse
+// transactions. Its watches hear nothing while it lags.
+type laggingStore struct {
+	*keeper.Zone
+	earlier atomic.Pointer[storer.Listing]
+	refusal error
+}
+
+func (ls *laggingStore) List(ctx context.Context, prefix string) ([]storer.Entry, storer.Revision, error) {
+	if earlier := ls.earlier.Load(); earlier != nil {
+		return earlier.Entries, earlier.Revision, nil
+	}
+	return ls.Zone.List(ctx, prefix)
+}
+
+func (ls *laggingStore) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if earlier := ls.earlier.Load(); earlier != nil {
+		return earlier.Entries[0], nil
+	}
+	return ls.Zone.Get(ctx, key)
+}
+
+func (ls *laggingStore) Watch(ctx context.Context, prefix string, after storer.Revision, wait time.Duration) ([]storer.Event, storer.Revision, error) {
+	if ls.earlier.Load() != nil {
+		time.Sleep(wait)
+		return nil, after, nil
+	}
+	return ls.Zone.Watch(ctx, prefix, after, wait)
+}
+
+func (ls *laggingStore) Commit(ctx context.Context, tx storer.Transaction) (storer.Revision, error) {
+	if ls.refusal != nil {
+		return 0, ls.refusal
+	}
+	return ls.Zone.Commit(ctx, tx)
+}
+
+// restart starts a Router by a store that lags behind at version 1, while the newest is
+// version 2, in which the key is revoked.
+func restart(t *testing.T, refusal error, test func(fx *fixture, store *laggingStore)) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := &fixture{
+			t:  t,
+			kr: keeper.New(),
+		}
+		fx.writeConfiguration(withKeys(1, `["revoked"]`))
+		entries, revision, err := fx.kr.Zone("operators").List(t.Context(), adapter.ConfigurationKey)
+		must.NoError(t, err)
+		fx.writeConfiguration(withKeys(2, `["k2"]`))
+		store := &laggingStore{
+			Zone:    fx.kr.Zone("b"),
+			refusal: refusal,
+		}
+		store.earlier.Store(&storer.Listing{
+			Entries:  entries,
+			Revision: revision,
+		})
+		fx.ro = New(store, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- fx.ro.Run(ctx) }()
+		test(fx, store)
+		cancel()
+		<-ended
+	})
+}
+
+// Guards against a revoked key that is valid again after a restart, since the first
+// read was answered by a replica that lags behind.
+func TestRevokedKeyStaysInvalidAfterARestart(t *testing.T) {
+	restart(t, nil, func(fx *fixture, store *laggingStore) {
+		for range 50 {
+			if _, err := fx.ro.Route(fx.t.Context(), "h", "/r/x"); err == nil {
+				must.Eq(fx.t, "", fx.team("revoked"))
+				must.Eq(fx.t, "a", fx.team("k2"))
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.True(fx.t, fx.ro.IsReady())
+		store.earlier.Store(nil)
+		fx.writeConfiguration(withKeys(3, `["revoked"]`))
+		time.Sleep(maxKeyDelay)
+		must.Eq(fx.t, "a", fx.team("revoked"), must.Sprint("granted again"))
+	})
+}
+
+// Guards against calls that are served before the newest configuration is known, and
+// against a process that serves none since the store knows no such transactions.
+func TestNothingIsServedBeforeTheNewestConfigurationIsRead(t *testing.T) {
+	unanswered := classifier.New(classifier.PlatformAmbiguous, "no answer")
+	restart(t, unanswered, func(fx *fixture, store *laggingStore) {
+		time.Sleep(maxConfirmTime - time.Second)
+		_, err := fx.ro.Route(fx.t.Context(), "h", "/r/x")
+		must.Eq(fx.t, classifier.JobUnavailable, classifier.CodeOf(err))
+		store.earlier.Store(nil)
+		time.Sleep(2 * time.Second)
+		must.Eq(fx.t, "a", fx.team("k2"))
+		must.Eq(fx.t, "", fx.team("revoked"))
+	})
+	restart(t, classifier.New(classifier.Internal, "status 400"), func(fx *fixture, _ *laggingStore) {
+		synctest.Wait()
+		must.True(fx.t, fx.ro.IsReady())
+	})
+}
+
+// Guards against queries that fail, and keys that are refused, at a manager that can't
+// reach the store.
+func TestManagerThatIsCutOffGoesOnWithItsVersion(t *testing.T) {
+	for _, refuse := range []bool{false, true} {
+		runWithRouter(t, func(fx *fixture) {
+			fx.writeConfiguration(withKeys(1, `["k1"]`))
+			// A watch that is sent at the same time as the partition begins isn't cut.
+			time.Sleep(watchTimeout + watchTimeout/2)
+			must.NoError(fx.t, fx.kr.SetFaults(keeper.Partition{Scope: keeper.Scope{Zone: "a", Share: 1}, Refuse: refuse}))
+			synctest.Wait()
+			fx.writeConfiguration(withKeys(2, `["k2"]`))
+			for range 100 {
+				must.Eq(fx.t, "a", fx.team("k1"))
+				time.Sleep(100 * time.Millisecond)
+			}
+			must.NoError(fx.t, fx.kr.SetFaults())
+			time.Sleep(maxKeyDelay)
+			must.Eq(fx.t, "", fx.team("k1"))
+			must.Eq(fx.t, "a", fx.team("k2"))
+		})
+	}
+}
+
+// Guards against answers and failures from before a pause that count as knowledge of the
+// time after it.
+func TestNoticesFromBeforeAPauseShowNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ws := watchState{
+			changed: make(chan struct{}),
+		}
+		ws.noteSynced(time.Now(), 0)
+		must.NoError(t, ws.awaitCurrent(t.Context()))
+		time.Sleep(maxKeyDelay)
+		ws.noteFailure(time.Now())
+		ok, _ := ws.isCurrent(time.Now())
+		must.False(t, ok, must.Sprint("the failed call was sent before the pause"))
+		ws.noteSynced(time.Now(), maxKeyDelay)
+		ok, _ = ws.isCurrent(time.Now())
+		must.False(t, ok, must.Sprint("the answer was sent before the pause"))
+		must.Eq(t, classifier.JobUnavailable, classifier.CodeOf(ws.awaitCurrent(t.Context())))
+		go func() {
+			time.Sleep(maxAgeWait / 2)
+			ws.noteSynced(time.Now(), 0)
+		}()
+		must.NoError(t, ws.awaitCurrent(t.Context()))
+	})
+}
+
+// pausedStore has watches that wait for as long as the process is paused, and then fail.
+type pausedStore struct {
+	*keeper.Zone
+	resumed atomic.Pointer[chan struct{}]
+}
+
+func (ps *pausedStore) Watch(ctx context.Context, prefix string, after storer.Revision, wait time.Duration) ([]storer.Event, storer.Revision, error) {
+	if resumed := ps.resumed.Swap(nil); resumed != nil {
+		<-*resumed
+		return nil, 0, classifier.New(classifier.PlatformUnavailable, "no data in time")
+	}
+	return ps.Zone.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against revoked keys that a process accepts right after a pause.
+func TestRevokedKeyIsRefusedRightAfterAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kr := keeper.New()
+		store := &pausedStore{
+			Zone: kr.Zone("a"),
+		}
+		fx := &fixture{
+			t:  t,
+			kr: kr,
+			ro: New(store, zap.NewNop()),
+		}
+		fx.writeConfiguration(withKeys(1, `["k1"]`))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- fx.ro.Run(ctx) }()
+		time.Sleep(maxKeyDelay)
+		must.Eq(t, "a", fx.team("k1"))
+		resumed := make(chan struct{})
+		store.resumed.Store(&resumed)
+		time.Sleep(2 * watchTimeout)
+		fx.writeConfiguration(withKeys(2, `["k2"]`))
+		time.Sleep(10 * time.Second)
+		close(resumed)
+		must.Eq(t, "", fx.team("k1"))
+		must.Eq(t, "a", fx.team("k2"))
+		cancel()
+		<-ended
+	})
+}
+
+// Guards against keys in the log.
+func TestFaultsOfTeamsAreLoggedWithoutTheirKeys(t *testing.T) {
+	core, logs := observer.New(zapcore.DebugLevel)
+	ro := New(keeper.New().Zone("a"), zap.New(core))
+	cf, ok := ro.decode(storer.Entry{Value: []byte(`{"version":1,"tenants":[{"name":"b","api_keys":["secret"]},{"name":"a","api_keys":["secret"]},{"name":"c","api_keys":["secret",7]}]}`)})
+	must.True(t, ok)
+	ro.apply(cf)
+	name, _ := ro.table.Load().teams.Team("secret")
+	must.Eq(t, "a", name)
+	must.Eq(t, 3, logs.Len(), must.Sprint("the team that can't be decoded, the key of two teams, and the version"))
+	for _, entry := range logs.All() {
+		must.False(t, strings.Contains(fmt.Sprint(entry.Message, entry.ContextMap()), "secret"))
+	}
+}
--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -196,7 +196,7 @@
 
 // listen opens the listeners for readiness checks, callers and peers.
 func (mg *manager) listen() error {
-	callerHandler := adapter.NewCallerHandler(mg.submitter, mg.router, time.Now)
+	callerHandler := adapter.NewCallerHandler(mg.submitter, mg.router, time.Now, adapter.WithRefusalFunc(newRefusalLog(mg.logger).add))
 	opts := []server.Option{server.WithTimeouts(headerTimeout, idleTimeout), server.WithDrainFirst(),
 		server.WithGrace(failureGrace), server.WithDeadline(mg.closeDeadline)}
 	ready, err := server.New(mg.settings.Ready, http.HandlerFunc(mg.serveReadiness), opts...)
--- a/coltsfootwick-manager/internal/submitter/cancel.go
+++ b/coltsfootwick-manager/internal/submitter/cancel.go
@@ -12,7 +12,7 @@
 )
 
 // Cancel implements adapter.Jobs.
-func (sm *Submitter) Cancel(ctx context.Context, queue modeller.Queue, id modeller.JobID) error {
+func (sm *Submitter) Cancel(ctx context.Context, queue modeller.Queue, _ string, id modeller.JobID) error {
 	err := sm.cancel(ctx, queue, id)
 	sm.logger.Info("cancellation", zap.String("job", string(id)), zap.String("queue", queue.Name), zap.Error(err))
 	return err
--- a/coltsfootwick-manager/internal/submitter/renamed_test.go
+++ b/coltsfootwick-manager/internal/submitter/renamed_test.go
@@ -24,8 +24,8 @@
 	} {
 		runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, _ *keeper.Keeper) {
 			must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
-			must.NoError(t, sm.Cancel(callerContext(t), queue, "j"))
-			state, err := sm.State(callerContext(t), "j")
+			must.NoError(t, sm.Cancel(callerContext(t), queue, "", "j"))
+			state, err := sm.State(callerContext(t), queueQ, "", "j")
 			must.NoError(t, err)
 			must.Eq(t, modeller.JobCancelled, state)
 		})
@@ -37,7 +37,7 @@
 func TestJobOfRemovedQueueIsCancelled(t *testing.T) {
 	runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, _ *keeper.Keeper) {
 		must.NoError(t, sm.Submit(callerContext(t), newJobOf(modeller.Queue{Name: "removed", Host: "h", Prefix: "/removed/"}, "j")))
-		must.NoError(t, sm.Cancel(callerContext(t), queueQ, "j"))
+		must.NoError(t, sm.Cancel(callerContext(t), queueQ, "", "j"))
 	})
 }
 
@@ -59,7 +59,7 @@
 	runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, _ *keeper.Keeper) {
 		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
 		must.Eq(t, classifier.JobIDTaken, classifier.CodeOf(sm.Submit(callerContext(t), newJobOf(otherQueue, "j"))))
-		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(sm.Cancel(callerContext(t), otherQueue, "j")))
+		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(sm.Cancel(callerContext(t), otherQueue, "", "j")))
 		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
 	})
 }
--- a/coltsfootwick-manager/internal/submitter/state.go
+++ b/coltsfootwick-manager/internal/submitter/state.go
@@ -11,7 +11,7 @@
 // State implements adapter.Jobs. It queries the holder of the scheduler's duty,
 // which has the latest state, and falls back to the store if there is no holder
 // or the query fails.
-func (sm *Submitter) State(ctx context.Context, id modeller.JobID) (modeller.JobState, error) {
+func (sm *Submitter) State(ctx context.Context, _ modeller.Queue, _ string, id modeller.JobID) (modeller.JobState, error) {
 	if holder, ok := sm.locator.Holder(); ok {
 		state, err := sm.scheduler.State(ctx, holder, id)
 		if err == nil {
--- a/coltsfootwick-manager/internal/submitter/submitter_test.go
+++ b/coltsfootwick-manager/internal/submitter/submitter_test.go
@@ -89,7 +89,7 @@
 		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
 		_, err := kr.Zone("b").Get(t.Context(), archiver.JobKey("j"))
 		must.NoError(t, err)
-		state, err := sm.State(callerContext(t), "j")
+		state, err := sm.State(callerContext(t), queueQ, "", "j")
 		must.NoError(t, err)
 		must.Eq(t, modeller.JobRunning, state)
 	})
@@ -145,17 +145,17 @@
 		err := sm.Submit(callerContext(t), newJob("j"))
 		must.Eq(t, classifier.JobRefused, classifier.CodeOf(err))
 		must.NoError(t, kr.SetFaults())
-		_, err = sm.State(callerContext(t), "j")
+		_, err = sm.State(callerContext(t), queueQ, "", "j")
 		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(err))
 	})
 }
 
 func TestCancellationIsStoredForKnownJobsOnly(t *testing.T) {
 	runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, kr *keeper.Keeper) {
-		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(sm.Cancel(callerContext(t), queueQ, "j")))
+		must.Eq(t, classifier.JobUnknown, classifier.CodeOf(sm.Cancel(callerContext(t), queueQ, "", "j")))
 		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
-		must.NoError(t, sm.Cancel(callerContext(t), queueQ, "j"))
-		state, err := sm.State(callerContext(t), "j")
+		must.NoError(t, sm.Cancel(callerContext(t), queueQ, "", "j"))
+		state, err := sm.State(callerContext(t), queueQ, "", "j")
 		must.NoError(t, err)
 		must.Eq(t, modeller.JobCancelled, state)
 		_, err = kr.Zone("b").Get(t.Context(), archiver.CancelKey("j"))
--- a/shared/process/classifier/code_job.go
+++ b/shared/process/classifier/code_job.go
@@ -17,8 +17,10 @@
 	JobTooLarge Code = 806
 	// QueueUnknown means that no queue has this host and path.
 	QueueUnknown Code = 807
-	// JobIDTaken means that a job of another queue has this ID.
+	// JobIDTaken means that a job of another queue or team has this ID.
 	JobIDTaken Code = 808
+	// CallerUnauthorised means that the request carries no key of a team.
+	CallerUnauthorised Code = 809
 	// OrderUnanswered means that no answer to an order arrived, so the worker may execute it.
 	OrderUnanswered Code = 811
 	// OrderFenced means that the order was rejected because a later holder has given orders.
@@ -90,9 +92,15 @@
 	{
 		Code:    JobIDTaken,
 		Name:    "jobIdTaken",
-		Summary: "A job of another queue has this ID.",
+		Summary: "A job of another queue or team has this ID.",
 		Remedy:  "Submit the job with another ID.",
 	},
+	{
+		Code:    CallerUnauthorised,
+		Name:    "callerUnauthorised",
+		Summary: "The request carries no key of a team.",
+		Remedy:  "Send one key of a team as Authorization: Bearer KEY; the detail names the cause and the configuration's version.",
+	},
 	{
 		Code:    OrderUnanswered,
 		Name:    "orderUnanswered",
