submitter, peer, allocator: a job belongs to its team

Any caller with a valid key could query and cancel every job of its queues, and take another team's job for its own by submitting the same ID.

The holder names the queue and the team with the state (queue and team of the managers' protocol, absent from earlier versions, which are believed as before), so a GET reads the store no more often than before. The team is kept when a job ends, also across a takeover.

--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -411,18 +411,18 @@
 // goroutine.
 const requestTimeout = 150 * time.Millisecond
 
-// State returns the state of a job. The error codes are those of
-// peer.Client.State.
-func (cd *Conductor) State(ctx context.Context, id modeller.JobID) (modeller.JobState, error) {
-	var state modeller.JobState
+// State returns the state of a job with its queue and its team. The error codes are
+// those of peer.Client.State.
+func (cd *Conductor) State(ctx context.Context, id modeller.JobID) (modeller.JobStatus, error) {
+	var status modeller.JobStatus
 	var found bool
-	if err := cd.query(ctx, func(al *allocator.Allocator) { state, found = al.State(id) }); err != nil {
-		return "", err
+	if err := cd.query(ctx, func(al *allocator.Allocator) { status, found = al.Status(id) }); err != nil {
+		return modeller.JobStatus{}, err
 	}
 	if !found {
-		return "", classifier.New(classifier.JobUnknown, "job %s", id)
+		return modeller.JobStatus{}, classifier.New(classifier.JobUnknown, "job %s", id)
 	}
-	return state, nil
+	return status, nil
 }
 
 // Announce adds a stored job to the scheduler before the watch on the store
--- a/coltsfootwick-manager/internal/peer/client.go
+++ b/coltsfootwick-manager/internal/peer/client.go
@@ -47,6 +47,10 @@
 // stateResponse is the response to a query for the state of a job.
 type stateResponse struct {
 	State string `json:"state"`
+	// Queue and Team are absent in the responses of earlier versions. Team is also
+	// absent if the job has none.
+	Queue string `json:"queue,omitempty"`
+	Team  string `json:"team,omitempty"`
 }
 
 // pendingResponse is the response to a query for a queue's pending jobs.
@@ -54,12 +58,17 @@
 	Pending int `json:"pending"`
 }
 
-// State returns the state of a job. The error is JobUnknown if the holder has no
-// such job, and JobUnavailable if it cannot be reached or cannot answer.
-func (cl *Client) State(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobState, error) {
+// State returns the state of a job with its queue and its team, which a holder of an
+// earlier version doesn't name. The error is JobUnknown if the holder has no such job,
+// and JobUnavailable if it cannot be reached or cannot answer.
+func (cl *Client) State(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobStatus, error) {
 	var response stateResponse
 	err := cl.get(ctx, holder, "/jobs/"+url.PathEscape(string(id)), &response)
-	return modeller.JobState(response.State), err
+	return modeller.JobStatus{
+		State: modeller.JobState(response.State),
+		Queue: response.Queue,
+		Team:  response.Team,
+	}, err
 }
 
 // Pending returns the number of a queue's jobs of which no task has started.
--- a/coltsfootwick-manager/internal/peer/handler.go
+++ b/coltsfootwick-manager/internal/peer/handler.go
@@ -17,8 +17,8 @@
 // Scheduler is the scheduler that a handler serves to its peers. The error codes
 // are those of Client.
 type Scheduler interface {
-	// State returns the state of a job.
-	State(ctx context.Context, id modeller.JobID) (modeller.JobState, error)
+	// State returns the state of a job with its queue and its team.
+	State(ctx context.Context, id modeller.JobID) (modeller.JobStatus, error)
 	// Pending returns the number of a queue's jobs of which no task has started.
 	Pending(ctx context.Context, queue modeller.Queue) (int, error)
 	// Announce adds a stored job.
@@ -33,8 +33,12 @@
 func NewHandler(scheduler Scheduler, logger *zap.Logger) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /jobs/{id}", func(rw http.ResponseWriter, rq *http.Request) {
-		state, err := scheduler.State(rq.Context(), modeller.JobID(rq.PathValue("id")))
-		writeResponse(rw, logger, err, stateResponse{State: string(state)})
+		status, err := scheduler.State(rq.Context(), modeller.JobID(rq.PathValue("id")))
+		writeResponse(rw, logger, err, stateResponse{
+			State: string(status.State),
+			Queue: status.Queue,
+			Team:  status.Team,
+		})
 	})
 	mux.HandleFunc("GET /queues/{queue}", func(rw http.ResponseWriter, rq *http.Request) {
 		pending, err := scheduler.Pending(rq.Context(), modeller.Queue{
--- a/coltsfootwick-manager/internal/submitter/address.go
+++ b/coltsfootwick-manager/internal/submitter/address.go
@@ -13,8 +13,16 @@
 	return stored.Queue == queue.Name || stored.Origin.HasAddressOf(queue) || !sm.queues.HasQueue(stored.Queue)
 }
 
+// isOpenTo reports whether a caller of a queue with the key of a team may query, cancel
+// and submit again a job of another or the same team. A job without a team is open to
+// all callers of its queue, and so is every job where callers are not known by keys or
+// the queue is public.
+func isOpenTo(queue modeller.Queue, team, owner string) bool {
+	return owner == "" || team == "" || queue.IsPublic || owner == team
+}
+
 // checkStored returns nil if the stored job with the ID of a submitted one is that
-// job, and a JobIDTaken error if it belongs to another queue. A record that can't be
+// job, and a JobIDTaken error if it belongs to another queue or team. A record that can't be
 // decoded says nothing of the job, which is not stored in any case.
 func (sm *Submitter) checkStored(submitted modeller.Job, stored storer.Entry) error {
 	jr, err := modeller.DecodeJob(stored.Value)
@@ -23,6 +31,8 @@
 		return classifier.Wrap(err, classifier.JobOutcomeUnknown, "job %s", submitted.ID)
 	case !sm.isAddressedBy(submitted.Origin, jr.Job):
 		return classifier.New(classifier.JobIDTaken, "job %s belongs to queue %s", submitted.ID, jr.Job.Queue)
+	case !isOpenTo(submitted.Origin, submitted.Team, jr.Job.Team):
+		return classifier.New(classifier.JobIDTaken, "job %s belongs to another team", submitted.ID)
 	}
 	return nil
 }
--- a/coltsfootwick-manager/internal/submitter/cancel.go
+++ b/coltsfootwick-manager/internal/submitter/cancel.go
@@ -12,15 +12,15 @@
 )
 
 // Cancel implements adapter.Jobs.
-func (sm *Submitter) Cancel(ctx context.Context, queue modeller.Queue, _ string, id modeller.JobID) error {
-	err := sm.cancel(ctx, queue, id)
-	sm.logger.Info("cancellation", zap.String("job", string(id)), zap.String("queue", queue.Name), zap.Error(err))
+func (sm *Submitter) Cancel(ctx context.Context, queue modeller.Queue, team string, id modeller.JobID) error {
+	err := sm.cancel(ctx, queue, team, id)
+	sm.logger.Info("cancellation", zap.String("job", string(id)), zap.String("queue", queue.Name), teamField(team), zap.Error(err))
 	return err
 }
 
-func (sm *Submitter) cancel(ctx context.Context, queue modeller.Queue, id modeller.JobID) error {
+func (sm *Submitter) cancel(ctx context.Context, queue modeller.Queue, team string, id modeller.JobID) error {
 	for {
-		err := sm.cancelOnce(ctx, queue, id)
+		err := sm.cancelOnce(ctx, queue, team, id)
 		if code := classifier.CodeOf(err); code != classifier.PlatformConflict && code != classifier.PlatformAmbiguous {
 			return err
 		}
@@ -33,7 +33,7 @@
 // cancelOnce stores the cancellation request on the condition that the job's
 // record has not changed since it was read, so that no request remains for a
 // job that has ended in the meantime.
-func (sm *Submitter) cancelOnce(ctx context.Context, queue modeller.Queue, id modeller.JobID) error {
+func (sm *Submitter) cancelOnce(ctx context.Context, queue modeller.Queue, team string, id modeller.JobID) error {
 	et, err := sm.store.Get(ctx, archiver.JobKey(id))
 	switch classifier.CodeOf(err) {
 	case classifier.OK:
@@ -49,6 +49,8 @@
 	switch {
 	case !sm.isAddressedBy(queue, jr.Job):
 		return classifier.New(classifier.JobUnknown, "job %s belongs to queue %s", id, jr.Job.Queue)
+	case !isOpenTo(queue, team, jr.Job.Team):
+		return classifier.New(classifier.JobUnknown, "job %s belongs to another team", id)
 	case jr.FinalState != "":
 		return nil
 	}
--- a/coltsfootwick-manager/internal/submitter/state.go
+++ b/coltsfootwick-manager/internal/submitter/state.go
@@ -11,24 +11,33 @@
 // State implements adapter.Jobs. It queries the holder of the scheduler's duty,
 // which has the latest state, and falls back to the store if there is no holder
 // or the query fails.
-func (sm *Submitter) State(ctx context.Context, _ modeller.Queue, _ string, id modeller.JobID) (modeller.JobState, error) {
+func (sm *Submitter) State(ctx context.Context, queue modeller.Queue, team string, id modeller.JobID) (modeller.JobState, error) {
 	if holder, ok := sm.locator.Holder(); ok {
-		state, err := sm.scheduler.State(ctx, holder, id)
+		status, err := sm.scheduler.State(ctx, holder, id)
 		if err == nil {
-			return state, nil
+			return visibleState(queue, team, id, status)
 		}
 	}
-	return sm.storedState(ctx, id)
+	return sm.storedState(ctx, queue, team, id)
+}
+
+// visibleState returns the state of a job to a caller of a queue, or a JobUnknown error
+// if the job is not open to the caller's team.
+func visibleState(queue modeller.Queue, team string, id modeller.JobID, status modeller.JobStatus) (modeller.JobState, error) {
+	if !isOpenTo(queue, team, status.Team) {
+		return "", classifier.New(classifier.JobUnknown, "job %s belongs to another team", id)
+	}
+	return status.State, nil
 }
 
 // storedState returns the state of a job according to its records in the store.
-func (sm *Submitter) storedState(ctx context.Context, id modeller.JobID) (modeller.JobState, error) {
+func (sm *Submitter) storedState(ctx context.Context, queue modeller.Queue, team string, id modeller.JobID) (modeller.JobState, error) {
 	key := archiver.JobKey(id)
 	entries, _, err := sm.store.List(ctx, key)
 	if err != nil {
 		return "", classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
 	}
-	state := modeller.JobState("")
+	status := modeller.JobStatus{}
 	isCancelled := false
 	for _, et := range entries {
 		switch et.Key {
@@ -37,21 +46,25 @@
 			if err != nil {
 				return "", classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
 			}
-			state = modeller.JobRunning
+			status = modeller.JobStatus{
+				State: modeller.JobRunning,
+				Queue: jr.Job.Queue,
+				Team:  jr.Job.Team,
+			}
 			if jr.FinalState != "" {
-				state = jr.FinalState
+				status.State = jr.FinalState
 			}
 		case archiver.CancelKey(id):
 			isCancelled = true
 		}
 	}
 	switch {
-	case state == "":
+	case status.State == "":
 		return "", classifier.New(classifier.JobUnknown, "job %s", id)
-	case isCancelled && !state.IsFinal():
-		return modeller.JobCancelled, nil
+	case isCancelled && !status.State.IsFinal():
+		status.State = modeller.JobCancelled
 	}
-	return state, nil
+	return visibleState(queue, team, id, status)
 }
 
 // Pending implements adapter.Jobs.
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -34,9 +34,9 @@
 // Scheduler is a client of the holder of the scheduler's duty, which may be this
 // manager or another one.
 type Scheduler interface {
-	// State returns the state of a job. The error codes are those of
-	// peer.Client.State.
-	State(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobState, error)
+	// State returns the state of a job with its queue and its team. The error codes
+	// are those of peer.Client.State.
+	State(ctx context.Context, holder netip.AddrPort, id modeller.JobID) (modeller.JobStatus, error)
 	// Pending returns the number of a queue's jobs of which no task has started.
 	Pending(ctx context.Context, holder netip.AddrPort, queue modeller.Queue) (int, error)
 	// Announce sends the record and the payload of a stored job.
@@ -111,13 +111,21 @@
 func (sm *Submitter) Submit(ctx context.Context, jb modeller.Job) error {
 	err := sm.submit(ctx, jb)
 	if err == nil {
-		sm.logger.Info("job accepted", zap.String("job", string(jb.ID)), zap.String("queue", jb.Queue), zap.Int("steps", len(jb.Steps)))
+		sm.logger.Info("job accepted", zap.String("job", string(jb.ID)), zap.String("queue", jb.Queue), teamField(jb.Team), zap.Int("steps", len(jb.Steps)))
 	} else {
-		sm.logger.Warn("job not accepted", zap.String("job", string(jb.ID)), zap.String("queue", jb.Queue), zap.Error(err))
+		sm.logger.Warn("job not accepted", zap.String("job", string(jb.ID)), zap.String("queue", jb.Queue), teamField(jb.Team), zap.Error(err))
 	}
 	return err
 }
 
+// teamField returns the log field of the team of a caller, or none without a team.
+func teamField(team string) zap.Field {
+	if team == "" {
+		return zap.Skip()
+	}
+	return zap.String("team", team)
+}
+
 func (sm *Submitter) submit(ctx context.Context, jb modeller.Job) error {
 	if sm.storeHealth.IsUnavailable() {
 		return classifier.New(classifier.JobRefused, "the store is unavailable")
--- a/coltsfootwick-manager/internal/submitter/submitter_test.go
+++ b/coltsfootwick-manager/internal/submitter/submitter_test.go
@@ -23,8 +23,8 @@
 // jobs, no holder is known, and there are the queues q and other.
 type fakeScheduler struct{ isStoreUnavailable bool }
 
-func (fakeScheduler) State(context.Context, netip.AddrPort, modeller.JobID) (modeller.JobState, error) {
-	return "", classifier.New(classifier.JobUnknown, "no jobs")
+func (fakeScheduler) State(context.Context, netip.AddrPort, modeller.JobID) (modeller.JobStatus, error) {
+	return modeller.JobStatus{}, classifier.New(classifier.JobUnknown, "no jobs")
 }
 
 func (fakeScheduler) Pending(context.Context, netip.AddrPort, modeller.Queue) (int, error) {
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -182,6 +182,7 @@
 // retainedJob is the final state of an ended job, which can still be queried.
 type retainedJob struct {
 	queue   string
+	team    string
 	state   modeller.JobState
 	endedAt time.Time
 }
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -113,6 +113,7 @@
 		if _, ok := al.retained[id]; !ok {
 			al.retained[id] = retainedJob{
 				queue:   jr.Job.Queue,
+				team:    jr.Job.Team,
 				state:   jr.FinalState,
 				endedAt: now,
 			}
@@ -367,6 +368,25 @@
 	return modeller.JobQueued, true
 }
 
+// Status returns the state of a job with its queue and its team, and false if the job
+// is unknown.
+func (al *Allocator) Status(id modeller.JobID) (modeller.JobStatus, bool) {
+	state, ok := al.State(id)
+	if !ok {
+		return modeller.JobStatus{}, false
+	}
+	status := modeller.JobStatus{
+		State: state,
+	}
+	if ended, ok := al.retained[id]; ok {
+		status.Queue, status.Team = ended.queue, ended.team
+	} else {
+		info := al.jobs[id].info
+		status.Queue, status.Team = info.Queue, info.Team
+	}
+	return status, true
+}
+
 // Pending returns the number of a queue's jobs of which no task has started. They
 // include the jobs that were submitted under its address when it had another name.
 func (al *Allocator) Pending(queue modeller.Queue) int {
