storer: a follower delivers no change that is older than the listed key

The pages of a list are read one after the other, and the watch starts at the revision of the first. A key of a later page that changed in between was delivered as listed, then with its earlier changes again: it went back for a moment, or was shown as deleted. Found by reading, in the search for ways in which a process goes back to an older configuration; that key fits into one page, so it was not concerned.

Failed before: TestFollowDeliversNoChangeBeforeAListedOne.

--- a/shared/store/storer/follow.go
+++ b/shared/store/storer/follow.go
@@ -168,8 +168,9 @@
 	before := fr.position
 	for _, ev := range events {
 		// All keys of one transaction have the same revision, so events are
-		// compared with the position before the batch.
-		if ev.Entry.Revision <= before {
+		// compared with the position before the batch. The pages of a list are
+		// read one after the other, so a listed key may be newer than the list.
+		if ev.Entry.Revision <= before || ev.Entry.Revision <= fr.known[ev.Entry.Key] {
 			continue
 		}
 		fr.deliver(ev)
--- a/shared/store/storer/follow_test.go
+++ b/shared/store/storer/follow_test.go
@@ -302,3 +302,39 @@
 		must.Less(t, 100*time.Millisecond, ages[1], must.Sprint("a watch that has waited in vain"))
 	})
 }
+
+// pagedStore has a list whose pages were read one after the other: its revision is that
+// of the first page, and the last page has a later change.
+type pagedStore struct {
+	storer.Store
+	isWatched atomic.Bool
+}
+
+func (*pagedStore) List(context.Context, string) ([]storer.Entry, storer.Revision, error) {
+	return []storer.Entry{{Key: "k/1", Value: []byte("one"), Revision: 1}, {Key: "k/2", Value: []byte("newest"), Revision: 6}}, 3, nil
+}
+
+func (ps *pagedStore) Watch(ctx context.Context, _ string, _ storer.Revision, _ time.Duration) ([]storer.Event, storer.Revision, error) {
+	if ps.isWatched.Swap(true) {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return []storer.Event{
+		{Entry: storer.Entry{Key: "k/2", Value: []byte("older"), Revision: 4}},
+		{Entry: storer.Entry{Key: "k/2", Revision: 5}, Deleted: true},
+		{Entry: storer.Entry{Key: "k/2", Value: []byte("newest"), Revision: 6}},
+		{Entry: storer.Entry{Key: "k/1", Value: []byte("two"), Revision: 7}},
+	}, 7, nil
+}
+
+// TestFollowDeliversNoChangeBeforeAListedOne guards against a key that goes back to an
+// earlier value, since the watch starts at the first page of the list.
+func TestFollowDeliversNoChangeBeforeAListedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vw := newView(t)
+		stop := follow(t, &pagedStore{}, vw)
+		synctest.Wait()
+		stop()
+		must.Eq(t, map[string]string{"k/1": "two", "k/2": "newest"}, vw.values)
+	})
+}
