--- a/coltsfootwick-manager/internal/router/teams_test.go
+++ b/coltsfootwick-manager/internal/router/teams_test.go
@@ -281,3 +281,24 @@
 		must.False(t, strings.Contains(fmt.Sprint(entry.Message, entry.ContextMap()), "secret"))
 	}
 }
+
+// Guards against keys of large deployments that identify no team or another one.
+func TestEachOfManyKeysIdentifiesItsTeam(t *testing.T) {
+	const count = 2000
+	tenants := make([]string, 0, count)
+	for number := range count {
+		tenants = append(tenants, fmt.Sprintf(`{"name":"t%d","api_keys":["first-%d","second-%d"]}`, number, number, number))
+	}
+	ro := New(keeper.New().Zone("a"), zap.NewNop())
+	cf, ok := ro.decode(storer.Entry{Value: []byte(`{"version":1,"tenants":[` + strings.Join(tenants, ",") + `]}`)})
+	must.True(t, ok)
+	ro.apply(cf)
+	for number := range count {
+		for _, key := range []string{"first", "second"} {
+			name, _ := ro.table.Load().teams.Team(fmt.Sprintf("%s-%d", key, number))
+			must.Eq(t, fmt.Sprintf("t%d", number), name)
+		}
+	}
+	_, ok = ro.table.Load().teams.Team("third-1")
+	must.False(t, ok)
+}
