modeller, adapter: teams in the configuration and in the records of jobs

The stored configuration may list tenants with their API keys, and mark routes as public. Nothing read them, and a job's record didn't say whose job it is.

Job.Team is stored as team, absent if empty, and kept in the record of an ended job. Nothing checks keys yet.

--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -67,6 +67,9 @@
 	// Origin is the queue as it was configured when the job was accepted. It is not
 	// kept for jobs whose records are removed.
 	Origin modeller.Queue
+	// Team is the job's team, or empty. It is not kept for jobs whose records are
+	// removed.
+	Team string
 	// State is the final state.
 	State modeller.JobState
 }
@@ -179,6 +182,7 @@
 				ID:     jb.info.ID,
 				Queue:  jb.info.Queue,
 				Origin: jb.info.Origin,
+				Team:   jb.info.Team,
 				State:  jb.outcome,
 			})
 			continue
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -196,6 +196,7 @@
 			ID:     ej.ID,
 			Queue:  ej.Queue,
 			Origin: ej.Origin,
+			Team:   ej.Team,
 		},
 		FinalState: ej.State,
 		EndedAtMS:  endedAtMS,
--- a/shared/jobs/archiver/archiver_test.go
+++ b/shared/jobs/archiver/archiver_test.go
@@ -161,6 +161,15 @@
 	must.Eq(t, 1000, len(large.Tasks[999].Checkpoint)/4, must.Sprint("the progress itself keeps its checkpoints"))
 }
 
+// Guards against ended jobs that callers of other teams can query.
+func TestRecordOfAnEndedJobHasItsTeam(t *testing.T) {
+	part, err := jobEndPart(allocator.EndedJob{ID: "j", Queue: "q", Team: "t", State: modeller.JobCompleted}, 1)
+	must.NoError(t, err)
+	jr, err := modeller.DecodeJob(part.writes[0].Value)
+	must.NoError(t, err)
+	must.Eq(t, "t", jr.Job.Team)
+}
+
 // Guards against a later job with the same ID that is taken for cancelled.
 func TestEndOfJobLeavesNoCancellation(t *testing.T) {
 	store := keeper.New().Zone("a")
--- a/shared/jobs/modeller/codec.go
+++ b/shared/jobs/modeller/codec.go
@@ -16,6 +16,8 @@
 	Host   string       `json:"host,omitempty"`
 	Prefix string       `json:"prefix,omitempty"`
 	Origin *queueRecord `json:"origin,omitempty"`
+	// Team is absent if the job has none.
+	Team string `json:"team,omitempty"`
 	// Payload is part of the records of earlier versions.
 	Payload string `json:"payload,omitempty"`
 	// IsPayloadSeparate is true if the payload has a key of its own.
@@ -76,6 +78,7 @@
 		Queue:       jr.Job.Queue,
 		Host:        jr.Job.Origin.Host,
 		Prefix:      jr.Job.Origin.Prefix,
+		Team:        jr.Job.Team,
 		Occurrences: jr.Job.Occurrences,
 		IntervalMS:  jr.Job.Interval.Milliseconds(),
 		FinalState:  string(jr.FinalState),
@@ -142,6 +145,7 @@
 			ID:          JobID(rec.ID),
 			Queue:       rec.Queue,
 			Origin:      rec.origin(),
+			Team:        rec.Team,
 			Payload:     rec.Payload,
 			Occurrences: rec.Occurrences,
 			Interval:    milliseconds(rec.IntervalMS),
--- a/shared/jobs/modeller/codec_test.go
+++ b/shared/jobs/modeller/codec_test.go
@@ -18,6 +18,8 @@
 			Advice: &Advice{DecisionTime: 5 * time.Millisecond, TimePerWorker: 2 * time.Millisecond, Validity: 3 * time.Second},
 		}, Steps: []Step{{Count: 2, DependsOn: nil, Estimate: time.Second}, {Count: 1, DependsOn: []int{0}}}}},
 		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q"}}, FinalState: JobCompleted, EndedAtMS: 7},
+		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q"}, Team: "t", Steps: []Step{{Count: 1}}}},
+		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q"}, Team: "t"}, FinalState: JobCompleted, EndedAtMS: 7},
 	} {
 		data, err := EncodeJob(jr)
 		must.NoError(t, err)
@@ -73,3 +75,10 @@
 	must.NoError(t, err)
 	must.True(t, jb.FirstAt.Equal(decoded.Job.FirstAt))
 }
+
+// Guards against records of deployments without teams that differ from earlier ones.
+func TestRecordOfAJobWithoutATeamHasNoTeam(t *testing.T) {
+	data, err := EncodeJob(JobRecord{Job: Job{ID: "j", Queue: "q", Steps: []Step{{Count: 1}}}})
+	must.NoError(t, err)
+	must.StrNotContains(t, string(data), "team")
+}
--- a/shared/jobs/modeller/job.go
+++ b/shared/jobs/modeller/job.go
@@ -20,6 +20,9 @@
 	Queue string
 	// Origin is the queue as it was configured then.
 	Origin Queue
+	// Team is the name of the team that submitted the job, or empty if the request
+	// carried no valid key.
+	Team string
 	// Payload is passed unchanged to each task.
 	Payload string
 	// Steps are the job's steps.
--- a/shared/jobs/modeller/progress.go
+++ b/shared/jobs/modeller/progress.go
@@ -33,8 +33,8 @@
 // JobRecord is the stored record of a job. It holds the job, without its payload,
 // until this has ended, and then only its final state.
 type JobRecord struct {
-	// Job is the job as submitted. Once it has ended, only its ID and queue are
-	// kept.
+	// Job is the job as submitted. Once it has ended, only its ID, queue and team
+	// are kept.
 	Job Job
 	// HasPayload is true if the job's payload is known. It is stored apart from
 	// the record.
--- a/shared/jobs/modeller/queue.go
+++ b/shared/jobs/modeller/queue.go
@@ -21,6 +21,8 @@
 	Timeout time.Duration
 	// Advice is set if only some workers are permitted to run a step.
 	Advice *Advice
+	// IsPublic is true if requests need no key.
+	IsPublic bool
 }
 
 // HasAddressOf reports whether callers address both queues in the same way. A queue
@@ -55,7 +57,7 @@
 	MaxBodyBytes int
 }
 
-// Configuration is the operators' configuration of queues and pools.
+// Configuration is the operators' configuration of queues, pools and teams.
 type Configuration struct {
 	// Version increases with each configuration.
 	Version int64
@@ -65,4 +67,7 @@
 	Pools map[string]Pool
 	// Limits bound callers' requests.
 	Limits Limits
+	// Teams are the teams by name, or nil if requests need no keys. With an empty map,
+	// no key is valid.
+	Teams map[string]Team
 }
--- a/standin/internal/emulator/store.go
+++ b/standin/internal/emulator/store.go
@@ -46,6 +46,7 @@
 			Job: modeller.Job{
 				ID:    ej.ID,
 				Queue: ej.Queue,
+				Team:  ej.Team,
 			},
 			FinalState: ej.State,
 		}
