allocator: hold the runs of teams to their caps

A team could use any part of the fleet. Each run now counts against its team's cap from the decision to start it until its end is reported or it is dropped: addRun and removeRun are the only places. Gangs count whole, filling tasks with their processors, orphaned runs by their step or by the worker's capacity, and after a take-over the tasks that an earlier holder may have started on workers that haven't reported, at most what these have room for.

The waiting list of a pool is one list for each team, in a heap by their first jobs. A team of which the cap allows no waiting task leaves the heap until its usage decreases, so that its jobs cost nothing while other runs end. Its demand moves no VMs beyond what the cap leaves, and a long-running task of a team above its cap isn't evicted for another place, where it could not start.

Without teams there is one list, and the existing tests of order and effort hold.

TestWaitingListKeepsServiceOrder reads the list of the team without a name, which is the whole list there.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -142,6 +142,7 @@
 	arrivals map[string]*forecaster.Forecaster
 	// changes are those since tasks were last placed.
 	changes changes
+	usage   *teamUsage
 	// scheduledJobs counts all jobs with occurrences recorded so far.
 	scheduledJobs int
 	fleet         *fleet
@@ -182,6 +183,7 @@
 // retainedJob is the final state of an ended job, which can still be queried.
 type retainedJob struct {
 	queue   string
+	team    string
 	state   modeller.JobState
 	endedAt time.Time
 }
@@ -198,6 +200,7 @@
 		retained:             map[modeller.JobID]retainedJob{},
 		waiting:              map[string]*waitingList{},
 		arrivals:             map[string]*forecaster.Forecaster{},
+		usage:                newTeamUsage(),
 		fleet:                newFleet(),
 		startedAt:            now,
 		confirmedAt:          now,
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -258,6 +258,7 @@
 	for _, ended := range bt.Ended {
 		al.retained[ended.ID] = retainedJob{
 			queue:   ended.Queue,
+			team:    ended.Team,
 			state:   ended.State,
 			endedAt: now,
 		}
--- a/shared/jobs/allocator/evict.go
+++ b/shared/jobs/allocator/evict.go
@@ -33,8 +33,11 @@
 }
 
 // hasOtherPlace reports whether another worker can take the task of a run now. Its
-// queue may have another pool by now.
+// queue may have another pool by now. A team above its cap may not start it again.
 func (al *Allocator) hasOtherPlace(now time.Time, rn *run) bool {
+	if rn.charge != nil && al.usage.limiter.IsOver(rn.charge.team) {
+		return false
+	}
 	wk := al.chooseWorker(now, rn.task, al.workers.byPool[rn.task.step.job.queue.Pool], "")
 	return wk != nil && wk != rn.worker
 }
@@ -103,7 +106,9 @@
 // hasWaitingTasks reports whether tasks wait for workers of a pool.
 func (al *Allocator) hasWaitingTasks(pool string) bool {
 	wl := al.waiting[pool]
-	return wl != nil && slices.ContainsFunc(wl.ranked, func(rj rankedJob) bool { return rj.job.mayWait() })
+	return wl != nil && slices.ContainsFunc(wl.order, func(tl *teamList) bool {
+		return slices.ContainsFunc(tl.ranked, func(rj rankedJob) bool { return rj.job.mayWait() })
+	})
 }
 
 // isHalfEmpty reports whether less than half of the cores of a pool's workers are in
--- a/shared/jobs/allocator/gang.go
+++ b/shared/jobs/allocator/gang.go
@@ -15,6 +15,9 @@
 		al.rejoinGang(now, st, eligible, current)
 		return
 	}
+	if !al.usage.allows(st, st.startedTogether()) {
+		return
+	}
 	attempt := 0
 	checkpoint := ""
 	for _, tk := range st.tasks {
@@ -39,6 +42,15 @@
 	}
 }
 
+// startedTogether returns how many tasks of the step start at once: all of a gang, unless
+// some of its members run.
+func (st *step) startedTogether() int {
+	if st.spec.IsGang && st.runningAttempt() == 0 {
+		return len(st.tasks)
+	}
+	return 1
+}
+
 // runningAttempt returns the attempt of a gang's running members, or zero.
 func (st *step) runningAttempt() int {
 	for _, tk := range st.tasks {
@@ -62,6 +74,9 @@
 		if tk.run != nil || tk.isDone || !al.isReady(now, tk) {
 			continue
 		}
+		if !al.usage.allows(st, 1) {
+			return
+		}
 		if wk := al.chooseWorker(now, tk, eligible, ""); wk != nil {
 			al.startTask(now, tk, wk, attempt)
 		}
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -45,9 +45,9 @@
 	storedVersion int
 	// loadedProgress is the progress that earlier holders have stored, by task.
 	loadedProgress map[modeller.TaskName]modeller.TaskProgress
-	// list is the waiting list that contains the job, with the keys of rank, or
-	// nil.
-	list *waitingList
+	// list is the list of waiting jobs that contains the job, with the keys of rank,
+	// or nil.
+	list *teamList
 	rank rankedJob
 }
 
@@ -56,6 +56,7 @@
 		return
 	}
 	al.configuration = cf
+	al.usage.setTeams(cf.Teams)
 	clear(al.waiting)
 	for _, id := range slices.Sorted(maps.Keys(al.jobs)) {
 		jb := al.jobs[id]
@@ -113,6 +114,7 @@
 		if _, ok := al.retained[id]; !ok {
 			al.retained[id] = retainedJob{
 				queue:   jr.Job.Queue,
+				team:    jr.Job.Team,
 				state:   jr.FinalState,
 				endedAt: now,
 			}
@@ -203,6 +205,12 @@
 			job:           jb,
 			runsPerWorker: map[modeller.WorkerID]int{},
 		}
+		if jb.info.Team != "" {
+			st.charge = &charge{
+				team:   jb.info.Team,
+				demand: spec.Demand,
+			}
+		}
 		for index := range spec.Count {
 			tk := &task{
 				name: modeller.TaskName{
--- a/shared/jobs/allocator/load.go
+++ b/shared/jobs/allocator/load.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"coltsfootwick.example/shared/jobs/limiter"
 )
 
 // Load describes how far the scheduler keeps up with its work.
@@ -18,6 +20,18 @@
 	Reports, RepeatedEnds int
 	// Pools are the pools with queues, by name.
 	Pools []PoolLoad
+	// Teams are the teams with caps, those nearest to theirs.
+	Teams []TeamLoad
+}
+
+// maxTeamLoads limits the teams of a Load.
+const maxTeamLoads = 10
+
+// TeamLoad is what a team has running and waiting because of its cap.
+type TeamLoad struct {
+	limiter.Usage
+	// HeldJobs counts the jobs of which the cap allows no task that could start.
+	HeldJobs int
 }
 
 // PoolLoad is the demand of a pool and what there is for it.
@@ -40,11 +54,22 @@
 		RepeatedEnds: al.repeatedEnds,
 	}
 	al.reports, al.repeatedEnds = 0, 0
+	heldJobs := map[string]int{}
 	for _, jb := range al.jobs {
-		if jb.outcome == "" && !jb.isCancelled && jb.hasWaitingTasks() {
-			ld.WaitingJobs++
+		if !jb.mayWait() {
+			continue
+		}
+		ld.WaitingJobs++
+		if al.isHeldBack(jb) {
+			heldJobs[jb.info.Team]++
 		}
 	}
+	for _, us := range al.usage.limiter.Nearest(maxTeamLoads) {
+		ld.Teams = append(ld.Teams, TeamLoad{
+			Usage:    us,
+			HeldJobs: heldJobs[us.Team],
+		})
+	}
 	for _, wk := range al.workers.byID {
 		if len(wk.unstoredEnds) > 0 {
 			ld.UnstoredEnds++
@@ -63,3 +88,24 @@
 	slices.SortFunc(ld.Pools, func(a, b PoolLoad) int { return cmp.Compare(a.Name, b.Name) })
 	return ld
 }
+
+// isHeldBack reports whether the cap of a job's team allows none of the tasks that could
+// start.
+func (al *Allocator) isHeldBack(jb *job) bool {
+	if !al.usage.hasCaps {
+		return false
+	}
+	isHeld := false
+	for _, oc := range jb.occurrences {
+		for _, st := range oc.steps {
+			if st.waitingCount == 0 || !oc.areDependenciesDone(st) {
+				continue
+			}
+			if al.usage.allows(st, st.startedTogether()) {
+				return false
+			}
+			isHeld = true
+		}
+	}
+	return isHeld
+}
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -397,15 +397,18 @@
 }
 
 // demandByPool returns the demand of each pool. Waiting tasks of late jobs are
-// not counted, since such jobs only use spare capacity.
+// not counted, since such jobs only use spare capacity. Those of a team count as far as
+// its cap allows.
 func (al *Allocator) demandByPool(now time.Time) map[string]demand {
 	demands := map[string]demand{}
+	limited := map[teamInPool]modeller.Resources{}
 	for _, jb := range al.jobs {
 		if jb.queue.Pool == "" || jb.outcome != "" || jb.isCancelled {
 			continue
 		}
 		class, _ := jb.serviceClass(now)
 		isOnTime := class <= classOnTime
+		isLimited := al.usage.hasCaps && al.usage.limiter.IsLimited(jb.info.Team)
 		dm := demands[jb.queue.Pool]
 		for _, oc := range jb.occurrences {
 			for _, st := range oc.steps {
@@ -413,24 +416,46 @@
 					continue
 				}
 				counted := len(st.tasks) - st.doneCount - st.waitingCount
-				if isOnTime {
+				if isOnTime && isLimited {
+					key := teamInPool{team: jb.info.Team, pool: jb.queue.Pool}
+					limited[key] = limited[key].Plus(st.reserved.Times(st.waitingCount))
+				} else if isOnTime {
 					counted += st.waitingCount
+				}
+				if isOnTime {
 					dm.urgentResources = dm.urgentResources.Plus(st.reserved.Times(counted))
 				}
 				dm.resources = dm.resources.Plus(st.reserved.Times(counted))
 				if st.spec.IsLongRunning {
-					dm.addLongRunning(st)
+					dm.addLongRunning(st, !al.usage.allows(st, 1))
 					dm.minWorkers = max(dm.minWorkers, minWorkersOf(st.spec)+1)
 				}
 			}
 		}
 		demands[jb.queue.Pool] = dm
 	}
+	for key, waiting := range limited {
+		dm := demands[key.pool]
+		waiting = al.usage.limiter.Bound(key.team, waiting)
+		dm.resources = dm.resources.Plus(waiting)
+		dm.urgentResources = dm.urgentResources.Plus(waiting)
+		demands[key.pool] = dm
+	}
 	return demands
 }
 
-func (dm *demand) addLongRunning(st *step) {
+// teamInPool identifies the jobs of a team in a pool.
+type teamInPool struct {
+	team, pool string
+}
+
+// addLongRunning counts a step's tasks. Waiting ones that their team's cap holds back
+// require no workers.
+func (dm *demand) addLongRunning(st *step, isHeldBack bool) {
 	dm.longRunning += len(st.tasks) - st.doneCount
+	if isHeldBack {
+		return
+	}
 	dm.waitingLongRunning += st.waitingCount
 	dm.waitingResources = dm.waitingResources.Plus(st.reserved.Times(st.waitingCount))
 }
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -9,8 +9,9 @@
 	if !al.isLoaded {
 		return
 	}
+	al.updateUncertainty(now)
 	pl := al.newPlacement(now)
-	for jb, pp := pl.next(); jb != nil; jb, pp = pl.next() {
+	for jb, pp := al.nextJob(pl); jb != nil; jb, pp = al.nextJob(pl) {
 		al.effort.jobs++
 		orderCount := len(al.orders)
 		al.placeJob(jb, pp, pl)
@@ -70,7 +71,7 @@
 
 // startTasks starts a step's waiting tasks, as far as there are workers for them.
 func (al *Allocator) startTasks(now time.Time, st *step, pp *poolPlacement) {
-	if !al.hasRoomFor(now, pp, labelledDemand{
+	if !al.usage.allows(st, 1) || !al.hasRoomFor(now, pp, labelledDemand{
 		resources: st.reserved,
 		label:     st.spec.RequiredLabel,
 	}) {
@@ -85,6 +86,9 @@
 		if tk.run != nil || tk.isDone || !al.isReady(now, tk) {
 			continue
 		}
+		if !al.usage.allows(st, 1) {
+			return
+		}
 		wk := last
 		if last == nil || !st.prefersSameWorker() || !al.suits(now, tk, last, avoidanceTime) {
 			wk = al.chooseWorker(now, tk, pp.workers, "")
--- a/shared/jobs/allocator/placement.go
+++ b/shared/jobs/allocator/placement.go
@@ -17,16 +17,11 @@
 
 // poolPlacement is the part of a placement in one pool.
 type poolPlacement struct {
-	name     string
-	list     *waitingList
-	position int
-	workers  []*worker
+	name    string
+	list    *waitingList
+	workers []*worker
 	// isFull is true once no worker has room for any waiting task.
 	isFull bool
-	// smallest is the smallest demand of the jobs considered so far that still
-	// wait, and waitingCount the number of these jobs.
-	smallest     modeller.Resources
-	waitingCount int
 	// maxFree is, in each resource, at least what any eligible worker has free,
 	// once hasMaxFree is true. Free resources only shrink during a placement.
 	maxFree    modeller.Resources
@@ -50,8 +45,9 @@
 		now:     now,
 		oldRuns: oldRunChecks{},
 	}
+	al.releaseHeld()
 	for pool, wl := range al.waiting {
-		if _, isChanged := al.changes.pools[pool]; !isChanged && !al.changes.isEveryPool || len(wl.ranked) == 0 {
+		if _, isChanged := al.changes.pools[pool]; !isChanged && !al.changes.isEveryPool || len(wl.order) == 0 {
 			continue
 		}
 		pp := &poolPlacement{
@@ -69,23 +65,48 @@
 	return pl
 }
 
-// next returns the next job of all pools in the order of service, and its pool.
+// nextJob returns the next job of all pools in the order of service, and its pool.
 // After the last job it returns nil.
-func (pl *placement) next() (*job, *poolPlacement) {
+func (al *Allocator) nextJob(pl *placement) (*job, *poolPlacement) {
 	var best *poolPlacement
 	for _, pp := range pl.pools {
-		if pp.isFull || pp.position >= len(pp.list.ranked) {
+		if pp.isFull || !al.findHead(pp) {
 			continue
 		}
-		if best == nil || pp.list.ranked[pp.position].compare(best.list.ranked[best.position]) < 0 {
+		if best == nil || pp.list.order[0].compare(best.list.order[0]) < 0 {
 			best = pp
 		}
 	}
 	if best == nil {
 		return nil, nil
 	}
-	best.position++
-	return best.list.ranked[best.position-1].job, best
+	return best.take(), best
+}
+
+// findHead reports whether a pool has a further job to consider, which is then the next
+// one of the first list. It holds the lists of teams back that may not start any task.
+func (al *Allocator) findHead(pp *poolPlacement) bool {
+	wl := pp.list
+	for len(wl.order) > 0 && !wl.order[0].isExhausted() {
+		tl := wl.order[0]
+		if !al.usage.isHeldBack(tl) {
+			return true
+		}
+		al.usage.hold(tl)
+	}
+	return false
+}
+
+// take returns the next job of the first list and advances that list.
+func (pp *poolPlacement) take() *job {
+	tl := pp.list.order[0]
+	jb := tl.ranked[tl.position].job
+	if tl.position == 0 {
+		pp.list.considered = append(pp.list.considered, tl)
+	}
+	tl.position++
+	tl.restoreOrder()
+	return jb
 }
 
 // consider notes a job that has been considered. A job without waiting tasks
@@ -93,20 +114,35 @@
 func (pp *poolPlacement) consider(jb *job) {
 	if !jb.mayWait() {
 		jb.withdraw()
-		pp.position--
 		return
 	}
-	pp.smallest = smallestDemand(jb, pp.smallest, pp.waitingCount == 0)
-	pp.waitingCount++
+	tl := jb.list
+	tl.considered.include(jb, tl.consideredCount == 0)
+	tl.consideredCount++
 }
 
 // finish updates the smallest demands of the lists that were considered to the
-// end.
+// end, and resets the lists for the next placement.
 func (pl *placement) finish() {
 	for _, pp := range pl.pools {
-		if !pp.isFull && pp.waitingCount > 0 {
-			pp.list.smallest = pp.smallest
+		isFirst := true
+		for _, tl := range pp.list.considered {
+			if tl.isExhausted() && tl.consideredCount > 0 {
+				tl.least = tl.considered
+			}
+			if !pp.isFull && !tl.isHeld && tl.consideredCount > 0 {
+				if isFirst {
+					pp.list.smallest = tl.least.reserved
+				}
+				pp.list.smallest = pp.list.smallest.Min(tl.least.reserved)
+				isFirst = false
+			}
+			tl.consideredCount = 0
+			tl.position = 0
+			tl.restoreOrder()
 		}
+		clear(pp.list.considered)
+		pp.list.considered = pp.list.considered[:0]
 	}
 }
 
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -166,6 +166,7 @@
 		al.assignRun(tk, rn)
 		al.log(LogEntry{Message: "run adopted", Task: rn.name.String(), Worker: wk.info.ID, Attempt: rn.attempt, Reason: "reported by its worker"})
 	} else {
+		al.chargeOrphan(rn)
 		al.log(LogEntry{Message: "orphaned run reported", Task: rn.name.String(), Worker: wk.info.ID, Attempt: rn.attempt, Reason: "reported by its worker"})
 	}
 	wk.addRun(rn)
--- a/shared/jobs/allocator/run.go
+++ b/shared/jobs/allocator/run.go
@@ -31,7 +31,9 @@
 	// task is nil for an orphaned run, which is to be stopped.
 	task     *task
 	reserved modeller.Resources
-	state    runState
+	// charge is what the run counts against its team's cap, or nil if it has no team.
+	charge *charge
+	state  runState
 	// sentAt is when the start was decided, or since when it is unconfirmed.
 	// confirmedAt is when the run was first known to be running.
 	sentAt, confirmedAt time.Time
@@ -57,6 +59,7 @@
 	}
 	wk.runs[rn.name] = rn
 	wk.used = wk.used.Plus(rn.reserved)
+	wk.teams.add(rn)
 	wk.neighbours.count(rn, 1)
 }
 
@@ -65,6 +68,7 @@
 	if wk.runs[rn.name] == rn {
 		delete(wk.runs, rn.name)
 		wk.used = wk.used.Minus(rn.reserved)
+		wk.teams.remove(rn)
 		wk.neighbours.count(rn, -1)
 	}
 }
--- a/shared/jobs/allocator/task.go
+++ b/shared/jobs/allocator/task.go
@@ -35,7 +35,10 @@
 type step struct {
 	spec modeller.Step
 	// reserved is what each task reserves on its worker.
-	reserved     modeller.Resources
+	reserved modeller.Resources
+	// charge is what each run counts against the cap of the job's team, or nil if it
+	// has none.
+	charge       *charge
 	job          *job
 	tasks        []*task
 	doneCount    int
@@ -158,6 +161,7 @@
 // assignRun assigns a run to its task.
 func (al *Allocator) assignRun(tk *task, rn *run) {
 	tk.run = rn
+	rn.charge = tk.step.charge
 	tk.attempt = max(tk.attempt, rn.attempt)
 	tk.step.waitingCount--
 	tk.step.runsPerWorker[rn.worker.info.ID]++
--- a/shared/jobs/allocator/waiting.go
+++ b/shared/jobs/allocator/waiting.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"slices"
 	"time"
 
 	"coltsfootwick.example/shared/jobs/modeller"
@@ -10,13 +9,19 @@
 
 // waitingList holds the jobs of a pool that may have waiting tasks.
 type waitingList struct {
-	// ranked are the jobs in the order of service. Jobs that have no waiting
-	// tasks any more stay until they are considered for placement.
-	ranked []rankedJob
-	due    dueChanges
-	// insertions counts the insertions.
-	insertions int
-	// smallest is at most the demand of any waiting task, in each resource.
+	// name is the pool's name.
+	name string
+	// teams are the lists of the teams by name. order are those with waiting jobs that
+	// aren't held back.
+	teams map[string]*teamList
+	order teamOrder
+	// considered are the lists of which the present placement has considered a job.
+	considered []*teamList
+	due        dueChanges
+	// jobs is the number of jobs in the list, and insertions counts the insertions.
+	jobs, insertions int
+	// smallest is at most the demand of any waiting task that isn't held back, in each
+	// resource.
 	smallest modeller.Resources
 	// hasAdvice is true if a queue of the pool has an advice service, which is
 	// asked even while no worker has room.
@@ -34,15 +39,48 @@
 	al.changes.note(pool)
 	wl := al.waiting[pool]
 	if wl == nil {
-		wl = &waitingList{}
+		wl = &waitingList{
+			name:  pool,
+			teams: map[string]*teamList{},
+		}
 		al.waiting[pool] = wl
 	}
 	wl.hasAdvice = wl.hasAdvice || jb.queue.Advice != nil
-	wl.smallest = smallestDemand(jb, wl.smallest, len(wl.ranked) == 0)
+	tl := wl.teamList(jb.info.Team)
+	tl.least.include(jb, len(tl.ranked) == 0)
+	if !tl.isHeld {
+		wl.smallest = smallestDemand(jb, wl.smallest, len(wl.order) == 0)
+	}
 	if jb.list == nil {
 		wl.insert(newRankedJob(now, jb))
 		al.effort.jobs++
 	}
+	if tl.isHeld && !al.usage.isHeldBack(tl) {
+		al.usage.released[tl.team] = struct{}{}
+	}
+}
+
+// teamList returns the list of a team.
+func (wl *waitingList) teamList(team string) *teamList {
+	tl := wl.teams[team]
+	if tl == nil {
+		tl = &teamList{
+			team:  team,
+			pool:  wl,
+			index: -1,
+		}
+		wl.teams[team] = tl
+	}
+	return tl
+}
+
+// lower lowers the smallest demand, unless there is no other one.
+func (wl *waitingList) lower(demand modeller.Resources) {
+	if len(wl.order) == 0 {
+		wl.smallest = demand
+		return
+	}
+	wl.smallest = wl.smallest.Min(demand)
 }
 
 // minDueChanges is the number of due changes up to which void ones are kept.
@@ -52,11 +90,12 @@
 func (wl *waitingList) insert(rj rankedJob) {
 	wl.insertions++
 	rj.insertion = wl.insertions
-	rj.job.list = wl
+	tl := wl.teamList(rj.job.info.Team)
+	rj.job.list = tl
 	rj.job.rank = rj
-	position, _ := slices.BinarySearchFunc(wl.ranked, rj, rankedJob.compare)
-	wl.ranked = slices.Insert(wl.ranked, position, rj)
-	wl.due.discardVoid(2*len(wl.ranked) + minDueChanges)
+	tl.insert(rj)
+	wl.jobs++
+	wl.due.discardVoid(2*wl.jobs + minDueChanges)
 	if !rj.until.IsZero() {
 		heap.Push(&wl.due, dueChange{
 			at:        rj.until,
@@ -71,19 +110,18 @@
 	if jb.list == nil {
 		return
 	}
-	if position, ok := slices.BinarySearchFunc(jb.list.ranked, jb.rank, rankedJob.compare); ok {
-		jb.list.ranked = slices.Delete(jb.list.ranked, position, position+1)
-	}
+	jb.list.pool.jobs--
+	jb.list.remove(jb.rank)
 	jb.list = nil
 }
 
 // rerank updates a job's place in its waiting list.
 func (al *Allocator) rerank(now time.Time, jb *job) {
-	wl := jb.list
-	if wl == nil {
+	if jb.list == nil {
 		return
 	}
 	al.effort.jobs++
+	wl := jb.list.pool
 	jb.withdraw()
 	wl.insert(newRankedJob(now, jb))
 }
@@ -99,22 +137,23 @@
 // smallestDemand returns the smaller of a demand and those of a job's waiting
 // tasks, in each resource. It ignores the given demand if isFirst is true.
 func smallestDemand(jb *job, smallest modeller.Resources, isFirst bool) modeller.Resources {
+	return smallestOf(jb, smallest, isFirst, func(st *step) modeller.Resources { return st.reserved })
+}
+
+// smallestOf is smallestDemand for a given demand of each step.
+func smallestOf(jb *job, smallest modeller.Resources, isFirst bool, demandOf func(*step) modeller.Resources) modeller.Resources {
 	for _, oc := range jb.occurrences {
 		for _, st := range oc.steps {
 			if st.waitingCount == 0 {
 				continue
 			}
-			demand := st.reserved
+			demand := demandOf(st)
 			if isFirst {
 				smallest = demand
 				isFirst = false
 				continue
 			}
-			smallest = modeller.Resources{
-				MilliCores:   min(smallest.MilliCores, demand.MilliCores),
-				MemoryMB:     min(smallest.MemoryMB, demand.MemoryMB),
-				Accelerators: min(smallest.Accelerators, demand.Accelerators),
-			}
+			smallest = smallest.Min(demand)
 		}
 	}
 	return smallest
--- a/shared/jobs/allocator/waiting_test.go
+++ b/shared/jobs/allocator/waiting_test.go
@@ -110,10 +110,11 @@
 				continue
 			}
 			fx.al.rerankDue(fx.now, wl)
-			must.Eq(t, serviceOrder(fx), jobIDs(wl.ranked))
-			longest = max(longest, len(wl.ranked))
+			ranked := wl.teams[""].ranked
+			must.Eq(t, serviceOrder(fx), jobIDs(ranked))
+			longest = max(longest, len(ranked))
 			must.LessEq(t, 2*longest+minDueChanges+1, len(wl.due))
-			for _, rj := range wl.ranked {
+			for _, rj := range ranked {
 				if rj.job.mayWait() {
 					must.Eq(t, wl.smallest, smallestDemand(rj.job, wl.smallest, false))
 				}
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -72,6 +72,8 @@
 	// hold.
 	runs map[modeller.TaskName]*run
 	used modeller.Resources
+	// teams accounts the runs against the caps of their teams.
+	teams *teamUsage
 	// neighbours counts the runs by what they mean for other runs.
 	neighbours neighbourCounts
 	// lastProcessedEnd, lastStoredEnd and lastAckedEnd are the numbers of the last end
@@ -108,6 +110,7 @@
 			runs:       map[modeller.TaskName]*run{},
 			failedJobs: map[modeller.JobID]struct{}{},
 			generation: al.forgottenGenerations[info.ID],
+			teams:      al.usage,
 		}
 		wk.mayHoldOldRuns = !al.isLoaded && al.isRosterIncomplete
 		wk.info = info
--- a/shared/jobs/limiter/limiter.go
+++ b/shared/jobs/limiter/limiter.go
@@ -104,25 +104,29 @@
 	return ac != nil && !ac.has(modeller.Resources{})
 }
 
-// Bound returns the part of a demand that is within what a team's cap leaves.
+// Bound returns the part of the demand of many tasks that is within what a team's cap
+// leaves. The tasks are alike, so the part is the same in each resource.
 func (lr *Limiter) Bound(team string, demand modeller.Resources) modeller.Resources {
 	ac := lr.accounts[team]
 	if ac == nil {
 		return demand
 	}
 	used := ac.total()
+	part := min(partLeft(demand.MilliCores, used.MilliCores, ac.limit.MilliCores), partLeft(demand.MemoryMB, used.MemoryMB, ac.limit.MemoryMB),
+		partLeft(demand.Accelerators, used.Accelerators, ac.limit.Accelerators))
 	return modeller.Resources{
-		MilliCores:   boundOne(demand.MilliCores, used.MilliCores, ac.limit.MilliCores),
-		MemoryMB:     boundOne(demand.MemoryMB, used.MemoryMB, ac.limit.MemoryMB),
-		Accelerators: boundOne(demand.Accelerators, used.Accelerators, ac.limit.Accelerators),
+		MilliCores:   int(part * float64(demand.MilliCores)),
+		MemoryMB:     int(part * float64(demand.MemoryMB)),
+		Accelerators: int(part * float64(demand.Accelerators)),
 	}
 }
 
-func boundOne(demand, used, limit int) int {
-	if limit == 0 {
-		return demand
+// partLeft returns the part of a demand that a limit leaves.
+func partLeft(demand, used, limit int) float64 {
+	if limit == 0 || demand <= limit-used {
+		return 1
 	}
-	return min(demand, max(limit-used, 0))
+	return max(float64(limit-used)/float64(max(demand, 1)), 0)
 }
 
 // Usage is the usage of a limited team.
--- a/shared/jobs/modeller/job.go
+++ b/shared/jobs/modeller/job.go
@@ -124,6 +124,15 @@
 	}
 }
 
+// Min returns the smaller of two amounts in each resource.
+func (rs Resources) Min(other Resources) Resources {
+	return Resources{
+		MilliCores:   min(rs.MilliCores, other.MilliCores),
+		MemoryMB:     min(rs.MemoryMB, other.MemoryMB),
+		Accelerators: min(rs.Accelerators, other.Accelerators),
+	}
+}
+
 // FitsIn reports whether no amount exceeds that of bound.
 func (rs Resources) FitsIn(bound Resources) bool {
 	return rs.MilliCores <= bound.MilliCores && rs.MemoryMB <= bound.MemoryMB && rs.Accelerators <= bound.Accelerators
