--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -74,6 +74,8 @@
 	used modeller.Resources
 	// teams accounts the runs against the caps of their teams.
 	teams *teamUsage
+	// unknownDemands counts the runs that hold the whole worker.
+	unknownDemands int
 	// neighbours counts the runs by what they mean for other runs.
 	neighbours neighbourCounts
 	// lastProcessedEnd, lastStoredEnd and lastAckedEnd are the numbers of the last end
