allocator: workers of unknown capacity don't bound what teams may have running

The stored roster has no capacities. After a take-over a worker that the directory didn't list yet bounded the unknown runs of teams to nothing, and an orphaned run of an ended job on it counted as nothing. Without the capacity only the demand of the inherited tasks bounds what is unknown, and such a run counts as the greatest known worker until the directory lists its own.

TestWorkersOfUnknownCapacityBoundNothing failed before: four tasks started where one had room under the cap.

--- a/shared/jobs/allocator/caps_test.go
+++ b/shared/jobs/allocator/caps_test.go
@@ -321,3 +321,33 @@
 	fx.keepRunning(500*time.Millisecond, "a")
 	must.LessEq(t, 10, fx.al.effort.jobs)
 }
+
+// TestWorkersOfUnknownCapacityBoundNothing guards against usage above the cap after a
+// take-over by workers that the stored roster lists, which has no capacities, and the
+// directory doesn't.
+func TestWorkersOfUnknownCapacityBoundNothing(t *testing.T) {
+	fx := newFixture(t)
+	fx.addReadyWorkers("a")
+	old := teamJobRecorded("old", "t", tasksOf(3, 1000))
+	fx.apply(old)
+	fx.storeBatch()
+	fx.takeStarts()
+	fx.storeBatch()
+	later := newFixture(t)
+	later.apply(withCap(2, 4000))
+	later.apply(ProgressLoaded{Progress: fx.progress["old"]})
+	unlisted := workerIn("a", "p")
+	unlisted.Capacity = modeller.Resources{}
+	later.apply(RosterLoaded{Workers: []modeller.Worker{unlisted}})
+	later.apply(old)
+	later.addReadyWorkers("b")
+	later.submitTeamJob("new", "t", tasksOf(4, 1000))
+	must.Len(t, 1, later.takeStarts())
+	later.apply(JobRecorded{Record: modeller.JobRecord{Job: modeller.Job{ID: "ended", Team: "t"}, FinalState: modeller.JobFailed}})
+	later.report("a", []modeller.Run{{Task: taskName("ended", 0), Attempt: 1}})
+	must.Eq(t, 8000, later.usedByTeam(), must.Sprint("with the greatest known capacity for the orphaned run"))
+	unlisted.Capacity.MilliCores = 3000
+	later.apply(WorkerListed{Worker: unlisted})
+	later.advance(50 * time.Millisecond)
+	must.Eq(t, 4000, later.usedByTeam())
+}
--- a/shared/jobs/allocator/usage.go
+++ b/shared/jobs/allocator/usage.go
@@ -125,7 +125,7 @@
 func (al *Allocator) chargeOrphan(rn *run) {
 	cg := &charge{
 		team:   al.retained[rn.name.Job].team,
-		demand: rn.worker.info.Capacity,
+		demand: al.orphanDemand(rn.worker),
 	}
 	if jb := al.jobs[rn.name.Job]; jb != nil {
 		cg.team = jb.info.Team
@@ -163,9 +163,9 @@
 			amounts[team] = modeller.Resources{}
 		}
 	}
-	unreported := al.unreportedCapacity()
+	unreported, isKnown := al.unreportedCapacity()
 	for team, amount := range amounts {
-		if !al.isRosterIncomplete {
+		if isKnown {
 			amount = amount.Min(unreported)
 		}
 		tu.limiter.SetUncertain(team, amount)
@@ -175,15 +175,47 @@
 }
 
 // unreportedCapacity returns the capacity of the workers that may have runs of earlier
-// holders and haven't reported.
-func (al *Allocator) unreportedCapacity() modeller.Resources {
-	var capacity modeller.Resources
+// holders and haven't reported, and false if it is unknown: the stored roster has no
+// capacities, so that of a worker that the directory doesn't list isn't known.
+func (al *Allocator) unreportedCapacity() (capacity modeller.Resources, isKnown bool) {
 	for _, wk := range al.workers.sorted {
-		if wk.mayHoldOldRuns {
-			capacity = capacity.Plus(wk.info.Capacity)
+		if !wk.mayHoldOldRuns {
+			continue
+		}
+		if wk.info.Capacity == (modeller.Resources{}) {
+			return modeller.Resources{}, false
+		}
+		capacity = capacity.Plus(wk.info.Capacity)
+	}
+	return capacity, !al.isRosterIncomplete
+}
+
+// orphanDemand returns what a run of unknown demand counts for: the capacity of its
+// worker, or the greatest one that is known while the directory doesn't list the worker.
+func (al *Allocator) orphanDemand(wk *worker) modeller.Resources {
+	if wk.info.Capacity != (modeller.Resources{}) {
+		return wk.info.Capacity
+	}
+	var greatest modeller.Resources
+	for _, other := range al.workers.sorted {
+		greatest = greatest.Max(other.info.Capacity)
+	}
+	return greatest
+}
+
+// rechargeOrphans counts the runs of unknown demand on a worker by its capacity, which has
+// changed.
+func (al *Allocator) rechargeOrphans(wk *worker) {
+	if wk.unknownDemands == 0 {
+		return
+	}
+	for _, rn := range wk.runs {
+		if rn.hasUnknownDemand && rn.charge != nil {
+			al.usage.remove(rn)
+			rn.charge.demand = al.orphanDemand(wk)
+			al.usage.add(rn)
 		}
 	}
-	return capacity
 }
 
 // unknownDemand returns the demand of the job's tasks that have no known run and aren't
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -133,6 +133,7 @@
 		al.isRosterDirty = true
 	}
 	al.workers.update(wk, info)
+	al.rechargeOrphans(wk)
 	al.markListed(wk)
 }
 
