sharer, allocator: order the waiting jobs of teams by their shares

A flood of one team's jobs kept those of the others waiting: within a class and priority small and early jobs come first, whoever sent them.

The sharer measures the core time of each team's starts in a pool, decaying over 5 s, against its weight. Within a class and priority the lists of the teams are merged by how far the teams exceed their shares. A level changes one element of a heap, however many jobs the team has waiting. Nothing waits while there is room.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -21,6 +21,7 @@
 
 	"coltsfootwick.example/shared/jobs/forecaster"
 	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/shared/jobs/sharer"
 )
 
 // Bounds are the durations that scheduling decisions depend on.
@@ -143,6 +144,10 @@
 	// changes are those since tasks were last placed.
 	changes changes
 	usage   *teamUsage
+	// shares measure the teams' shares of the pools, and weights are the weights of the
+	// teams. Without teams there are none.
+	shares  map[string]*sharer.Sharer
+	weights map[string]float64
 	// scheduledJobs counts all jobs with occurrences recorded so far.
 	scheduledJobs int
 	fleet         *fleet
@@ -201,6 +206,7 @@
 		waiting:              map[string]*waitingList{},
 		arrivals:             map[string]*forecaster.Forecaster{},
 		usage:                newTeamUsage(),
+		shares:               map[string]*sharer.Sharer{},
 		fleet:                newFleet(),
 		startedAt:            now,
 		confirmedAt:          now,
--- a/shared/jobs/allocator/busy_bench_test.go
+++ b/shared/jobs/allocator/busy_bench_test.go
@@ -21,6 +21,8 @@
 	pools   int
 	nextJob int
 	starts  int
+	// onStart is called for each start, if it isn't nil.
+	onStart func(so StartOrder)
 }
 
 // busyWorker is a worker of a busyFleet.
@@ -59,9 +61,22 @@
 	return te
 }
 
-// newBusyFleet returns a fleet of workers with 32 cores in four pools.
+// newBusyFleet returns a fleet of workers with 32 cores in four pools, with long-running
+// jobs.
 func newBusyFleet(t testing.TB, workers int) *busyFleet {
-	const pools = 4
+	bf := newFleetInPools(t, workers, 4)
+	for pool := range bf.pools {
+		for range 8 {
+			bf.submit(pool, longRunningStep(24))
+		}
+	}
+	bf.run(time.Second)
+	bf.starts = 0
+	return bf
+}
+
+// newFleetInPools returns a fleet of workers with 32 cores in a number of pools.
+func newFleetInPools(t testing.TB, workers, pools int) *busyFleet {
 	bf := &busyFleet{
 		fixture: newFixture(t),
 		random:  rand.New(rand.NewPCG(1, 2)),
@@ -105,13 +120,6 @@
 	for range 2 {
 		bf.run(100 * time.Millisecond)
 	}
-	for pool := range pools {
-		for range 8 {
-			bf.submit(pool, longRunningStep(24))
-		}
-	}
-	bf.run(time.Second)
-	bf.starts = 0
 	return bf
 }
 
@@ -122,12 +130,20 @@
 }
 
 func (bf *busyFleet) submit(pool int, steps ...modeller.Step) {
+	bf.submitOf("", pool, steps...)
+}
+
+// submitOf submits a job of a team.
+func (bf *busyFleet) submitOf(team string, pool int, steps ...modeller.Step) modeller.JobID {
 	bf.nextJob++
+	id := modeller.JobID(fmt.Sprintf("%016x", uint64(bf.nextJob)*0x9E3779B97F4A7C15))
 	bf.apply(JobRecorded{Record: modeller.JobRecord{Job: modeller.Job{
-		ID:    modeller.JobID(fmt.Sprintf("%016x", uint64(bf.nextJob)*0x9E3779B97F4A7C15)),
+		ID:    id,
 		Queue: queueName(pool, 0),
+		Team:  team,
 		Steps: steps,
 	}}})
+	return id
 }
 
 // submitTurn submits the jobs of one step of time. Half of them are of one pool,
@@ -197,6 +213,9 @@
 	switch od := od.(type) {
 	case StartOrder:
 		bf.starts++
+		if bf.onStart != nil {
+			bf.onStart(od)
+		}
 		wk := bf.workers[od.Worker.ID]
 		wk.running[od.Task] = modeller.Run{Task: od.Task, Attempt: od.Attempt, Progress: 50}
 		bf.apply(StartResult{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Outcome: Accepted})
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -57,6 +57,7 @@
 	}
 	al.configuration = cf
 	al.usage.setTeams(cf.Teams)
+	al.setWeights(cf.Teams)
 	clear(al.waiting)
 	for _, id := range slices.Sorted(maps.Keys(al.jobs)) {
 		jb := al.jobs[id]
--- a/shared/jobs/allocator/place.go
+++ b/shared/jobs/allocator/place.go
@@ -137,6 +137,7 @@
 	free := wk.free()
 	al.assignRun(tk, rn)
 	wk.addRun(rn)
+	al.chargeShare(now, tk.step)
 	al.markDirty(tk.step.job)
 	al.orders = append(al.orders, StartOrder{
 		Worker:         wk.addressee(),
--- a/shared/jobs/allocator/placement.go
+++ b/shared/jobs/allocator/placement.go
@@ -57,6 +57,7 @@
 		}
 		if al.hasRoom(now, pp) {
 			al.rerankDue(now, wl)
+			wl.refreshLevels(now)
 			pl.pools = append(pl.pools, pp)
 		}
 	}
@@ -70,7 +71,7 @@
 func (al *Allocator) nextJob(pl *placement) (*job, *poolPlacement) {
 	var best *poolPlacement
 	for _, pp := range pl.pools {
-		if pp.isFull || !al.findHead(pp) {
+		if pp.isFull || !al.findHead(pl.now, pp) {
 			continue
 		}
 		if best == nil || pp.list.order[0].compare(best.list.order[0]) < 0 {
@@ -84,15 +85,18 @@
 }
 
 // findHead reports whether a pool has a further job to consider, which is then the next
-// one of the first list. It holds the lists of teams back that may not start any task.
-func (al *Allocator) findHead(pp *poolPlacement) bool {
+// one of the first list. It holds the lists of teams back that may not start any task, and
+// moves those behind whose teams have exceeded their shares since.
+func (al *Allocator) findHead(now time.Time, pp *poolPlacement) bool {
 	wl := pp.list
 	for len(wl.order) > 0 && !wl.order[0].isExhausted() {
 		tl := wl.order[0]
-		if !al.usage.isHeldBack(tl) {
+		switch {
+		case al.usage.isHeldBack(tl):
+			al.usage.hold(tl)
+		case !wl.updateLevel(now, tl):
 			return true
 		}
-		al.usage.hold(tl)
 	}
 	return false
 }
--- a/shared/jobs/allocator/teamlist.go
+++ b/shared/jobs/allocator/teamlist.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"cmp"
 	"container/heap"
 	"slices"
 
@@ -22,6 +23,9 @@
 	// index is that in the pool's order, or -1 if the list isn't part of it, since it
 	// is empty or held back.
 	index int
+	// level is how far the team exceeds its share of the pool, when that was last
+	// determined.
+	level int
 	// isHeld is true while the team's cap allows no waiting task.
 	isHeld bool
 	// least is at most the demand of any waiting task, in each resource.
@@ -87,9 +91,14 @@
 // isExhausted reports whether a placement has considered all jobs of the list.
 func (tl *teamList) isExhausted() bool { return tl.position >= len(tl.ranked) }
 
-// compare orders lists by their next jobs.
+// compare orders lists by their next jobs. Within a service class and priority, jobs of
+// teams that exceed their shares more come later. Long-running jobs have no share.
 func (tl *teamList) compare(other *teamList) int {
-	return tl.ranked[tl.position].compare(other.ranked[other.position])
+	next, otherNext := tl.ranked[tl.position], other.ranked[other.position]
+	if next.class == classLongRunning {
+		return next.compare(otherNext)
+	}
+	return cmp.Or(cmp.Compare(next.class, otherNext.class), cmp.Compare(next.priority, otherNext.priority), cmp.Compare(tl.level, other.level), next.compare(otherNext))
 }
 
 // insert adds a job at its place in the order of service.
--- a/shared/jobs/allocator/waiting.go
+++ b/shared/jobs/allocator/waiting.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/shared/jobs/sharer"
 )
 
 // waitingList holds the jobs of a pool that may have waiting tasks.
@@ -17,7 +18,11 @@
 	order teamOrder
 	// considered are the lists of which the present placement has considered a job.
 	considered []*teamList
-	due        dueChanges
+	// shares measures the teams' shares of the pool, or is nil without teams. The
+	// levels of all lists were last determined at refreshedAt.
+	shares      *sharer.Sharer
+	refreshedAt time.Time
+	due         dueChanges
 	// jobs is the number of jobs in the list, and insertions counts the insertions.
 	jobs, insertions int
 	// smallest is at most the demand of any waiting task that isn't held back, in each
@@ -40,8 +45,9 @@
 	wl := al.waiting[pool]
 	if wl == nil {
 		wl = &waitingList{
-			name:  pool,
-			teams: map[string]*teamList{},
+			name:   pool,
+			teams:  map[string]*teamList{},
+			shares: al.sharesOf(pool),
 		}
 		al.waiting[pool] = wl
 	}
