submitter: refuse gangs that are wider than the cap of their team

A gang that is wider than its team's cap can't run while the cap is as low, and waited until the caller gave up. The manager refuses it at submission by the configuration that it has, with 429 and the new code 810 (capTooLow). The repetition of a submission that was accepted under a higher cap is answered as before, for which the manager reads the job's record; if that can't be read, the answer is 503.

--- /dev/null
+++ b/coltsfootwick-manager/internal/submitter/cap.go
@@ -0,0 +1,28 @@
+package submitter
+
+import (
+	"context"
+
+	"coltsfootwick.example/shared/jobs/archiver"
+	"coltsfootwick.example/shared/jobs/limiter"
+	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/shared/process/classifier"
+)
+
+// checkCap returns an error for a job that can't run under the cap of its team. One that
+// is stored already was accepted under an earlier cap, and its repetition is answered as
+// any other.
+func (sm *Submitter) checkCap(ctx context.Context, jb modeller.Job) error {
+	refusal := limiter.CanEverRun(sm.queues.Cap(jb.Team), jb.Steps)
+	if refusal == nil {
+		return nil
+	}
+	_, err := sm.store.Get(ctx, archiver.JobKey(jb.ID))
+	switch {
+	case err == nil:
+		return nil
+	case classifier.CodeOf(err) == classifier.PlatformNotFound:
+		return refusal
+	}
+	return classifier.Wrap(err, classifier.JobRefused, "it is unknown whether the job was accepted under an earlier cap")
+}
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -49,10 +49,12 @@
 	Holder() (netip.AddrPort, bool)
 }
 
-// Queues knows the queues that are configured now.
+// Queues knows the queues and teams that are configured now.
 type Queues interface {
 	// HasQueue reports whether there is a queue with a name.
 	HasQueue(name string) bool
+	// Cap returns the cap of a team; zero in a resource means no limit.
+	Cap(team string) modeller.Resources
 }
 
 // StoreHealth reports the availability of the store.
@@ -122,6 +124,9 @@
 	if sm.storeHealth.IsUnavailable() {
 		return classifier.New(classifier.JobRefused, "the store is unavailable")
 	}
+	if err := sm.checkCap(ctx, jb); err != nil {
+		return err
+	}
 	data, err := modeller.EncodeJob(modeller.JobRecord{
 		Job: jb,
 	})
--- a/shared/jobs/limiter/limiter_test.go
+++ b/shared/jobs/limiter/limiter_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"coltsfootwick.example/shared/jobs/modeller"
+	"coltsfootwick.example/shared/process/classifier"
 )
 
 func cores(count int) modeller.Resources { return modeller.Resources{MilliCores: 1000 * count} }
@@ -97,3 +98,15 @@
 	must.Eq(t, cores(3), lr.Bound("a", cores(7)))
 	must.Eq(t, cores(7), lr.Bound("c", cores(7)))
 }
+
+// TestGangWiderThanTheCapCanNeverRun guards against jobs that are accepted and wait for good,
+// and against refusals of jobs that run in waves or alone.
+func TestGangWiderThanTheCapCanNeverRun(t *testing.T) {
+	gang := func(count, coreCount int) []modeller.Step {
+		return []modeller.Step{{Count: 50, Demand: cores(50)}, {Count: count, Demand: cores(coreCount), IsGang: true}}
+	}
+	must.NoError(t, CanEverRun(cores(4), gang(2, 2)))
+	must.NoError(t, CanEverRun(cores(4), gang(1, 9)))
+	must.NoError(t, CanEverRun(modeller.Resources{MemoryMB: 1}, gang(9, 9)))
+	must.Eq(t, classifier.CapTooLow, classifier.CodeOf(CanEverRun(cores(4), gang(2, 3))))
+}
--- a/shared/process/classifier/code_job.go
+++ b/shared/process/classifier/code_job.go
@@ -19,6 +19,9 @@
 	QueueUnknown Code = 807
 	// JobIDTaken means that a job of another queue has this ID.
 	JobIDTaken Code = 808
+	// CapTooLow means that the cap of the job's team is too low for the job to run. The job
+	// was not accepted and never runs.
+	CapTooLow Code = 810
 	// OrderUnanswered means that no answer to an order arrived, so the worker may execute it.
 	OrderUnanswered Code = 811
 	// OrderFenced means that the order was rejected because a later holder has given orders.
@@ -93,6 +96,12 @@
 		Summary: "A job of another queue has this ID.",
 		Remedy:  "Submit the job with another ID.",
 	},
+	{
+		Code:    CapTooLow,
+		Name:    "capTooLow",
+		Summary: "The cap of the team is too low for the job, which was not accepted and never runs.",
+		Remedy:  "Make the gang narrower or raise the team's cap; the detail names both.",
+	},
 	{
 		Code:    OrderUnanswered,
 		Name:    "orderUnanswered",
