conductor, docs: say which jobs the cap of their team holds back

A job that waits for its team's cap looked like any other. The line scheduler load has, for the ten teams nearest to their caps, what they use, the cap and the jobs held back. OPERATIONS says how to tell a cap from a share.

TestLoadLineShowsTeamsWithCaps failed before.

--- a/coltsfootwick-manager/internal/conductor/monitor.go
+++ b/coltsfootwick-manager/internal/conductor/monitor.go
@@ -92,6 +92,9 @@
 		fields = append(fields, zap.Int64(li.Name+"SentBytes", sent-lm.traffic[idx].sent), zap.Int64(li.Name+"ReceivedBytes", received-lm.traffic[idx].received))
 		lm.traffic[idx] = linkTraffic{sent: sent, received: received}
 	}
+	if len(ld.Teams) > 0 {
+		fields = append(fields, zap.Objects("teams", teamFields(ld.Teams)))
+	}
 	lm.logger.Info("scheduler load", fields...)
 	for _, po := range ld.Pools {
 		lm.logger.Info("pool load", zap.String("pool", po.Name), zap.Int("required", po.Required), zap.Int("available", po.Available),
