--- a/shared/jobs/allocator/busy_bench_test.go
+++ b/shared/jobs/allocator/busy_bench_test.go
@@ -197,6 +197,9 @@
 func (bf *busyFleet) finishTasks() {
 	for len(bf.ends) > 0 && !bf.ends[0].at.After(bf.now) {
 		te := heap.Pop(&bf.ends).(taskEnd)
+		if rn, ok := te.worker.running[te.task]; !ok || rn.Attempt != te.attempt {
+			continue
+		}
 		delete(te.worker.running, te.task)
 		te.worker.nextEnd++
 		te.worker.hasChanged = true
@@ -232,6 +235,8 @@
 		}
 		duration := 500*time.Millisecond + time.Duration(bf.random.IntN(800))*time.Millisecond
 		heap.Push(&bf.ends, taskEnd{at: bf.now.Add(duration), worker: wk, task: od.Task, attempt: od.Attempt})
+	case StopOrder:
+		bf.stop(bf.workers[od.Worker.ID], od)
 	case VMOrder:
 		bf.apply(VMOrderResult{Order: od, Outcome: Busy})
 	case ListVMsOrder:
@@ -239,6 +244,17 @@
 	}
 }
 
+// stop ends a run, if the worker has it.
+func (bf *busyFleet) stop(wk *busyWorker, so StopOrder) {
+	if rn, ok := wk.running[so.Task]; ok && rn.Attempt == so.Attempt {
+		delete(wk.running, so.Task)
+		wk.nextEnd++
+		wk.hasChanged = true
+		wk.ended = append(wk.ended, modeller.End{Number: wk.nextEnd, Task: so.Task, Attempt: so.Attempt, Kind: modeller.EndStopped})
+	}
+	bf.apply(StopResult{Worker: wk.id, Task: so.Task, Attempt: so.Attempt, Outcome: Accepted})
+}
+
 // BenchmarkBusyFleet measures the decisions of a fleet for each start.
 func BenchmarkBusyFleet(b *testing.B) {
 	for _, size := range []struct{ workers, jobsPerSecond int }{{550, 75}, {3000, 220}} {
--- a/shared/jobs/allocator/caps_test.go
+++ b/shared/jobs/allocator/caps_test.go
@@ -308,13 +308,14 @@
 // holds back, while the pool has room and its other runs end.
 func TestHeldJobsAreNotExamined(t *testing.T) {
 	fx := newCapFixture(t, 1000, "a")
+	fx.apply(teamJobRecorded("small", "t", tasksOf(1, 100)))
 	for number := range 500 {
 		fx.apply(teamJobRecorded(fmt.Sprintf("h%03d", number), "t", tasksOf(2, 600)))
 	}
 	for batch := fx.al.Batch(fx.now); batch != nil; batch = fx.al.Batch(fx.now) {
 		fx.apply(BatchStored{Batch: batch})
 	}
-	must.Len(t, 1, fx.takeStarts())
+	must.Len(t, 2, fx.takeStarts())
 	fx.submitTeamJob("other", "u", tasksOf(1, 100))
 	must.Len(t, 1, fx.takeStarts())
 	fx.al.effort = effort{}
@@ -351,3 +352,65 @@
 	later.advance(50 * time.Millisecond)
 	must.Eq(t, 4000, later.usedByTeam())
 }
+
+// TestReleasedTasksAreConsideredBesideLargerOnes guards against held-back tasks that wait on
+// after an end of their team's run, since only larger ones are known to wait in the pool.
+func TestReleasedTasksAreConsideredBesideLargerOnes(t *testing.T) {
+	fx := newCapFixture(t, 500, "a")
+	fx.submitTeamJob("j", "t", tasksOf(3, 500))
+	must.Len(t, 1, fx.takeStarts())
+	fx.submitTeamJob("large", "u", tasksOf(2, 2500))
+	must.Len(t, 1, fx.takeStarts())
+	fx.keepRunning(100*time.Millisecond, "a")
+	must.Eq(t, 2500, fx.al.waiting["p"].smallest.MilliCores)
+	fx.endTask("j", 0, modeller.EndDone)
+	must.Eq(t, []modeller.TaskName{taskName("j", 1)}, fx.takeStarts())
+}
+
+// TestEndInOnePoolReleasesTasksInAnother guards against tasks that wait for an event in their
+// own pool after a run of their team has ended elsewhere.
+func TestEndInOnePoolReleasesTasksInAnother(t *testing.T) {
+	fx := newCapFixture(t, 1000, "a")
+	fx.listWorkerIn("b", "p2")
+	fx.keepReporting("b", 200*time.Millisecond)
+	fx.submitTeamJob("j1", "t", tasksOf(1, 1000))
+	must.Len(t, 1, fx.takeStarts())
+	cf := withCap(3, 1000)
+	cf.Configuration.Queues["q2"] = modeller.Queue{Name: "q2", Pool: "p2", MaxAttempts: 2, Stretch: 1.6}
+	fx.apply(cf)
+	j2 := teamJobRecorded("j2", "t", tasksOf(1, 1000))
+	j2.Record.Job.Queue = "q2"
+	fx.apply(j2)
+	fx.storeBatch()
+	fx.advance(50 * time.Millisecond)
+	fx.report("b", nil)
+	must.Len(t, 0, fx.takeStarts())
+	fx.endTask("j1", 0, modeller.EndDone)
+	started := 0
+	for _, od := range fx.al.Plan(fx.now, fx.now) {
+		if _, ok := od.(StartOrder); ok {
+			started++
+		}
+	}
+	must.Eq(t, 1, started, must.Sprint("in the plan that follows, not in the next periodic one"))
+}
+
+// TestRejoiningMembersOfAGangNeedTheirCap guards against usage above the cap by members whose
+// starts were refused, after another task has taken the place of one.
+func TestRejoiningMembersOfAGangNeedTheirCap(t *testing.T) {
+	fx := newCapFixture(t, 3000, "a", "b")
+	gang := tasksOf(3, 1000)
+	gang.IsGang = true
+	fx.submitTeamJob("j1", "t", gang)
+	starts := takeOrders[StartOrder](fx)
+	must.Len(t, 3, starts)
+	fx.acceptStart(starts[0])
+	fx.submitTeamJob("j2", "t", tasksOf(1, 1000))
+	for _, so := range starts[1:] {
+		fx.apply(StartResult{Worker: so.Worker.ID, Task: so.Task, Attempt: so.Attempt, Outcome: Malformed})
+	}
+	must.Eq(t, []modeller.TaskName{taskName("j2", 0)}, fx.takeStarts())
+	fx.keepRunning(time.Second, "a", "b")
+	must.Eq(t, 3000, fx.usedByTeam())
+	must.Len(t, 1, fx.takeStarts())
+}
--- a/shared/jobs/allocator/usage.go
+++ b/shared/jobs/allocator/usage.go
@@ -151,7 +151,7 @@
 	checks := oldRunChecks{}
 	if al.checkOldRuns(checks, "", al.workers.sorted) {
 		for _, jb := range al.jobs {
-			if tu.limiter.IsLimited(jb.info.Team) && al.mayHaveOldRuns(jb, checks) {
+			if al.mayHaveOldRuns(jb, checks) && tu.limiter.IsLimited(jb.info.Team) {
 				amounts[jb.info.Team] = amounts[jb.info.Team].Plus(jb.unknownDemand())
 			}
 		}
