--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -118,7 +118,8 @@
 	// The dispatcher sends a start at most 1 s after its decision, and no task
 	// may start later than 3 s after its job's cancellation.
 	maxJobsAge = 2 * time.Second
-	// expiryInterval is the interval between searches for expired jobs.
+	// expiryInterval is the interval between searches for expired jobs, unless there
+	// are more of them than a batch removes.
 	expiryInterval = time.Second
 )
 
@@ -187,10 +188,15 @@
 
 // retainedJob is the final state of an ended job, which can still be queried.
 type retainedJob struct {
-	queue   string
-	team    string
+	queue string
+	team  string
+	// host and prefix are the address of the queue when the job was accepted.
+	host, prefix string
+
 	state   modeller.JobState
 	endedAt time.Time
+	// isTombstone is true for a job that was cancelled before it was stored.
+	isTombstone bool
 }
 
 // New returns an Allocator for a holder that has won the duty at time now.
