--- a/shared/jobs/allocator/busy_bench_test.go
+++ b/shared/jobs/allocator/busy_bench_test.go
@@ -21,6 +21,10 @@
 	pools   int
 	nextJob int
 	starts  int
+	// teams is the number of teams whose jobs submitTurn submits in turn.
+	teams int
+	// onStart is called for each start, if it isn't nil.
+	onStart func(so StartOrder)
 }
 
 // busyWorker is a worker of a busyFleet.
@@ -59,9 +63,22 @@
 	return te
 }
 
-// newBusyFleet returns a fleet of workers with 32 cores in four pools.
+// newBusyFleet returns a fleet of workers with 32 cores in four pools, with long-running
+// jobs.
 func newBusyFleet(t testing.TB, workers int) *busyFleet {
-	const pools = 4
+	bf := newFleetInPools(t, workers, 4)
+	for pool := range bf.pools {
+		for range 8 {
+			bf.submit(pool, longRunningStep(24))
+		}
+	}
+	bf.run(time.Second)
+	bf.starts = 0
+	return bf
+}
+
+// newFleetInPools returns a fleet of workers with 32 cores in a number of pools.
+func newFleetInPools(t testing.TB, workers, pools int) *busyFleet {
 	bf := &busyFleet{
 		fixture: newFixture(t),
 		random:  rand.New(rand.NewPCG(1, 2)),
@@ -105,13 +122,6 @@
 	for range 2 {
 		bf.run(100 * time.Millisecond)
 	}
-	for pool := range pools {
-		for range 8 {
-			bf.submit(pool, longRunningStep(24))
-		}
-	}
-	bf.run(time.Second)
-	bf.starts = 0
 	return bf
 }
 
@@ -122,12 +132,20 @@
 }
 
 func (bf *busyFleet) submit(pool int, steps ...modeller.Step) {
+	bf.submitOf("", pool, steps...)
+}
+
+// submitOf submits a job of a team.
+func (bf *busyFleet) submitOf(team string, pool int, steps ...modeller.Step) modeller.JobID {
 	bf.nextJob++
+	id := modeller.JobID(fmt.Sprintf("%016x", uint64(bf.nextJob)*0x9E3779B97F4A7C15))
 	bf.apply(JobRecorded{Record: modeller.JobRecord{Job: modeller.Job{
-		ID:    modeller.JobID(fmt.Sprintf("%016x", uint64(bf.nextJob)*0x9E3779B97F4A7C15)),
+		ID:    id,
 		Queue: queueName(pool, 0),
+		Team:  team,
 		Steps: steps,
 	}}})
+	return id
 }
 
 // submitTurn submits the jobs of one step of time. Half of them are of one pool,
@@ -147,7 +165,11 @@
 		}
 		second := step
 		second.DependsOn = []int{0}
-		bf.submit(pool, step, second)
+		team := ""
+		if bf.teams > 0 {
+			team = teamName(bf.nextJob % bf.teams)
+		}
+		bf.submitOf(team, pool, step, second)
 	}
 }
 
@@ -175,6 +197,9 @@
 func (bf *busyFleet) finishTasks() {
 	for len(bf.ends) > 0 && !bf.ends[0].at.After(bf.now) {
 		te := heap.Pop(&bf.ends).(taskEnd)
+		if rn, ok := te.worker.running[te.task]; !ok || rn.Attempt != te.attempt {
+			continue
+		}
 		delete(te.worker.running, te.task)
 		te.worker.nextEnd++
 		te.worker.hasChanged = true
@@ -197,6 +222,9 @@
 	switch od := od.(type) {
 	case StartOrder:
 		bf.starts++
+		if bf.onStart != nil {
+			bf.onStart(od)
+		}
 		wk := bf.workers[od.Worker.ID]
 		wk.running[od.Task] = modeller.Run{Task: od.Task, Attempt: od.Attempt, Progress: 50}
 		bf.apply(StartResult{Worker: od.Worker.ID, Task: od.Task, Attempt: od.Attempt, Outcome: Accepted})
@@ -207,6 +235,8 @@
 		}
 		duration := 500*time.Millisecond + time.Duration(bf.random.IntN(800))*time.Millisecond
 		heap.Push(&bf.ends, taskEnd{at: bf.now.Add(duration), worker: wk, task: od.Task, attempt: od.Attempt})
+	case StopOrder:
+		bf.stop(bf.workers[od.Worker.ID], od)
 	case VMOrder:
 		bf.apply(VMOrderResult{Order: od, Outcome: Busy})
 	case ListVMsOrder:
@@ -214,6 +244,17 @@
 	}
 }
 
+// stop ends a run, if the worker has it.
+func (bf *busyFleet) stop(wk *busyWorker, so StopOrder) {
+	if rn, ok := wk.running[so.Task]; ok && rn.Attempt == so.Attempt {
+		delete(wk.running, so.Task)
+		wk.nextEnd++
+		wk.hasChanged = true
+		wk.ended = append(wk.ended, modeller.End{Number: wk.nextEnd, Task: so.Task, Attempt: so.Attempt, Kind: modeller.EndStopped})
+	}
+	bf.apply(StopResult{Worker: wk.id, Task: so.Task, Attempt: so.Attempt, Outcome: Accepted})
+}
+
 // BenchmarkBusyFleet measures the decisions of a fleet for each start.
 func BenchmarkBusyFleet(b *testing.B) {
 	for _, size := range []struct{ workers, jobsPerSecond int }{{550, 75}, {3000, 220}} {
--- a/shared/jobs/allocator/run.go
+++ b/shared/jobs/allocator/run.go
@@ -31,6 +31,8 @@
 	// task is nil for an orphaned run, which is to be stopped.
 	task     *task
 	reserved modeller.Resources
+	// charge is what the run counts against its team's cap, or nil if it has no team.
+	charge *charge
 	// hasUnknownDemand is true for an orphaned run of an unknown job. It holds the whole
 	// worker, whose capacity may become known later than the run.
 	hasUnknownDemand bool
@@ -60,6 +62,7 @@
 	}
 	wk.runs[rn.name] = rn
 	wk.used = wk.used.Plus(rn.reserved)
+	wk.teams.add(rn)
 	if rn.hasUnknownDemand {
 		wk.unknownDemands++
 	}
@@ -71,6 +74,7 @@
 	if wk.runs[rn.name] == rn {
 		delete(wk.runs, rn.name)
 		wk.used = wk.used.Minus(rn.reserved)
+		wk.teams.remove(rn)
 		if rn.hasUnknownDemand {
 			wk.unknownDemands--
 		}
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -72,6 +72,8 @@
 	// hold.
 	runs map[modeller.TaskName]*run
 	used modeller.Resources
+	// teams accounts the runs against the caps of their teams.
+	teams *teamUsage
 	// unknownDemands counts the runs that hold the whole worker.
 	unknownDemands int
 	// neighbours counts the runs by what they mean for other runs.
@@ -110,6 +112,7 @@
 			runs:       map[modeller.TaskName]*run{},
 			failedJobs: map[modeller.JobID]struct{}{},
 			generation: al.forgottenGenerations[info.ID],
+			teams:      al.usage,
 		}
 		wk.mayHoldOldRuns = !al.isLoaded && al.isRosterIncomplete
 		wk.info = info
@@ -130,6 +133,7 @@
 		al.isRosterDirty = true
 	}
 	al.workers.update(wk, info)
+	al.rechargeOrphans(wk)
 	al.markListed(wk)
 }
 
--- a/shared/process/classifier/code_job.go
+++ b/shared/process/classifier/code_job.go
@@ -21,6 +21,9 @@
 	JobIDTaken Code = 808
 	// CallerUnauthorised means that the request carries no key of a team.
 	CallerUnauthorised Code = 809
+	// CapTooLow means that the cap of the job's team is too low for the job to run. The job
+	// was not accepted and never runs.
+	CapTooLow Code = 810
 	// OrderUnanswered means that no answer to an order arrived, so the worker may execute it.
 	OrderUnanswered Code = 811
 	// OrderFenced means that the order was rejected because a later holder has given orders.
@@ -101,6 +104,12 @@
 		Summary: "The request carries no key of a team.",
 		Remedy:  "Send one key of a team as Authorization: Bearer KEY; the detail names the cause and the configuration's version.",
 	},
+	{
+		Code:    CapTooLow,
+		Name:    "capTooLow",
+		Summary: "The cap of the team is too low for the job, which was not accepted and never runs.",
+		Remedy:  "Make the gang narrower or raise the team's cap; the detail names both.",
+	},
 	{
 		Code:    OrderUnanswered,
 		Name:    "orderUnanswered",
