allocator: an entry of the directory ends no incarnation and no run

Cause: updateWorker took a later start time for a restart and dropped the runs that the worker had reported. Three more paths led from an entry to the end of runs: another worker that answers at the entry's address, and, after a takeover, the entry's pool and its VM as evidence that a VM was taken down.

An entry that doesn't match the incarnation that has reported is kept apart. The worker then keeps its address, pool, VM, labels and capacity, gets no starts and is polled at once, at the other address too if it doesn't answer at its own. Accepted starts that no report has shown are in doubt meanwhile, for the longest lease. After a takeover the roster is believed in the same way. Only what happens at the address at which runs were started says anything about them.

TestWorkerThatWasForgottenKeepsItsGeneration does so by a report now.

--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -151,7 +151,7 @@
 		}
 	}
 	for _, other := range al.workers.byVM[wk.info.VM] {
-		if other != wk && other.isSynced {
+		if other != wk && other.isSynced && other.isDescribed() {
 			return "another worker reports from its VM"
 		}
 	}
--- a/shared/jobs/allocator/incarnation_test.go
+++ b/shared/jobs/allocator/incarnation_test.go
@@ -73,6 +73,21 @@
 	must.GreaterEq(t, maxElapsed(testBounds.MaxRunLease), fx.silenceUntilStart(id, other))
 }
 
+// Guards against tasks that run twice, since the start was accepted by the next
+// incarnation, whose directory entry came first and which was cut off before it reported.
+func TestTaskWaitsForTheLongestLeaseBesideAnEntryOfTheNextIncarnation(t *testing.T) {
+	for _, isListedFirst := range []bool{true, false} {
+		fx, id, other, start := newRestartFixture(t)
+		if isListedFirst {
+			fx.listNextIncarnation(id, 2)
+		}
+		fx.acceptStart(start)
+		fx.listNextIncarnation(id, 2)
+		fx.orders = nil
+		must.GreaterEq(t, maxElapsed(testBounds.MaxRunLease), fx.silenceUntilStart(id, other))
+	}
+}
+
 // Guards against tasks that run twice, since the next incarnation has carried out a
 // start without an answer.
 func TestTaskWaitsForTheLongestLeaseAfterAStartWithoutAnAnswer(t *testing.T) {
@@ -141,7 +156,7 @@
 func TestWorkerThatWasForgottenKeepsItsGeneration(t *testing.T) {
 	fx, id, _, start := newRestartFixture(t)
 	fx.acceptStart(start)
-	fx.listNextIncarnation(id, 2)
+	fx.reportOf(id, 2, time.Second, nil)
 	generation := fx.al.workers.byID[start.Worker.ID].generation
 	must.Positive(t, generation)
 	fx.apply(WorkerUnlisted{Worker: start.Worker.ID})
--- a/shared/jobs/allocator/move.go
+++ b/shared/jobs/allocator/move.go
@@ -324,7 +324,7 @@
 			continue
 		}
 		pn.workers++
-		if wk.isSynced && len(wk.runs) == 0 && wk.info.VM != "" {
+		if wk.isSynced && wk.isDescribed() && len(wk.runs) == 0 && wk.info.VM != "" {
 			pn.idle = append(pn.idle, wk)
 		}
 	}
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -48,9 +48,13 @@
 		wk.clock = ev.Report.Clock
 		wk.clockAt = ev.ReceivedAt
 	}
-	if !wk.isSynced {
+	isFirst := !wk.isSynced
+	wk.isSynced = true
+	wk.startedAtMS = ev.Report.StartedAtMS
+	wk.confirmAddress()
+	al.matchEntry(wk)
+	if isFirst {
 		wk.pollAt = now
-		wk.isSynced = true
 		wk.syncedAt = now
 		if wk.generation > 0 || wk.mayHoldOldRuns {
 			wk.strayLeaseExpiry = now.Add(al.maxLeaseTime())
@@ -60,7 +64,6 @@
 	}
 	wk.mayHoldOldRuns = false
 	wk.noteAcknowledged(now)
-	wk.startedAtMS = ev.Report.StartedAtMS
 	wk.reportedAt = ev.ReceivedAt
 	wk.isUnresponsive = false
 	wk.failedPolls = 0
@@ -307,12 +310,16 @@
 	if wk.clockAt.IsZero() && !wk.mayHoldOldRuns {
 		al.setNeverAnswered(wk, true)
 	}
-	wk.failedPollAt = wk.polledAt
+	hasUsed := wk.hasUsed(wk.polledAddress)
+	if hasUsed {
+		wk.failedPollAt = wk.polledAt
+	}
+	wk.address = wk.nextAddress()
 	wk.isUnresponsive = true
 	wk.pollAt = now.Add(min(pollBackoff<<wk.failedPolls, maxPollBackoff))
 	wk.failedPolls = min(wk.failedPolls+1, maxPollDoublings)
 	wk.suspectUntil = now.Add(maxReportAge)
-	if ev.Outcome == Replaced {
+	if ev.Outcome == Replaced && hasUsed {
 		for _, rn := range wk.sortedRuns() {
 			al.dropRun(now, rn, "another worker answers at its address")
 		}
@@ -338,7 +345,7 @@
 		if rn.generation == wk.generation && ev.Clock > 0 && !wk.isPossibleClock(ev.Clock, rn.sentAt, now) {
 			al.suspectIncarnation(now, wk, fmt.Sprintf("a start was accepted by another incarnation, clock %s, not from %s to %s", ev.Clock, wk.minClock(rn.sentAt), wk.maxClock(now)))
 		}
-		if rn.generation != wk.generation {
+		if rn.generation != wk.generation || wk.unmatched != nil {
 			rn.state = runUnconfirmed
 			rn.sentAt = now
 			return
--- a/shared/jobs/allocator/vacate.go
+++ b/shared/jobs/allocator/vacate.go
@@ -99,7 +99,7 @@
 // idle.
 func (al *Allocator) isMovable(wk *worker) bool {
 	vm := wk.info.VM
-	return vm != "" && wk.isListed && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned &&
+	return vm != "" && wk.isListed && wk.isDescribed() && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned &&
 		al.fleet.moves[vm] == nil && !al.fleet.isReserved(vm)
 }
 
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -10,7 +11,14 @@
 
 // worker is the scheduler's state of a worker.
 type worker struct {
-	info modeller.Worker
+	// info is the believed entry of the directory or the roster. unmatched is the
+	// latest entry of the directory if it is not believed, or nil.
+	info      modeller.Worker
+	unmatched *modeller.Worker
+	// address is where the next orders go. polledAddress is where the last poll went,
+	// and usedAddress where the worker has reported or an earlier holder has used it.
+	// It is invalid if there is none.
+	address, polledAddress, usedAddress netip.AddrPort
 	// isListed is true while the directory lists the worker.
 	isListed bool
 	// takenDownAt is when an order to take down the worker's VM was accepted, or zero
@@ -34,8 +42,8 @@
 	// syncedAt is when the present incarnation first reported.
 	syncedAt time.Time
 	// startedAtMS is the Unix millisecond at which the reporting incarnation
-	// started, and endedStartedAtMS that of the one before.
-	startedAtMS, endedStartedAtMS int64
+	// started.
+	startedAtMS int64
 	// mayHoldOldRuns is true for a worker of an earlier holder's roster, until it
 	// has reported.
 	mayHoldOldRuns bool
@@ -101,79 +109,6 @@
 	isVacating bool
 }
 
-func (al *Allocator) updateWorker(now time.Time, info modeller.Worker) {
-	wk, ok := al.workers.byID[info.ID]
-	if !ok {
-		wk = &worker{
-			runs:       map[modeller.TaskName]*run{},
-			failedJobs: map[modeller.JobID]struct{}{},
-			generation: al.forgottenGenerations[info.ID],
-		}
-		wk.mayHoldOldRuns = !al.isLoaded && al.isRosterIncomplete
-		wk.info = info
-		al.workers.add(wk)
-		al.isRosterDirty = true
-	}
-	if info.VM == "" {
-		info.VM = wk.info.VM
-	}
-	if info.IsDraining && (!ok || !wk.info.IsDraining) {
-		al.log(LogEntry{Message: "worker draining", Worker: info.ID, Reason: "directory"})
-	}
-	if wk.isSynced && info.StartedAtMS != 0 && wk.startedAtMS != 0 && info.StartedAtMS > wk.startedAtMS && info.StartedAtMS != wk.endedStartedAtMS {
-		al.endIncarnation(now, wk, "directory lists a later start time")
-	}
-	if !wk.hasSameLocation(info) {
-		wk.isRostered = false
-		al.isRosterDirty = true
-	}
-	al.workers.update(wk, info)
-	al.markListed(wk)
-}
-
-func (al *Allocator) markListed(wk *worker) {
-	wk.isListed = true
-	wk.takenDownAt = time.Time{}
-	al.changes.note(wk.info.Pool)
-}
-
-// hasSameLocation reports whether a directory entry has the worker's pool and
-// address.
-func (wk *worker) hasSameLocation(info modeller.Worker) bool {
-	return wk.info.Pool == info.Pool && wk.info.Address == info.Address
-}
-
-func (al *Allocator) markUnlisted(id modeller.WorkerID) {
-	wk, ok := al.workers.byID[id]
-	if !ok {
-		return
-	}
-	wk.takenDownAt = time.Time{}
-	if !wk.isListed {
-		return
-	}
-	wk.isListed = false
-	al.log(LogEntry{Message: "worker no longer listed", Worker: id, Reason: "directory"})
-}
-
-func (al *Allocator) loadRoster(now time.Time, ev RosterLoaded) {
-	al.isRosterIncomplete = ev.IsIncomplete
-	for _, info := range ev.Workers {
-		wk := al.workers.byID[info.ID]
-		if wk == nil {
-			al.updateWorker(now, info)
-			wk = al.workers.byID[info.ID]
-			wk.isListed = false
-		}
-		wk.mayHoldOldRuns = !wk.isSynced
-		wk.isRostered = wk.hasSameLocation(info)
-	}
-}
-
-// isPresent reports whether the directory lists the worker, and not only an entry of
-// which nobody ever answers.
-func (wk *worker) isPresent() bool { return wk.isListed && !wk.hasNeverAnswered }
-
 // setNeverAnswered removes a worker from the roster, or adds it again. The entry of a
 // worker that has never answered may be another writer's. It gets no starts, and a
 // later holder would wait for it in vain.
@@ -245,6 +180,7 @@
 // reported, or any if none has.
 func (wk *worker) addressee() modeller.Worker {
 	info := wk.info
+	info.Address = wk.address
 	info.StartedAtMS = 0
 	if wk.isSynced {
 		info.StartedAtMS = wk.startedAtMS
@@ -273,7 +209,7 @@
 
 // isOpen reports whether a worker is meant to get tasks.
 func (wk *worker) isOpen() bool {
-	return wk.isListed && wk.isRostered && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned && !wk.isVacating
+	return wk.isListed && wk.isDescribed() && wk.isRostered && wk.isSynced && !wk.info.IsDraining && !wk.isCordoned && !wk.isVacating
 }
 
 // isFenced reports whether a later holder would wait for a worker before it
@@ -328,12 +264,12 @@
 	wk.owesAckSince = time.Time{}
 	wk.unstoredEnds = nil
 	wk.leaseEnd = 0
-	if wk.startedAtMS != 0 {
-		wk.endedStartedAtMS = wk.startedAtMS
-	}
 	wk.startedAtMS = 0
 	wk.failedJobs = map[modeller.JobID]struct{}{}
 	wk.quarantinedUntil = time.Time{}
+	if !wk.isBound() {
+		al.releaseEntry(wk)
+	}
 	al.log(LogEntry{Message: "worker incarnation ended", Worker: wk.info.ID, Reason: reason})
 }
 
@@ -423,6 +359,7 @@
 		}
 		wk.isPollInFlight = true
 		wk.polledAt = now
+		wk.polledAddress = wk.address
 		wk.polledLeaseEnd = po.LeaseEnd
 		wk.polledAck = po.AcknowledgedEnds
 		wk.polledGeneration = wk.generation
