allocator: an incarnation gets no work by the entry of the one before

Cause: the first report of an incarnation made the worker eligible. Nothing compared the start time of the directory's entry with the reported one.

Change: until the entry with the reported start time arrives the worker gets no starts at all, since its capacity and its pool may have changed like its labels, and its VM isn't moved as an idle one. Draining ends with its incarnation. Without a start time in the entry or the report all is as before.

Failed before: TestIncarnationGetsNoWorkByTheEntryOfTheOneBefore and TestDrainingEndsWithItsIncarnation. Three tests that start tasks on a restarted worker list its next incarnation first, which is needed now.

--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -362,6 +362,7 @@
 		lost, kept = kept, lost
 	}
 	fx.reportOfNext(lost, 2, time.Second, nil)
+	fx.listNextIncarnation(lost, 2)
 	fx.report(kept, running[kept])
 	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("the gang is broken"))
 	var ends []modeller.End
@@ -424,6 +425,7 @@
 	fx.startOneTaskJob("j")
 	fx.confirmsDuty = false
 	fx.advance(2 * time.Second)
+	fx.listNextIncarnation("a", 2)
 	for number := range 3 {
 		fx.apply(ReportReceived{
 			Worker:     "a",
--- a/shared/jobs/allocator/entry.go
+++ b/shared/jobs/allocator/entry.go
@@ -138,8 +138,17 @@
 }
 
 // isDescribed reports whether the directory's latest entry is that of the incarnation
-// that has reported.
-func (wk *worker) isDescribed() bool { return wk.unmatched == nil && wk.hasUsed(wk.info.Address) }
+// that has reported. Until it is, nothing is known of what the worker may run, since an
+// incarnation may have other labels, another capacity and another pool than the one before.
+func (wk *worker) isDescribed() bool {
+	return wk.unmatched == nil && wk.hasUsed(wk.info.Address) && isSameStart(wk.info.StartedAtMS, wk.startedAtMS)
+}
+
+// isDraining reports whether the worker's incarnation is about to shut down. The entry of
+// the one before doesn't say so.
+func (wk *worker) isDraining() bool {
+	return wk.info.IsDraining && isSameStart(wk.info.StartedAtMS, wk.startedAtMS)
+}
 
 // confirmAddress records that the worker has reported from where it was polled.
 func (wk *worker) confirmAddress() {
--- a/shared/jobs/allocator/entry_test.go
+++ b/shared/jobs/allocator/entry_test.go
@@ -164,3 +164,61 @@
 	fx.listWorker("a")
 	must.Len(t, 0, takeOrders[StartOrder](fx))
 }
+
+// Guards against tasks that start on a worker without their label, or without room for
+// them: it is back under its ID as one of another kind, and the directory still has the
+// entry of before.
+func TestIncarnationGetsNoWorkByTheEntryOfTheOneBefore(t *testing.T) {
+	for _, row := range []struct {
+		name                     string
+		entryStart, reportStart  int64
+		startsBefore, startsThen int
+	}{
+		{"restarted", 1, 2, 0, 1},
+		{"same incarnation", 1, 1, 1, 0},
+		{"start time of the entry unknown", 0, 2, 1, 0},
+		{"start time of the report unknown", 1, 0, 1, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			fx := newFixture(t)
+			entry := workerIn("a", "p")
+			entry.Labels, entry.StartedAtMS = []string{"b"}, row.entryStart
+			fx.apply(WorkerListed{Worker: entry})
+			fx.apply(RecordsLoaded{})
+			fx.storeBatch()
+			fx.submitJob("j", labelledStep("b"))
+			for number := range 4 {
+				fx.advance(50 * time.Millisecond)
+				fx.reportOf("a", row.reportStart, time.Second+time.Duration(number)*50*time.Millisecond, nil)
+			}
+			must.Len(t, row.startsBefore, takeOrders[StartOrder](fx))
+			entry.Labels, entry.StartedAtMS = []string{"a"}, row.reportStart
+			fx.apply(WorkerListed{Worker: entry})
+			must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("the worker lacks the label"))
+			entry.Labels = []string{"b"}
+			fx.apply(WorkerListed{Worker: entry})
+			must.Len(t, row.startsThen, takeOrders[StartOrder](fx))
+		})
+	}
+}
+
+// labelledStep returns a step of one task that needs a label.
+func labelledStep(label string) modeller.Step {
+	st := oneTaskStep()
+	st.RequiredLabel = label
+	return st
+}
+
+// Guards against long-running tasks that are stopped on a worker that is back, since the
+// directory's entry says that the incarnation before was draining.
+func TestDrainingEndsWithItsIncarnation(t *testing.T) {
+	fx, id, _, running := newRunningFixture(t)
+	wk := fx.al.workers.byID[modeller.WorkerID(id)]
+	entry := wk.info
+	entry.IsDraining = true
+	fx.apply(WorkerListed{Worker: entry})
+	must.True(t, wk.isDraining())
+	fx.advance(50 * time.Millisecond)
+	fx.reportOfNext(id, 2, time.Second, running)
+	must.False(t, wk.isDraining())
+}
--- a/shared/jobs/allocator/evict.go
+++ b/shared/jobs/allocator/evict.go
@@ -143,7 +143,7 @@
 // restart on other workers.
 func (al *Allocator) evictFromDraining(now time.Time) {
 	for _, wk := range al.workers.sorted {
-		if !wk.info.IsDraining {
+		if !wk.isDraining() {
 			continue
 		}
 		for _, rn := range wk.sortedRuns() {
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -60,6 +60,9 @@
 			wk.strayLeaseExpiry = now.Add(al.maxLeaseTime())
 		}
 		al.setNeverAnswered(wk, false)
+		if !wk.isDescribed() {
+			al.log(LogEntry{Message: "worker awaits its entry", Worker: wk.info.ID, Reason: "the directory's entry is that of another incarnation"})
+		}
 		al.endTakenDownWorkers(al.workers.byVM[wk.info.VM])
 	}
 	wk.mayHoldOldRuns = false
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -291,6 +291,7 @@
 	polls := takeOrders[PollOrder](fx)
 	must.Len(t, 1, polls)
 	must.Eq(t, 7, polls[0].Worker.StartedAtMS)
+	fx.listNextIncarnation("a", 7)
 	must.Eq(t, 7, fx.startOneTaskJob("j").Worker.StartedAtMS)
 
 	fx.apply(PollFailed{Worker: "a", Outcome: Restarted})
