allocator: a settled incarnation has the lease of a holder after a takeover

Cause: at the first report of a worker of the roster the longest lease was counted, since an order for the incarnation before may have reached this one. That needs a restart shortly before, and the new holder couldn't tell.

Change: the roster says which incarnation of a worker is settled: it has reported to the holder that stores the roster, and the longest lease has passed since. For it, RunLease is counted from its first report to a new holder on. It is told by its start time and by its own clock, within 4 s and the drift by the holders' wall clocks.

Why that is sound: S has answered a poll of holder H, so it refuses earlier tokens; what it had accepted before ended before the roster was stored. An order with a lease goes only to an incarnation that has reported to its sender. H ordered nothing under that token or a later one for an incarnation before S, and a later holder won the duty when S was up, so it has had no report of one. So the leases that S has are by its own clock, RunLease ahead at most, and the new holder's token keeps later ones from it. Late orders that reach the next incarnation concern that one, which doesn't match. A lease is now granted only to workers on the stored roster, on which this rests.

TestWorkerGetsNoWorkBeforeRosterIsStored has one more report, and checks that there is no lease before.

--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -149,6 +149,8 @@
 	// records that existed by then have been applied.
 	startedAt time.Time
 	isLoaded  bool
+	// wallClockOffset is the offset of the wall clock from the passed time.
+	wallClockOffset time.Duration
 	// confirmedAt is the latest time at which the duty was confirmed.
 	confirmedAt time.Time
 	// jobsSyncedAt is a time up to which all cancellations are known, or zero
@@ -172,9 +174,11 @@
 	// periodicAt is when the time-driven decisions were last made, and
 	// stallsCheckedAt when stalled runs were last searched for.
 	periodicAt, stallsCheckedAt time.Time
-	effort                      effort
-	orders                      []Order
-	logEntries                  []LogEntry
+	// settledAt is when settled workers were last searched for.
+	settledAt  time.Time
+	effort     effort
+	orders     []Order
+	logEntries []LogEntry
 	// reports and repeatedEnds are the counts of Load.
 	reports, repeatedEnds int
 }
--- a/shared/jobs/allocator/allocator_test.go
+++ b/shared/jobs/allocator/allocator_test.go
@@ -212,7 +212,7 @@
 	fx.apply(ProgressLoaded{Progress: modeller.Progress{ID: "begun", Queue: "q"}})
 	fx.submitJob("begun", oneTaskStep())
 	fx.submitJob("waiting", oneTaskStep())
-	fx.apply(RosterLoaded{Workers: []modeller.Worker{{ID: "a", Pool: "p"}, {ID: "silent", Pool: "p"}}})
+	fx.apply(RosterLoaded{Workers: rosterOf(modeller.Worker{ID: "a", Pool: "p"}, modeller.Worker{ID: "silent", Pool: "p"})})
 	fx.listWorker("a")
 	fx.listWorker("silent")
 	fx.apply(RecordsLoaded{})
--- a/shared/jobs/allocator/batch.go
+++ b/shared/jobs/allocator/batch.go
@@ -46,7 +46,7 @@
 	Waves []WaveProgress
 	// Roster is the list of workers that may have runs, or nil if it has not
 	// changed.
-	Roster []modeller.Worker
+	Roster []modeller.RosterEntry
 
 	versions []jobVersion
 }
@@ -152,9 +152,10 @@
 	bt.Expired = al.expiredJobs(now)
 	if al.isRosterDirty {
 		al.isRosterDirty = false
-		bt.Roster = al.Roster()
+		bt.Roster = al.Roster(now)
 		for _, wk := range al.workers.sorted {
 			wk.isRostered = wk.isRostered && !wk.hasNeverAnswered
+			wk.isOnRoster = wk.isOnRoster && !wk.hasNeverAnswered
 		}
 	}
 }
@@ -266,10 +267,18 @@
 	for _, wp := range bt.Waves {
 		al.fleet.noteStored(wp)
 	}
-	for _, info := range bt.Roster {
-		if wk := al.workers.byID[info.ID]; wk != nil && wk.hasSameLocation(info) {
+	for _, re := range bt.Roster {
+		wk := al.workers.byID[re.Worker.ID]
+		if wk == nil {
+			continue
+		}
+		if !wk.isOnRoster {
+			wk.isOnRoster = true
+			wk.pollAt = now
+		}
+		if wk.hasSameLocation(re.Worker) {
 			wk.isRostered = true
-			al.changes.note(info.Pool)
+			al.changes.note(re.Worker.Pool)
 		}
 	}
 	for _, jv := range bt.versions {
--- a/shared/jobs/allocator/entry.go
+++ b/shared/jobs/allocator/entry.go
@@ -209,7 +209,8 @@
 // directory, which may be another writer's.
 func (al *Allocator) loadRoster(now time.Time, ev RosterLoaded) {
 	al.isRosterIncomplete = ev.IsIncomplete
-	for _, info := range ev.Workers {
+	for _, re := range ev.Workers {
+		info := re.Worker
 		wk := al.workers.byID[info.ID]
 		if wk == nil {
 			wk = al.addWorker(info)
@@ -222,7 +223,9 @@
 		al.believe(wk, info)
 		wk.mayHoldOldRuns = true
 		wk.isRostered = true
+		wk.isOnRoster = true
 		wk.usedAddress = info.Address
+		wk.inherited = re.Settled
 		if wk.isListed {
 			al.updateWorker(now, entry)
 		}
--- a/shared/jobs/allocator/event.go
+++ b/shared/jobs/allocator/event.go
@@ -33,7 +33,7 @@
 // holder may have given orders.
 type RosterLoaded struct {
 	// Workers are the workers of the roster.
-	Workers []modeller.Worker
+	Workers []modeller.RosterEntry
 	// IsIncomplete is true if a part of the roster can't be decoded. Then any worker
 	// may have got orders.
 	IsIncomplete bool
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -30,13 +30,15 @@
 	t   testing.TB
 	al  *Allocator
 	now time.Time
+	// wallAhead is by how much the holder's wall clock is ahead.
+	wallAhead time.Duration
 	// confirmsDuty is true while the duty is confirmed whenever time advances.
 	confirmsDuty bool
 	orders       []Order
 	// progress is the stored progress of the jobs.
 	progress map[modeller.JobID]modeller.Progress
 	// roster is the stored roster, and waves the stored progress of the waves.
-	roster []modeller.Worker
+	roster []modeller.RosterEntry
 	waves  map[int64]WaveProgress
 }
 
@@ -76,7 +78,7 @@
 		if fx.confirmsDuty {
 			fx.al.ConfirmDuty(fx.now)
 		}
-		fx.orders = append(fx.orders, fx.al.Plan(fx.now, fx.now)...)
+		fx.orders = append(fx.orders, fx.al.Plan(fx.now, fx.now.Add(fx.wallAhead))...)
 	}
 }
 
@@ -116,6 +118,15 @@
 	fx.reportPollSentAt(fx.now.Add(-time.Millisecond), id, running, ended...)
 }
 
+// rosterOf returns a roster of workers of which no incarnation is settled.
+func rosterOf(workers ...modeller.Worker) []modeller.RosterEntry {
+	var roster []modeller.RosterEntry
+	for _, wk := range workers {
+		roster = append(roster, modeller.RosterEntry{Worker: wk})
+	}
+	return roster
+}
+
 // reportPollSentAt applies a worker's answer to a poll that was sent at the
 // given time.
 func (fx *fixture) reportPollSentAt(sentAt time.Time, id string, running []modeller.Run, ended ...modeller.End) {
--- a/shared/jobs/allocator/incarnation_test.go
+++ b/shared/jobs/allocator/incarnation_test.go
@@ -199,5 +199,5 @@
 	wk.takenDownAt = time.Time{}
 	wk.isPollInFlight = false
 	fx.advance(2 * time.Second)
-	must.SliceEmpty(t, fx.al.Roster())
+	must.SliceEmpty(t, fx.al.Roster(fx.now))
 }
--- a/shared/jobs/allocator/plan.go
+++ b/shared/jobs/allocator/plan.go
@@ -11,10 +11,12 @@
 // Plan returns the orders that are due. The wall-clock time decides which
 // occurrences of scheduled jobs are due.
 func (al *Allocator) Plan(now, wallTime time.Time) []Order {
+	al.wallClockOffset = wallTime.Sub(now)
 	if now.Sub(al.periodicAt) >= periodicInterval {
 		al.periodicAt = now
 		al.changes.isEveryPool = true
 		al.expireLeases(now)
+		al.settleWorkers(now)
 		al.beginDueOccurrences(now, wallTime)
 		al.retryStops(now)
 		al.adjustPaces(now)
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -56,9 +56,7 @@
 	if isFirst {
 		wk.pollAt = now
 		wk.syncedAt = now
-		if wk.generation > 0 || wk.mayHoldOldRuns {
-			wk.strayLeaseExpiry = now.Add(al.maxLeaseTime())
-		}
+		al.limitEarlierLease(now, wk)
 		al.setNeverAnswered(wk, false)
 		if !wk.isDescribed() {
 			al.log(LogEntry{Message: "worker awaits its entry", Worker: wk.info.ID, Reason: "the directory's entry is that of another incarnation"})
--- a/shared/jobs/allocator/takeover_test.go
+++ b/shared/jobs/allocator/takeover_test.go
@@ -54,7 +54,7 @@
 		must.NoError(fx.t, err)
 		later.apply(ProgressLoaded{Progress: decoded})
 	}
-	later.apply(RosterLoaded{Workers: []modeller.Worker{workerIn("a", "p"), workerIn("b", "p2")}})
+	later.apply(RosterLoaded{Workers: rosterOf(workerIn("a", "p"), workerIn("b", "p2"))})
 	later.listWorkerIn("a", "p")
 	later.listWorkerIn("b", "p2")
 	for _, record := range records {
--- a/shared/jobs/allocator/worker.go
+++ b/shared/jobs/allocator/worker.go
@@ -28,6 +28,8 @@
 	// present pool and address. This has to precede its first start, because a
 	// later holder waits for the workers of the roster.
 	isRostered bool
+	// isOnRoster is true once the stored roster contains the worker, wherever it is.
+	isOnRoster bool
 	// isSynced is true once the present incarnation has reported its runs under
 	// the current fencing token.
 	isSynced bool
@@ -60,6 +62,10 @@
 	// strayLeaseExpiry is when a lease has ended that the present incarnation may have
 	// got by orders for the one before.
 	strayLeaseExpiry time.Time
+	// isSettled is true once the present incarnation has no longer lease than a holder
+	// grants. inherited is the incarnation of which earlier holders have recorded that.
+	isSettled bool
+	inherited modeller.Incarnation
 	// isUnresponsive is true if the last poll got no report. failedPolls counts
 	// the consecutive failed polls.
 	isUnresponsive bool
@@ -247,6 +253,8 @@
 		}
 	}
 	wk.strayLeaseExpiry = now.Add(al.maxLeaseTime())
+	// The next incarnation may have the start time that the roster has as settled.
+	al.isRosterDirty = al.isRosterDirty || wk.isSettled
 	al.resetIncarnation(wk, reason)
 }
 
@@ -254,6 +262,8 @@
 // is that of another one, or shows the worker as if it were.
 func (al *Allocator) resetIncarnation(wk *worker, reason string) {
 	wk.isSynced = false
+	wk.isSettled = false
+	wk.inherited = modeller.Incarnation{}
 	wk.isVacating = false
 	wk.incarnation++
 	wk.generation++
@@ -344,7 +354,8 @@
 			// A poll without an answer may still extend the lease, so the lease of an
 			// unresponsive worker is left to expire. The next incarnation may answer it,
 			// by whose clock the end of the lease is far away.
-			if !wk.isUnresponsive {
+			// A later holder awaits the leases of workers on the roster only.
+			if !wk.isUnresponsive && wk.isOnRoster {
 				if wk.leaseEnd == 0 {
 					al.changes.note(wk.info.Pool)
 				}
@@ -419,11 +430,14 @@
 }
 
 // Roster returns the workers that may have runs.
-func (al *Allocator) Roster() []modeller.Worker {
-	roster := make([]modeller.Worker, 0, len(al.workers.sorted))
+func (al *Allocator) Roster(now time.Time) []modeller.RosterEntry {
+	roster := make([]modeller.RosterEntry, 0, len(al.workers.sorted))
 	for _, wk := range al.workers.sorted {
 		if !wk.hasNeverAnswered {
-			roster = append(roster, wk.info)
+			roster = append(roster, modeller.RosterEntry{
+				Worker:  wk.info,
+				Settled: al.settledIncarnation(now, wk),
+			})
 		}
 	}
 	return roster
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -20,7 +20,12 @@
 		fx.report("new", nil)
 	}
 	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("a later holder would not know that the worker may have runs"))
+	for _, po := range takeOrders[PollOrder](fx) {
+		must.Zero(t, po.LeaseEnd, must.Sprint("a later holder would not await the lease"))
+	}
+	fx.report("new", nil)
 	fx.storeBatch()
+	fx.advance(25 * time.Millisecond)
 	must.Len(t, 1, takeOrders[StartOrder](fx))
 }
 
@@ -61,7 +66,7 @@
 func newTakeoverFixture(t *testing.T) *fixture {
 	fx := newFixture(t)
 	fx.apply(ProgressLoaded{Progress: modeller.Progress{ID: "j", Queue: "q", Tasks: []modeller.TaskProgress{{Attempt: 1}}}})
-	fx.apply(RosterLoaded{Workers: []modeller.Worker{{ID: "old", Pool: "p", Address: netip.MustParseAddrPort("127.0.0.1:9001"), VM: "vm-old"}}})
+	fx.apply(RosterLoaded{Workers: rosterOf(modeller.Worker{ID: "old", Pool: "p", Address: netip.MustParseAddrPort("127.0.0.1:9001"), VM: "vm-old"})})
 	fx.submitJob("j", oneTaskStep())
 	fx.addReadyWorkers("a")
 	must.Len(t, 0, takeOrders[StartOrder](fx), must.Sprint("the unresponsive worker may run the task"))
--- a/shared/jobs/archiver/archiver.go
+++ b/shared/jobs/archiver/archiver.go
@@ -263,19 +263,31 @@
 	Address string `json:"address"`
 	VM      string `json:"vm,omitempty"`
 	Zone    string `json:"zone,omitempty"`
+	// The settled incarnation: its start time, and the reading of its own clock at a
+	// time by a holder's wall clock.
+	StartedAtMS int64 `json:"startedAtMs,omitempty"`
+	ClockMS     int64 `json:"clockMs,omitempty"`
+	ReadAtMS    int64 `json:"readAtMs,omitempty"`
 }
 
 // EncodeRoster returns the stored form of the workers that may have runs.
-func EncodeRoster(workers []modeller.Worker) ([]byte, error) {
-	records := make([]rosterRecord, 0, len(workers))
-	for _, wk := range workers {
-		records = append(records, rosterRecord{
+func EncodeRoster(roster []modeller.RosterEntry) ([]byte, error) {
+	records := make([]rosterRecord, 0, len(roster))
+	for _, re := range roster {
+		wk := re.Worker
+		record := rosterRecord{
 			ID:      string(wk.ID),
 			Pool:    wk.Pool,
 			Address: wk.Address.String(),
 			VM:      wk.VM,
 			Zone:    wk.Zone,
-		})
+		}
+		if settled := re.Settled; settled.StartedAtMS != 0 {
+			record.StartedAtMS = settled.StartedAtMS
+			record.ClockMS = settled.Clock.Milliseconds()
+			record.ReadAtMS = settled.ReadAt.UnixMilli()
+		}
+		records = append(records, record)
 	}
 	data, err := json.Marshal(records)
 	if err != nil {
@@ -286,13 +298,13 @@
 
 // DecodeRoster returns the workers of a stored roster. With an error it returns those
 // that can be decoded.
-func DecodeRoster(data []byte) ([]modeller.Worker, error) {
+func DecodeRoster(data []byte) ([]modeller.RosterEntry, error) {
 	var records []json.RawMessage
 	if err := json.Unmarshal(data, &records); err != nil {
 		return nil, classifier.Wrap(err, classifier.RecordInvalid, "roster")
 	}
 	var invalid error
-	workers := make([]modeller.Worker, 0, len(records))
+	roster := make([]modeller.RosterEntry, 0, len(records))
 	for _, data := range records {
 		var rec rosterRecord
 		err := json.Unmarshal(data, &rec)
@@ -304,13 +316,28 @@
 			invalid = errors.Join(invalid, classifier.Wrap(err, classifier.RecordInvalid, "roster: worker %q", rec.ID))
 			continue
 		}
-		workers = append(workers, modeller.Worker{
-			ID:      modeller.WorkerID(rec.ID),
-			Pool:    rec.Pool,
-			Address: address,
-			VM:      rec.VM,
-			Zone:    rec.Zone,
+		roster = append(roster, modeller.RosterEntry{
+			Worker: modeller.Worker{
+				ID:      modeller.WorkerID(rec.ID),
+				Pool:    rec.Pool,
+				Address: address,
+				VM:      rec.VM,
+				Zone:    rec.Zone,
+			},
+			Settled: rec.settled(),
 		})
 	}
-	return workers, invalid
+	return roster, invalid
+}
+
+// settled returns the settled incarnation of a worker, or zero if there is none.
+func (rec rosterRecord) settled() modeller.Incarnation {
+	if rec.StartedAtMS == 0 || rec.ReadAtMS == 0 {
+		return modeller.Incarnation{}
+	}
+	return modeller.Incarnation{
+		StartedAtMS: rec.StartedAtMS,
+		Clock:       time.Duration(rec.ClockMS) * time.Millisecond,
+		ReadAt:      time.UnixMilli(rec.ReadAtMS),
+	}
 }
--- a/shared/jobs/archiver/archiver_test.go
+++ b/shared/jobs/archiver/archiver_test.go
@@ -108,12 +108,18 @@
 }
 
 func TestRosterRoundTrip(t *testing.T) {
-	workers := []modeller.Worker{{ID: "i-1", Pool: "p", Address: netip.MustParseAddrPort("10.0.0.1:80"), VM: "m-1"}}
-	data, err := EncodeRoster(workers)
+	roster := []modeller.RosterEntry{
+		{Worker: modeller.Worker{ID: "i-1", Pool: "p", Address: netip.MustParseAddrPort("10.0.0.1:80"), VM: "m-1"}},
+		{
+			Worker:  modeller.Worker{ID: "i-2", Pool: "p", Address: netip.MustParseAddrPort("10.0.0.2:80")},
+			Settled: modeller.Incarnation{StartedAtMS: 5, Clock: time.Hour, ReadAt: time.UnixMilli(1_700_000_000_123)},
+		},
+	}
+	data, err := EncodeRoster(roster)
 	must.NoError(t, err)
 	decoded, err := DecodeRoster(data)
 	must.NoError(t, err)
-	must.Eq(t, workers, decoded)
+	must.Eq(t, roster, decoded)
 }
 
 func TestJobKeysAreParsed(t *testing.T) {
--- a/standin/internal/emulator/store.go
+++ b/standin/internal/emulator/store.go
@@ -19,7 +19,7 @@
 	jobs     map[modeller.JobID]modeller.JobRecord
 	cancels  map[modeller.JobID]bool
 	progress map[modeller.JobID]modeller.Progress
-	roster   []modeller.Worker
+	roster   []modeller.RosterEntry
 	waves    map[int64]allocator.WaveProgress
 	// deferred holds the events that occurred while the store was down.
 	deferred []allocator.Event
