--- a/shared/jobs/allocator/caps_test.go
+++ b/shared/jobs/allocator/caps_test.go
@@ -339,7 +339,7 @@
 	later.apply(ProgressLoaded{Progress: fx.progress["old"]})
 	unlisted := workerIn("a", "p")
 	unlisted.Capacity = modeller.Resources{}
-	later.apply(RosterLoaded{Workers: []modeller.Worker{unlisted}})
+	later.apply(RosterLoaded{Workers: rosterOf(unlisted)})
 	later.apply(old)
 	later.addReadyWorkers("b")
 	later.submitTeamJob("new", "t", tasksOf(4, 1000))
