soak: teams with keys that come and go (--keys)

The stand-in's configuration can have teams now. Rule KEY: such a request is never served; another team's gets 410 or 409; a revoked key is refused 3 s after its configuration is stored, also right after a restart or a pause, unless the manager's path to the store is impaired; a granted one is accepted when nothing is impaired.

--- a/standin/internal/provider/configuration.go
+++ b/standin/internal/provider/configuration.go
@@ -23,6 +23,7 @@
 	MaxAttempts int     `json:"max_attempts,omitempty"`
 	Stretch     float64 `json:"stretch,omitempty"`
 	Advice      *advice `json:"advice,omitempty"`
+	Public      bool    `json:"public,omitempty"`
 }
 
 // advice is the wire form of a queue's advice service.
@@ -39,10 +40,16 @@
 	Standby         bool   `json:"standby,omitempty"`
 }
 
-// Configure writes the operators' configuration, as Put does. Workers that start from now on
+// Tenant is the wire form of a team.
+type Tenant struct {
+	Name    string   `json:"name"`
+	APIKeys []string `json:"api_keys"`
+}
+
+// Configure writes the operators' configuration, as Put does, with teams if there are any. Workers that start from now on
 // refuse or accept overload as it says, and RuleRoute and RuleBudget follow the
 // queues of all configurations written so far.
-func (pv *Provider) Configure(cf modeller.Configuration) {
+func (pv *Provider) Configure(cf modeller.Configuration, tenants ...Tenant) {
 	pv.mu.Lock()
 	pv.queues = slices.AppendSeq(pv.queues, maps.Values(cf.Queues))
 	pv.pools = maps.Clone(cf.Pools)
@@ -60,12 +67,16 @@
 			Standby:         pool.IsStandby,
 		})
 	}
-	value, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"version":  cf.Version,
 		"routes":   routes,
 		"services": services,
 		"limits":   map[string]int{"max_body_bytes": cf.Limits.MaxBodyBytes},
-	})
+	}
+	if len(tenants) > 0 {
+		fields["tenants"] = tenants
+	}
+	value, err := json.Marshal(fields)
 	if err != nil {
 		pv.recordViolation(RuleModel, modeller.TaskName{}, "configuration: %v", err)
 		return
@@ -84,6 +95,7 @@
 		Priority:    qu.Priority,
 		MaxAttempts: qu.MaxAttempts,
 		Stretch:     qu.Stretch,
+		Public:      qu.IsPublic,
 	}
 	if qu.Advice != nil {
 		rt.Advice = &advice{
--- a/standin/internal/soaker/caller.go
+++ b/standin/internal/soaker/caller.go
@@ -59,6 +59,10 @@
 			cl.submit(ctx)
 			continue
 		}
+		if cl.play.plan.HasKeys && cl.random.IntN(100) < probeShare {
+			cl.probe(ctx)
+			continue
+		}
 		jb := cl.play.drawJob(cl.random)
 		if jb == nil {
 			continue
@@ -75,7 +79,7 @@
 				cl.send(ctx, jb, http.MethodPost)
 			}
 		default:
-			cl.exchange(ctx, http.MethodGet, jb.prefix(), nil, nil)
+			cl.exchange(ctx, http.MethodGet, jb.prefix(), jb.key(), nil, nil)
 		}
 	}
 }
@@ -95,6 +99,9 @@
 	plan := cl.play.plan
 	route := plan.Routes[cl.random.IntN(len(plan.Routes))]
 	jb := newJob(cl.random, time.Now(), plan.queue(route), cl.play.hasRoomForLong(), plan.LongShare)
+	if plan.HasKeys {
+		jb.Team = teams[cl.random.IntN(len(teams))]
+	}
 	cl.play.addJob(jb)
 	for range maxTries {
 		as, ok := cl.send(ctx, jb, http.MethodPost)
@@ -119,7 +126,7 @@
 		if try > 0 && !pause(ctx, time.Duration(cl.random.Int64N(int64(maxRetry)))) {
 			break
 		}
-		as, ok := cl.exchange(ctx, method, jb.path, body, avoid)
+		as, ok := cl.exchange(ctx, method, jb.path, jb.key(), body, avoid)
 		if !ok {
 			break
 		}
@@ -132,8 +139,9 @@
 	return answer{}, false
 }
 
-// exchange sends one request. It returns false if it sent nothing.
-func (cl *caller) exchange(ctx context.Context, method, path string, body []byte, avoid map[int]bool) (answer, bool) {
+// exchange sends one request, with a key unless it is empty. It returns false if it sent
+// nothing.
+func (cl *caller) exchange(ctx context.Context, method, path, key string, body []byte, avoid map[int]bool) (answer, bool) {
 	if cl.play.counts.requests.Add(1) > maxRequests {
 		return answer{}, false
 	}
@@ -145,7 +153,7 @@
 	if err != nil {
 		return answer{}, false
 	}
-	ex := cn.exchange(method, path, body)
+	ex := cn.exchange(method, path, key, body)
 	if !ex.isKept {
 		cl.forget(cn)
 	}
@@ -154,6 +162,9 @@
 	as.status = ex.status
 	as.isUnanswered = ex.err != nil
 	cl.play.recordExchange(cn.manager, method, path, ex)
+	if as.status == http.StatusUnauthorized && cl.play.isAlwaysValid(key) {
+		cl.play.report("KEY", "%s %s with a key of each configuration is answered with 401 by manager %d", method, path, as.manager)
+	}
 	var state struct {
 		State string `json:"state"`
 	}
--- a/standin/internal/soaker/command.go
+++ b/standin/internal/soaker/command.go
@@ -29,6 +29,7 @@
 	Keep        bool   `help:"Keep the directories of settings files, logs and traces also of plays that passed."`
 	Restarts    bool   `help:"Let workers also be back under their IDs at once. Seeds of before December 2026 need --no-restarts." default:"true" negatable:""`
 	Zones       string `help:"Play restarts of all workers of an availability zone, and no random faults. Their connections are closed, silent or kept." enum:",closed,silent,kept" default:""`
+	Keys        bool   `help:"Let callers need keys of teams, some of which are revoked and granted again. The plans of a seed differ from those without."`
 	SameStart   bool   `help:"Let workers that are back report the start times of before."`
 	Regressions bool   `help:"Run the plays that have failed before, instead of those of the seeds."`
 }
@@ -108,6 +109,7 @@
 			Duration:     time.Duration(cd.Seconds) * time.Second,
 			HasRestarts:  cd.Restarts,
 			ZoneRestarts: restarts,
+			HasKeys:      cd.Keys,
 		}))
 	}
 	return plans
--- a/standin/internal/soaker/configuration.go
+++ b/standin/internal/soaker/configuration.go
@@ -46,7 +46,7 @@
 			Name: pool,
 		}
 	}
-	pl.stage.Provider().Configure(cf)
+	pl.keys.put(pl, cf)
 }
 
 // queue returns the queue of a route.
--- a/standin/internal/soaker/connection.go
+++ b/standin/internal/soaker/connection.go
@@ -60,8 +60,8 @@
 }
 
 // exchange sends a request and reads its answer.
-func (cn *connection) exchange(method, path string, body []byte) exchange {
-	ex := cn.transfer(method, path, body)
+func (cn *connection) exchange(method, path, key string, body []byte) exchange {
+	ex := cn.transfer(method, path, key, body)
 	ex.endedAt = time.Now()
 	if !ex.isKept {
 		_ = cn.conn.Close()
@@ -69,7 +69,7 @@
 	return ex
 }
 
-func (cn *connection) transfer(method, path string, body []byte) (ex exchange) {
+func (cn *connection) transfer(method, path, key string, body []byte) (ex exchange) {
 	cn.manager.addUnanswered(1)
 	defer cn.manager.addUnanswered(-1)
 	rq, err := http.NewRequest(method, "http://"+host+path, bytes.NewReader(body))
@@ -79,6 +79,9 @@
 	}
 	rq.Header.Set("Content-Type", "application/json")
 	rq.Header.Set("Deadline-Ms", strconv.FormatInt(timeBudget.Milliseconds(), 10))
+	if key != "" {
+		rq.Header.Set("Authorization", "Bearer "+key)
+	}
 	var data bytes.Buffer
 	if ex.err = rq.Write(&data); ex.err != nil {
 		return ex
--- a/standin/internal/soaker/disturbance.go
+++ b/standin/internal/soaker/disturbance.go
@@ -55,6 +55,21 @@
 	})
 }
 
+// hasAny reports whether a manager was affected in a span by anything but planned work.
+func (ds *disturbances) hasAny(manager int, from, to time.Time) bool {
+	return ds.hasAnyBesideProcess(manager, from, to) || ds.hasUnplanned(manager, from, to)
+}
+
+// hasAnyBesideProcess reports whether a manager was affected in a span by anything but
+// planned work and faults of its processes.
+func (ds *disturbances) hasAnyBesideProcess(manager int, from, to time.Time) bool {
+	ds.mu.Lock()
+	defer ds.mu.Unlock()
+	return slices.ContainsFunc(ds.list, func(db *disturbance) bool {
+		return !db.isProcess && !db.isPlanned && (db.manager == manager || db.manager == everyManager) && db.overlaps(from, to)
+	})
+}
+
 // calmSince returns the end of the last disturbance that began before a time, and
 // false if one lasts at that time.
 func (ds *disturbances) calmSince(at time.Time) (time.Time, bool) {
--- a/standin/internal/soaker/event.go
+++ b/standin/internal/soaker/event.go
@@ -7,7 +7,7 @@
 )
 
 // Event is what happens at a moment of a play: Stop, Kill, KillAll, Freeze, Hangup,
-// StoreFault, WorkerCrash, WorkerFault, Drain, LinkFault, Wave or Configured.
+// StoreFault, WorkerCrash, WorkerFault, Drain, LinkFault, Wave, Configured or KeyChange.
 type Event interface{ isEvent() }
 
 // Stop ends a manager by SIGTERM, as the platform does, and starts it again.
@@ -101,6 +101,13 @@
 	Routes  []Route
 }
 
+// KeyChange puts a configuration in force with the routes of the last one and other
+// keys.
+type KeyChange struct {
+	// Granted says for each team whether its second key is valid.
+	Granted []bool
+}
+
 // Route sends the jobs of a path prefix to a pool.
 type Route struct {
 	Name, Prefix, Pool string
@@ -115,3 +122,4 @@
 func (WorkerCrash) isEvent() {}
 func (Wave) isEvent()        {}
 func (Configured) isEvent()  {}
+func (KeyChange) isEvent()   {}
--- a/standin/internal/soaker/perform.go
+++ b/standin/internal/soaker/perform.go
@@ -39,6 +39,8 @@
 	case Wave:
 		pl.stage.Provider().Put(fmt.Sprintf("op/wave/%d", ev.Number), marshal(map[string]any{
 			"wave": ev.Number, "machines": ev.VMs, "duration_s": ev.Duration.Seconds(), "cap": ev.Cap}))
+	case KeyChange:
+		pl.changeKeys(ev)
 	case Configured:
 		end := pl.disturbances.begin(disturbance{
 			manager:   everyManager,
--- a/standin/internal/soaker/plan.go
+++ b/standin/internal/soaker/plan.go
@@ -23,6 +23,8 @@
 	// ZoneRestarts describe a plan in which all workers of an availability zone restart
 	// at once. It is nil for a plan of random faults.
 	ZoneRestarts *ZoneRestarts
+	// HasKeys is true if callers need keys of teams.
+	HasKeys bool
 }
 
 // Plan is what happens in a play.
@@ -138,16 +140,21 @@
 			pr.rand = rand.New(rand.NewPCG(seed, restartStream))
 			pr.plan.Moments = append(pr.plan.Moments, pr.drawRestarts()...)
 		}
-		slices.SortStableFunc(pr.plan.Moments, func(a, b Moment) int { return cmp.Compare(a.At, b.At) })
 	}
+	if settings.HasKeys {
+		pr.rand = rand.New(rand.NewPCG(seed, keyStream))
+		pr.plan.Moments = append(pr.plan.Moments, pr.drawKeyChanges()...)
+	}
+	slices.SortStableFunc(pr.plan.Moments, func(a, b Moment) int { return cmp.Compare(a.At, b.At) })
 	return pr.plan
 }
 
-// linkStream selects the generator of the faults of links and workers, and
-// restartStream that of the workers that are back under their IDs.
+// linkStream selects the generator of the faults of links and workers, restartStream
+// that of the workers that are back under their IDs, and keyStream that of the keys.
 const (
 	linkStream    = 1 << 32
 	restartStream = 2 << 32
+	keyStream     = 3 << 32
 )
 
 // until returns a random duration of at least low and below high.
--- a/standin/internal/soaker/play.go
+++ b/standin/internal/soaker/play.go
@@ -59,6 +59,7 @@
 	faults       *storeFaults
 	links        *links
 	disturbances disturbances
+	keys         keys
 	counts       counts
 	trace        *os.File
 
