--- a/standin/internal/stager/node.go
+++ b/standin/internal/stager/node.go
@@ -41,6 +41,14 @@
 	return filepath.Join(nd.stage.files, nd.Name+".toml")
 }
 
+// descriptors returns the line of the settings that limits the open descriptors.
+func (lm Limits) descriptors() string {
+	if lm.MaxFDs == 0 {
+		return ""
+	}
+	return fmt.Sprintf("max_fds = %d\n", lm.MaxFDs)
+}
+
 // writeSettings writes the manager's settings file.
 func (nd *Node) writeSettings(store, advice netip.AddrPort) error {
 	text := fmt.Sprintf(`node = %q
@@ -54,8 +62,8 @@
 front = %q
 ready = %q
 [limits]
-memory_mb = 284
-[bounds]
+memory_mb = %d
+%s[bounds]
 grace_s = %v
 stop_grace_ms = 200
 hold_max_ms = 10000
@@ -65,7 +73,7 @@
 [cloud_api]
 address = %q
 `, nd.Name, nd.Internal.Addr(), nd.Zone, nd.Internal.Port(), nd.Internal.Port(), advice, nd.Front, nd.Ready,
-		nd.stage.grace.Seconds(), store, nd.stage.vms)
+		nd.stage.limits.MemoryMB, nd.stage.limits.descriptors(), nd.stage.grace.Seconds(), store, nd.stage.vms)
 	const mode = 0o644
 	path := nd.settingsPath()
 	if err := os.WriteFile(path, []byte(text), mode); err != nil {
--- a/standin/internal/stager/stager.go
+++ b/standin/internal/stager/stager.go
@@ -20,6 +20,8 @@
 	headerTimeout = 5 * time.Second
 	// defaultGrace is the time from SIGTERM to SIGKILL.
 	defaultGrace = 6 * time.Second
+	// defaultMemoryMB is the memory of a manager's VM.
+	defaultMemoryMB = 284
 )
 
 // Link returns the address at which one side of the stage reaches another, for
@@ -56,6 +58,19 @@
 	return func(se *Stage) { se.grace = grace }
 }
 
+// Limits are the limits of a manager's VM.
+type Limits struct {
+	// MemoryMB is the memory in MB.
+	MemoryMB int
+	// MaxFDs is the greatest number of open descriptors; zero leaves it out of the settings.
+	MaxFDs int
+}
+
+// WithLimits sets the limits of the managers' VMs.
+func WithLimits(limits Limits) Option {
+	return func(se *Stage) { se.limits = limits }
+}
+
 // Stage is the platform's stand-in and the managers that use it.
 type Stage struct {
 	files, binaries       string
@@ -68,6 +83,7 @@
 	workerLink, storeLink func(name string) Link
 	frontLink             func(name string) Link
 	grace                 time.Duration
+	limits                Limits
 }
 
 // New returns a stage without VMs and managers. Settings files and logs are written
@@ -81,6 +97,9 @@
 		storeLink:  direct,
 		frontLink:  direct,
 		grace:      defaultGrace,
+		limits: Limits{
+			MemoryMB: defaultMemoryMB,
+		},
 	}
 	for _, opt := range opts {
 		opt(se)
