standin: prepare the texts of the crowds once

The clients of "header section over the limit" and of whole bodies made their texts anew for each connection, which took all of the test's own processor time: against a fast server the ordinary request starved in the test's process. The bytes sent, the crowd and the bounds are the same; the crowd is faster. On the present code both tests of that manner still fail, twice each: callers' listener 974 and 902 MB, internal listener 928 and 797 MB, with a bound of 96 MB.

--- a/standin/internal/abuser/manner.go
+++ b/standin/internal/abuser/manner.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -57,17 +58,32 @@
 }
 
 // body returns a body of the greatest legal size without the bytes that the client
-// leaves out. A whole one has as many steps as fit in, so that decoding it is costly.
+// leaves out.
 func (rq request) body() string {
-	const start, step, end = `{"steps":[{}`, `,{}`, `]}`
-	body := start + strings.Repeat(step, (bodyBytes-len(start)-len(end))/len(step)) + end
-	body += strings.Repeat(" ", bodyBytes-len(body))
 	if rq.isWhole {
-		return body
+		return largeBody()
 	}
-	return body[:bodyBytes-missingBytes]
+	return largeBody()[:bodyBytes-missingBytes]
 }
 
+// largeBody returns a body of the greatest legal size, with as many steps as fit in, so
+// that decoding it is costly.
+var largeBody = sync.OnceValue(func() string {
+	const start, step, end = `{"steps":[{}`, `,{}`, `]}`
+	body := start + strings.Repeat(step, (bodyBytes-len(start)-len(end))/len(step)) + end
+	return body + strings.Repeat(" ", bodyBytes-len(body))
+})
+
+// largeHeader returns header lines with different names.
+var largeHeader = sync.OnceValue(func() string {
+	const size = 900_000
+	lines := make([]byte, 0, size)
+	for number := 0; len(lines) < size; number++ {
+		lines = fmt.Appendf(lines, "%04x:\r\n", number)
+	}
+	return string(lines)
+})
+
 func sendEndlessHeader(conn net.Conn, rq request) error {
 	if _, err := io.WriteString(conn, strings.TrimSuffix(rq.head(""), "\r\n")); err != nil {
 		return err
@@ -76,12 +92,7 @@
 }
 
 func sendLargeHeader(conn net.Conn, rq request) error {
-	const size, lineBytes = 900_000, 6
-	lines := make([]byte, 0, size)
-	for number := 0; len(lines) < size; number++ {
-		lines = fmt.Appendf(lines, "%04x:\r\n", number)
-	}
-	_, err := io.WriteString(conn, rq.head("Content-Length: 0\r\n"+string(lines)))
+	_, err := io.WriteString(conn, rq.head("Content-Length: 0\r\n"+largeHeader()))
 	return err
 }
 
