Bound what uncontrolled clients take up of a manager

Callers' connections had no bound on bodies, a header limit of 1 MB, and no bound on their number; 1,500 such clients took 317 to 685 MB of a VM of 284 MB, and with bodies that decode into many steps far more. server.WithGuard carries out the decisions of guard.Guard on a listener: it wraps the connections, applies the limits of the stored configuration to header sections and idle connections, and hands handlers a body whose memory is reserved before it is read, with a deadline and a minimum rate. The manager's three listeners have a guard each, with capacities from memory_mb and max_fds. Refusals are counted and logged once a second by cause.

--- a/coltsfootwick-manager/internal/peer/handler.go
+++ b/coltsfootwick-manager/internal/peer/handler.go
@@ -11,6 +11,7 @@
 	"coltsfootwick.example/coltsfootwick-manager/internal/linker"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/guard"
 	"coltsfootwick.example/shared/process/packer"
 )
 
@@ -29,6 +30,13 @@
 	ServeKeeper(rw http.ResponseWriter, rq *http.Request)
 }
 
+// Limits returns the limits of requests from other managers.
+func Limits() guard.Limits {
+	return guard.Limits{
+		MaxBodyBytes: maxMessageBytes,
+	}
+}
+
 // NewHandler returns the handler of requests from other managers.
 func NewHandler(scheduler Scheduler, logger *zap.Logger) http.Handler {
 	mux := http.NewServeMux()
--- a/coltsfootwick-manager/internal/router/router.go
+++ b/coltsfootwick-manager/internal/router/router.go
@@ -109,6 +109,16 @@
 	return ok
 }
 
+// Limits returns the limits of callers' requests that are in force. They are zero as long
+// as no configuration has been applied.
+func (ro *Router) Limits() modeller.Limits {
+	rt := ro.table.Load()
+	if rt == nil {
+		return modeller.Limits{}
+	}
+	return rt.configuration.Limits
+}
+
 // Queue implements adapter.Router.
 func (ro *Router) Queue(host, path string) (modeller.Queue, modeller.Limits, error) {
 	rt := ro.table.Load()
--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,7 @@
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/assigner"
 	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/guard"
 	"coltsfootwick.example/shared/process/logger"
 	"coltsfootwick.example/shared/process/server"
 	"coltsfootwick.example/shared/process/timekeeper"
@@ -49,8 +51,8 @@
 	// ends.
 	pollWait = time.Second
 	// headerTimeout and idleTimeout bound callers' connections.
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 15 * time.Second
+	headerTimeout = guard.DefaultHeaderTimeout
+	idleTimeout   = guard.DefaultIdleTimeout
 	// failureGrace bounds the wait for requests in progress when the manager ends
 	// because one of its components has failed.
 	failureGrace = 3 * time.Second
@@ -197,19 +199,22 @@
 // listen opens the listeners for readiness checks, callers and peers.
 func (mg *manager) listen() error {
 	callerHandler := adapter.NewCallerHandler(mg.submitter, mg.router, time.Now)
-	opts := []server.Option{server.WithTimeouts(headerTimeout, idleTimeout), server.WithDrainFirst(),
-		server.WithGrace(failureGrace), server.WithDeadline(mg.closeDeadline)}
-	ready, err := server.New(mg.settings.Ready, http.HandlerFunc(mg.serveReadiness), opts...)
+	opts := slices.Clip([]server.Option{server.WithTimeouts(headerTimeout, idleTimeout), server.WithDrainFirst(),
+		server.WithGrace(failureGrace), server.WithDeadline(mg.closeDeadline)})
+	capacities := guard.NewCapacities(mg.settings.MemoryMB, mg.settings.MaxFDs)
+	ready, err := server.New(mg.settings.Ready, http.HandlerFunc(mg.serveReadiness),
+		append(opts, mg.guard("readiness", capacities.Readiness, defaultLimits))...)
 	if err != nil {
 		return err
 	}
 	callers, err := server.New(mg.settings.Front, mg.tracker.track(mg.closeOnShutdown(callerHandler)),
-		append(opts, server.WithCloseNotify(mg.tracker.logUnanswered))...)
+		append(opts, server.WithCloseNotify(mg.tracker.logUnanswered), mg.guard("callers", capacities.Callers, mg.callerLimits))...)
 	if err != nil {
 		return err
 	}
 	mg.callers = callers
-	peers, err := server.New(mg.settings.Internal, peer.NewHandler(mg.conductor, mg.logger), opts...)
+	peers, err := server.New(mg.settings.Internal, peer.NewHandler(mg.conductor, mg.logger),
+		append(opts, mg.guard("internal", capacities.Internal, peer.Limits))...)
 	if err != nil {
 		return err
 	}
--- a/shared/jobs/modeller/queue.go
+++ b/shared/jobs/modeller/queue.go
@@ -49,10 +49,14 @@
 	IsStandby bool
 }
 
-// Limits bound callers' requests.
+// Limits bound callers' requests. Values that aren't positive stand for the defaults.
 type Limits struct {
-	// MaxBodyBytes limits the size of a request's body; zero means no limit.
-	MaxBodyBytes int
+	// MaxHeaderBytes and MaxBodyBytes limit the sizes of a request's header section and
+	// body.
+	MaxHeaderBytes, MaxBodyBytes int
+	// HeaderTimeout limits the time for a header section, and IdleTimeout that between
+	// two requests on a connection.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Configuration is the operators' configuration of queues and pools.
--- /dev/null
+++ b/shared/process/server/gate.go
@@ -0,0 +1,115 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"coltsfootwick.example/shared/process/guard"
+)
+
+// admissionPause is the time between two tries to admit a connection when none can be
+// closed for it. Further ones wait in the kernel meanwhile.
+const admissionPause = 5 * time.Millisecond
+
+// WithGuard bounds the connections and the requests of clients by a capacity and by
+// limits, which are asked for at each use. Refusals are reported.
+func WithGuard(capacity guard.Capacity, limits func() guard.Limits, report ReportFunc) Option {
+	return func(sr *Server) {
+		ge := &gate{
+			guard:    guard.New(capacity),
+			limits:   limits,
+			refusals: newRefusals(report),
+			next:     sr.http.Handler,
+		}
+		if listener, ok := sr.listener.(*net.TCPListener); ok {
+			sr.listener = &gatedListener{
+				TCPListener: listener,
+				gate:        ge,
+			}
+		}
+		sr.http.Handler = ge
+		sr.http.ConnContext = contextWithConnection
+		sr.http.ConnState = observeState
+	}
+}
+
+// gate carries out the decisions of a guard.
+type gate struct {
+	guard    *guard.Guard
+	limits   func() guard.Limits
+	refusals *refusals
+	next     http.Handler
+}
+
+// gatedListener accepts the connections that the guard admits.
+type gatedListener struct {
+	*net.TCPListener
+	gate     *gate
+	isClosed atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (gl *gatedListener) Accept() (net.Conn, error) {
+	conn, err := gl.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	cn := &connection{
+		TCPConn: conn,
+		gate:    gl.gate,
+	}
+	for !cn.enter() {
+		if gl.isClosed.Load() {
+			_ = conn.Close()
+			return nil, net.ErrClosed
+		}
+		time.Sleep(admissionPause)
+	}
+	return cn, nil
+}
+
+// Close implements net.Listener.
+func (gl *gatedListener) Close() error {
+	gl.isClosed.Store(true)
+	return gl.TCPListener.Close()
+}
+
+type connectionKey struct{}
+
+func contextWithConnection(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, conn)
+}
+
+// observeState implements the ConnState hook of http.Server.
+func observeState(conn net.Conn, state http.ConnState) {
+	if cn, ok := conn.(*connection); ok && state == http.StateIdle {
+		cn.rest()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (ge *gate) ServeHTTP(rw http.ResponseWriter, rq *http.Request) {
+	cn, ok := rq.Context().Value(connectionKey{}).(*connection)
+	if !ok {
+		ge.next.ServeHTTP(rw, rq)
+		return
+	}
+	if rq.ContentLength == 0 {
+		if !cn.serve() {
+			// The connection is closed.
+			panic(http.ErrAbortHandler)
+		}
+		ge.next.ServeHTTP(rw, rq)
+		return
+	}
+	bd := newBody(cn, rw, rq)
+	defer bd.Release()
+	// As in http.MaxBytesHandler, the library goes on with the request as it was.
+	guarded := new(http.Request)
+	*guarded = *rq
+	guarded.Body = bd
+	ge.next.ServeHTTP(rw, guarded)
+}
