standin: command that plays large crowds of uncontrolled clients

standin abuse plays each manner with 10,000 clients against one manager and reports its peak memory, its descriptors and whether an ordinary job was accepted.

--- a/standin/internal/abuser/observation.go
+++ b/standin/internal/abuser/observation.go
@@ -20,6 +20,8 @@
 	PeakBytes int64
 	// Descriptors is the greatest number of open descriptors that was seen.
 	Descriptors int
+	// Connections is how many connections the crowd opened.
+	Connections int64
 }
 
 // Observe samples a process until the context is done.
--- a/standin/internal/abuser/stage.go
+++ b/standin/internal/abuser/stage.go
@@ -164,6 +164,7 @@
 	cancel()
 	<-ended
 	rs := <-observed
+	rs.observation.Connections = crowd.Connections()
 	if rs.err != nil {
 		return rs.observation, rs.err
 	}
--- a/standin/main.go
+++ b/standin/main.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/oklog/run"
 
+	"coltsfootwick.example/standin/internal/abuser"
 	"coltsfootwick.example/standin/internal/bencher"
 	"coltsfootwick.example/standin/internal/comparer"
 	"coltsfootwick.example/standin/internal/demonstrator"
@@ -39,6 +40,7 @@
 	Bench    bencher.Command      `cmd:"" help:"Measure one entry beside direct connections to its targets."`
 	Relays   comparer.Command     `cmd:"" help:"Compare ways to relay the settings, in a model."`
 	Soak     soaker.Command       `cmd:"" help:"Play random faults against the programs of ./bin and check the guarantees."`
+	Abuse    abuser.Command       `cmd:"" help:"Play crowds of uncontrolled clients against a manager of ./bin, and report what it uses."`
 	Slopes   sloper.Command       `cmd:"" help:"Measure how the cost of each role grows."`
 }
 
