Bound long header sections, tiny chunks and connections that are being closed

A connection that made room for another one counts until its goroutine has ended, as it holds its buffers until then. The backlog of a guarded listener is 512, since a full queue of 4,096 only makes ordinary callers wait. An eighth of the connections may be unfinished, and bodies take at most 5 MB.

A crowd of short header lines is added to the tests.

--- a/shared/process/guard/capacity.go
+++ b/shared/process/guard/capacity.go
@@ -38,10 +38,10 @@
 	// with the holder of the scheduler's duty.
 	minInternal = 256
 	// unfinishedPart is the part of the connections that may be unfinished, as 1/n.
-	unfinishedPart = 4
+	unfinishedPart = 8
 	minUnfinished  = 8
 	minBodyBytes   = 2 << 20
-	maxBodyBytes   = 12 << 20
+	maxBodyBytes   = 5 << 20
 	maxChunked     = 16
 )
 
--- a/shared/process/guard/connection.go
+++ b/shared/process/guard/connection.go
@@ -5,6 +5,17 @@
 	"time"
 )
 
+// state is the state of a connection.
+type state int
+
+// The states of a connection.
+const (
+	open state = iota
+	// evicted connections make room for others and aren't closed yet.
+	evicted
+	removed
+)
+
 // Connection is a connection that a Guard has admitted.
 type Connection struct {
 	owner io.Closer
@@ -14,11 +25,10 @@
 	// queue is the queue that the connection is in; nil while a request is served.
 	queue          *queue
 	earlier, later *Connection
-	// isRemoved is true once the connection isn't counted any more.
-	isRemoved bool
-	// share is the number of bytes that are reserved for its body.
-	share     int64
-	isChunked bool
+	state          state
+	// header and body are what is reserved for the header section, if it is long, and
+	// the body of its request.
+	header, body usage
 }
 
 // queue holds connections in the order in which they were added.
--- a/shared/process/guard/guard.go
+++ b/shared/process/guard/guard.go
@@ -30,16 +30,17 @@
 	capacity Capacity
 
 	mu sync.Mutex
-	// connections is the number of connections.
-	connections int
+	// connections is the number of connections, and closing that of those among them
+	// that were evicted and aren't closed yet.
+	connections, closing int
 	// unfinished holds the connections whose header section isn't complete, bodies
 	// those whose body isn't, and idle those between two requests.
 	unfinished, bodies, idle queue
-	// reserved is the number of bytes reserved for bodies, and large the part of it
-	// for bodies that aren't small.
-	reserved, large int64
-	// chunked is the number of bodies of unknown length.
-	chunked int
+	// reserved is what all connections have reserved, and leaving what those that are
+	// closing have.
+	reserved, leaving usage
+	// nextChunks is when tiny chunks are read next.
+	nextChunks time.Time
 }
 
 // New returns a Guard without connections.
@@ -49,25 +50,26 @@
 	}
 }
 
-// Admit admits a new connection. If another one has to be closed for it, Admit returns
-// that one's owner and the cause. It returns nil if there is no room at the moment.
+// Admit admits a new connection, and returns nil if there is no room at the moment. If
+// another one has to be closed, also for a later try, Admit returns that one's owner and
+// the cause.
 func (gd *Guard) Admit(now time.Time, owner io.Closer) (admitted *Connection, evicted io.Closer, cause Cause) {
 	gd.mu.Lock()
 	defer gd.mu.Unlock()
 	var victim *Connection
-	isFull := gd.connections >= gd.capacity.Connections
+	isFull := gd.connections-gd.closing >= gd.capacity.Connections
 	if isFull || gd.pending() >= gd.capacity.Unfinished {
 		victim, cause = gd.oldestPending(now), StalledClosed
 	}
 	if victim == nil && isFull && isOlder(gd.idle.first, now, minIdleAge) {
 		victim, cause = gd.idle.first, IdleClosed
 	}
-	switch {
-	case victim != nil:
-		gd.remove(victim)
+	if victim != nil {
+		gd.evict(victim)
 		evicted = victim.owner
-	case isFull || gd.pending() >= gd.capacity.Unfinished:
-		return nil, nil, cause
+	}
+	if gd.connections >= gd.capacity.Connections || gd.pending() >= gd.capacity.Unfinished {
+		return nil, evicted, cause
 	}
 	cn := &Connection{
 		owner: owner,
@@ -103,13 +105,13 @@
 func (gd *Guard) Begin(now time.Time, cn *Connection) (evicted io.Closer) {
 	gd.mu.Lock()
 	defer gd.mu.Unlock()
-	if cn.isRemoved {
+	if cn.state != open {
 		return nil
 	}
 	cn.leave()
 	if gd.pending() >= gd.capacity.Unfinished {
 		if victim := gd.oldestPending(now); victim != nil {
-			gd.remove(victim)
+			gd.evict(victim)
 			evicted = victim.owner
 		}
 	}
@@ -123,10 +125,10 @@
 func (gd *Guard) AwaitBody(cn *Connection) bool {
 	gd.mu.Lock()
 	defer gd.mu.Unlock()
-	if !cn.isRemoved {
+	if cn.state == open {
 		gd.bodies.add(cn)
 	}
-	return !cn.isRemoved
+	return cn.state == open
 }
 
 // Serve records that a connection's request is complete. It returns false if the
@@ -134,36 +136,47 @@
 func (gd *Guard) Serve(cn *Connection) bool {
 	gd.mu.Lock()
 	defer gd.mu.Unlock()
-	if !cn.isRemoved {
+	if cn.state == open {
 		cn.leave()
 	}
-	return !cn.isRemoved
+	return cn.state == open
 }
 
 // Idle records that the response to a connection's request has been written.
 func (gd *Guard) Idle(now time.Time, cn *Connection) {
 	gd.mu.Lock()
 	defer gd.mu.Unlock()
-	if cn.isRemoved {
+	if cn.state != open {
 		return
 	}
+	gd.releaseBody(cn)
+	gd.releaseHeader(cn)
 	cn.since = now
 	gd.idle.add(cn)
 }
 
-// Remove records that a connection is closed.
+// evict has a connection make room for another one. It counts until it is removed, since
+// its goroutine and what it has reserved are there until then.
+func (gd *Guard) evict(cn *Connection) {
+	cn.state = evicted
+	cn.leave()
+	gd.closing++
+	gd.leaving.add(cn.usage())
+}
+
+// Remove records that a connection is closed and holds nothing any more.
 func (gd *Guard) Remove(cn *Connection) {
 	gd.mu.Lock()
 	defer gd.mu.Unlock()
-	gd.remove(cn)
-}
-
-func (gd *Guard) remove(cn *Connection) {
-	if cn.isRemoved {
+	if cn.state == removed {
 		return
 	}
-	cn.isRemoved = true
+	gd.releaseBody(cn)
+	gd.releaseHeader(cn)
+	if cn.state == evicted {
+		gd.closing--
+	}
+	cn.state = removed
 	cn.leave()
-	gd.release(cn)
 	gd.connections--
 }
--- a/shared/process/server/body.go
+++ b/shared/process/server/body.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"os"
@@ -13,6 +14,10 @@
 	"coltsfootwick.example/shared/process/guard"
 )
 
+// tinyReadBytes is the size of a read of a chunked body below which its chunks are tiny.
+// One of chunks of one byte returns about 700 bytes.
+const tinyReadBytes = 1024
+
 // body is the body of a request. Its memory is reserved when it is first read. Its
 // errors have the codes RequestTooLarge, RequestMemoryExhausted and RequestStalled;
 // others are those of net/http.
@@ -69,6 +74,8 @@
 	bd.received += int64(count)
 	if err != nil {
 		bd.err = bd.end(err)
+	} else if bd.length < 0 && count < tinyReadBytes {
+		time.Sleep(bd.connection.gate.guard.PaceChunks(time.Now()))
 	}
 	return count, bd.err
 }
@@ -103,11 +110,10 @@
 	if size < 0 {
 		size = maxBytes
 	}
-	evicted, ok := cn.gate.guard.Reserve(time.Now(), cn.guarded, size, bd.length < 0)
-	for _, other := range evicted {
-		cn.gate.evict(other, guard.BodyClosed)
+	reserve := func() ([]io.Closer, bool) {
+		return cn.gate.guard.Reserve(time.Now(), cn.guarded, size, bd.length < 0)
 	}
-	if !ok {
+	if !cn.gate.reserve(reserve) {
 		cn.gate.refusals.add(guard.MemoryExhausted)
 		bd.closeAfterResponse()
 		return classifier.New(classifier.RequestMemoryExhausted, "the body was not read")
@@ -121,13 +127,20 @@
 func (bd *body) Release() {
 	if bd.isReserved {
 		bd.isReserved = false
-		if bd.err == nil {
-			bd.err = http.ErrBodyReadAfterClose
-		}
+		bd.err = cmp.Or(bd.err, http.ErrBodyReadAfterClose)
 		bd.connection.gate.guard.Release(bd.connection.guarded)
 	}
 }
 
+// finish is called when the handler returns. The library would read the rest of a chunked
+// body that the handler has left, at any cost of processor time.
+func (bd *body) finish() {
+	bd.Release()
+	if bd.length < 0 && !errors.Is(bd.err, io.EOF) {
+		bd.closeAfterResponse()
+	}
+}
+
 // closeAfterResponse has net/http close the connection after the response, without
 // waiting for the rest of the body, and with the pause in which the client can read the
 // response. The library offers this only through a MaxBytesReader that has hit its limit.
@@ -135,4 +148,5 @@
 	var buffer [1]byte
 	limited := http.MaxBytesReader(bd.writer, io.NopCloser(strings.NewReader("x")), 0)
 	_, _ = limited.Read(buffer[:])
+	bd.setDeadline(time.Unix(1, 0))
 }
--- a/shared/process/server/connection.go
+++ b/shared/process/server/connection.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"os"
@@ -30,8 +31,15 @@
 // headerSlack is how much more than a header section net/http reads at once.
 const headerSlack = 4096
 
-// tooLargeResponse is the response to a header section over the limit.
-const tooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+// shortHeaderBytes is the size up to which nothing is reserved for a header section. It
+// is that of the buffer of net/http, which may also hold the first bytes of a body.
+const shortHeaderBytes = 4096
+
+// The responses to a header section over the limit, and to one without memory for it.
+const (
+	tooLargeResponse    = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	unavailableResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 // connection is a connection of a client. It applies the limits of header sections and
 // idle connections that are in force, as those of http.Server can't change.
@@ -42,17 +50,44 @@
 	phase   atomic.Int32
 	// headerBytes is the size of the header section so far.
 	headerBytes int
+	// isLong is true once memory was asked for the header section.
+	isLong bool
 }
 
 // enter admits the connection if the guard has room for it.
 func (cn *connection) enter() bool {
-	admitted, evicted, cause := cn.gate.guard.Admit(time.Now(), cn)
+	admitted, evicted, cause := cn.gate.guard.Admit(time.Now(), cn.TCPConn)
 	cn.gate.evict(evicted, cause)
 	cn.guarded = admitted
 	return admitted != nil
 }
 
-// evict closes a connection that made room for another one.
+// The tries to reserve memory while other connections are being closed for it, and the
+// pause between two.
+const (
+	reserveTries = 10
+	reservePause = 2 * time.Millisecond
+)
+
+// reserve reserves memory, and closes other connections for it.
+func (ge *gate) reserve(reserve func() (evicted []io.Closer, ok bool)) bool {
+	isMakingRoom := false
+	for range reserveTries {
+		evicted, ok := reserve()
+		isMakingRoom = isMakingRoom || len(evicted) > 0
+		for _, other := range evicted {
+			ge.evict(other, guard.BodyClosed)
+		}
+		if ok || !isMakingRoom {
+			return ok
+		}
+		time.Sleep(reservePause)
+	}
+	return false
+}
+
+// evict closes a connection that made room for another one. Its goroutine ends on that,
+// and removes it from the guard.
 func (ge *gate) evict(evicted io.Closer, cause guard.Cause) {
 	if evicted == nil {
 		return
@@ -86,18 +121,34 @@
 	if err != nil && cn.headerBytes > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		cn.gate.refusals.add(guard.HeaderTimeout)
 	}
-	if cn.headerBytes > cn.gate.limits().WithDefaults().MaxHeaderBytes+headerSlack {
-		return 0, cn.refuseHeader()
+	if cn.headerBytes <= shortHeaderBytes {
+		return count, err
+	}
+	return count, cmp.Or(cn.checkHeader(), err)
+}
+
+// checkHeader checks a long header section, and reserves memory for it.
+func (cn *connection) checkHeader() error {
+	maxBytes := cn.gate.limits().WithDefaults().MaxHeaderBytes
+	if cn.headerBytes > maxBytes+headerSlack {
+		return cn.refuse(guard.HeaderTooLarge, tooLargeResponse)
+	}
+	if cn.isLong {
+		return nil
+	}
+	cn.isLong = true
+	if !cn.gate.reserve(func() ([]io.Closer, bool) { return cn.gate.guard.ReserveHeader(time.Now(), cn.guarded, maxBytes) }) {
+		return cn.refuse(guard.MemoryExhausted, unavailableResponse)
 	}
-	return count, err
+	return nil
 }
 
-// refuseHeader responds to a header section over the limit. It returns io.EOF, on which
-// net/http closes the connection without a response of its own.
-func (cn *connection) refuseHeader() error {
-	cn.gate.refusals.add(guard.HeaderTooLarge)
+// refuse responds to a header section that isn't read further. It returns io.EOF, on
+// which net/http closes the connection without a response of its own.
+func (cn *connection) refuse(cause guard.Cause, response string) error {
+	cn.gate.refusals.add(cause)
 	// A write error is ignored, since the client has closed the connection.
-	_, _ = io.WriteString(cn.TCPConn, tooLargeResponse)
+	_, _ = io.WriteString(cn.TCPConn, response)
 	return io.EOF
 }
 
@@ -125,6 +176,7 @@
 func (cn *connection) begin() {
 	cn.phase.Store(int32(readingHeader))
 	cn.headerBytes = 0
+	cn.isLong = false
 	cn.gate.evict(cn.gate.guard.Begin(time.Now(), cn.guarded), guard.StalledClosed)
 }
 
--- a/shared/process/server/gate.go
+++ b/shared/process/server/gate.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"coltsfootwick.example/shared/process/guard"
@@ -25,6 +26,7 @@
 			next:     sr.http.Handler,
 		}
 		if listener, ok := sr.listener.(*net.TCPListener); ok {
+			setBacklog(listener)
 			sr.listener = &gatedListener{
 				TCPListener: listener,
 				gate:        ge,
@@ -36,6 +38,21 @@
 	}
 }
 
+// backlog is how many connections wait in the kernel to be accepted. When there are more
+// clients than can be admitted, the queue is always full, and a longer one only makes
+// ordinary callers wait longer.
+const backlog = 512
+
+// setBacklog sets the backlog of a listener, which net doesn't offer: a further call of
+// listen changes it. The default one remains if that fails.
+func setBacklog(listener *net.TCPListener) {
+	conn, err := listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = conn.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), backlog) })
+}
+
 // gate carries out the decisions of a guard.
 type gate struct {
 	guard    *guard.Guard
@@ -106,7 +123,7 @@
 		return
 	}
 	bd := newBody(cn, rw, rq)
-	defer bd.Release()
+	defer bd.finish()
 	// As in http.MaxBytesHandler, the library goes on with the request as it was.
 	guarded := new(http.Request)
 	*guarded = *rq
--- a/standin/internal/abuser/manner.go
+++ b/standin/internal/abuser/manner.go
@@ -45,6 +45,7 @@
 var Manners = []Manner{
 	{Name: "endless header lines", send: sendEndlessHeader},
 	{Name: "header section over the limit", send: sendLargeHeader},
+	{Name: "short header lines just below the limit", send: sendShortLines},
 	{Name: "empty lines before a request", send: sendEmptyLines},
 	{Name: "whole bodies", send: sendWholeBody},
 	{Name: "bodies in pieces", send: sendPieces},
@@ -96,6 +97,14 @@
 	return err
 }
 
+// sendShortLines sends a header section that stops short of its end, and takes far more
+// memory than its size.
+func sendShortLines(conn net.Conn, rq request) error {
+	const size = 16_000
+	_, err := io.WriteString(conn, rq.head("")[:len(rq.head(""))-2]+largeHeader()[:size])
+	return err
+}
+
 func sendEmptyLines(conn net.Conn, _ request) error {
 	return repeat(conn, "\r\n", endlessBytes)
 }
