shared: refused connections linger without their goroutine

net/http keeps the goroutine of a connection for half a second after a refusal that leaves a body unread, so that the response isn't lost to a reset. The connection now lingers by itself: its goroutine ends, and it can be closed for another one.

--- a/shared/process/server/body.go
+++ b/shared/process/server/body.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,7 +23,6 @@
 type body struct {
 	io.ReadCloser
 	connection *connection
-	writer     http.ResponseWriter
 	// length is the declared length, or negative if it is unknown.
 	length    int64
 	startedAt time.Time
@@ -34,11 +32,10 @@
 	err        error
 }
 
-func newBody(cn *connection, rw http.ResponseWriter, rq *http.Request) *body {
+func newBody(cn *connection, rq *http.Request) *body {
 	bd := &body{
 		ReadCloser: rq.Body,
 		connection: cn,
-		writer:     rw,
 		length:     rq.ContentLength,
 		startedAt:  time.Now(),
 	}
@@ -141,12 +138,9 @@
 	}
 }
 
-// closeAfterResponse has net/http close the connection after the response, without
-// waiting for the rest of the body, and with the pause in which the client can read the
-// response. The library offers this only through a MaxBytesReader that has hit its limit.
+// closeAfterResponse has the connection closed after the response, without waiting for
+// the rest of the body: net/http fails to read it, and keeps no such connection.
 func (bd *body) closeAfterResponse() {
-	var buffer [1]byte
-	limited := http.MaxBytesReader(bd.writer, io.NopCloser(strings.NewReader("x")), 0)
-	_, _ = limited.Read(buffer[:])
+	bd.connection.isRefused.Store(true)
 	bd.setDeadline(time.Unix(1, 0))
 }
--- a/shared/process/server/connection.go
+++ b/shared/process/server/connection.go
@@ -52,11 +52,14 @@
 	headerBytes int
 	// isLong is true once memory was asked for the header section.
 	isLong bool
+	// isRefused is true once a request was refused before it was read whole, and
+	// isLingering once the connection's goroutine has ended after that.
+	isRefused, isLingering atomic.Bool
 }
 
 // enter admits the connection if the guard has room for it.
 func (cn *connection) enter() bool {
-	admitted, evicted, cause := cn.gate.guard.Admit(time.Now(), cn.TCPConn)
+	admitted, evicted, cause := cn.gate.guard.Admit(time.Now(), victim{connection: cn})
 	cn.gate.evict(evicted, cause)
 	cn.guarded = admitted
 	return admitted != nil
@@ -96,12 +99,41 @@
 	_ = evicted.Close()
 }
 
-// Close implements net.Conn.
+// lingerTime is how long a refused connection remains open for reading. Closed at once,
+// it would be reset by what the client still sends, and the response lost.
+const lingerTime = 500 * time.Millisecond
+
+// Close implements net.Conn. It is called by the goroutine of the connection at its end.
+// A refused connection lingers without the goroutine, whose memory is far greater.
 func (cn *connection) Close() error {
+	if cn.isRefused.Load() && !cn.isLingering.Swap(true) && cn.CloseWrite() == nil {
+		time.AfterFunc(lingerTime, cn.end)
+		return nil
+	}
+	cn.end()
+	return nil
+}
+
+// end closes the connection and removes it from the guard.
+func (cn *connection) end() {
+	// An error means that it is closed.
+	_ = cn.TCPConn.Close()
 	if cn.guarded != nil {
 		cn.gate.guard.Remove(cn.guarded)
 	}
-	return cn.TCPConn.Close()
+}
+
+// victim closes a connection that makes room for another one.
+type victim struct{ connection *connection }
+
+// Close implements io.Closer. A connection whose goroutine has not ended is removed from
+// the guard when it ends.
+func (vi victim) Close() error {
+	if vi.connection.isLingering.Load() {
+		vi.connection.end()
+		return nil
+	}
+	return vi.connection.TCPConn.Close()
 }
 
 // Read implements net.Conn.
@@ -147,6 +179,7 @@
 // which net/http closes the connection without a response of its own.
 func (cn *connection) refuse(cause guard.Cause, response string) error {
 	cn.gate.refusals.add(cause)
+	cn.isRefused.Store(true)
 	// A write error is ignored, since the client has closed the connection.
 	_, _ = io.WriteString(cn.TCPConn, response)
 	return io.EOF
--- a/shared/process/server/gate.go
+++ b/shared/process/server/gate.go
@@ -122,7 +122,7 @@
 		ge.next.ServeHTTP(rw, rq)
 		return
 	}
-	bd := newBody(cn, rw, rq)
+	bd := newBody(cn, rq)
 	defer bd.finish()
 	// As in http.MaxBytesHandler, the library goes on with the request as it was.
 	guarded := new(http.Request)
