--- /dev/null
+++ b/shared/process/server/connection.go
@@ -0,0 +1,233 @@
+package server
+
+import (
+	"cmp"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"coltsfootwick.example/shared/process/guard"
+)
+
+// phase is the phase of a connection.
+type phase int32
+
+// The phases of a connection.
+const (
+	// readingHeader lasts until a header section is complete.
+	readingHeader phase = iota
+	// serving lasts until the response is written.
+	serving
+	// resting begins when the response is written, and waiting when net/http has set
+	// the deadline of the idle connection.
+	resting
+	waiting
+)
+
+// headerSlack is how much more than a header section net/http reads at once.
+const headerSlack = 4096
+
+// shortHeaderBytes is the size up to which nothing is reserved for a header section. It
+// is that of the buffer of net/http, which may also hold the first bytes of a body.
+const shortHeaderBytes = 4096
+
+// The responses to a header section over the limit, and to one without memory for it.
+const (
+	tooLargeResponse    = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	unavailableResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+// connection is a connection of a client. It applies the limits of header sections and
+// idle connections that are in force, as those of http.Server can't change.
+type connection struct {
+	*net.TCPConn
+	gate    *gate
+	guarded *guard.Connection
+	phase   atomic.Int32
+	// headerBytes is the size of the header section so far.
+	headerBytes int
+	// isLong is true once memory was asked for the header section.
+	isLong bool
+	// isRefused is true once a request was refused before it was read whole, and
+	// isLingering once the connection's goroutine has ended after that.
+	isRefused, isLingering atomic.Bool
+}
+
+// enter admits the connection if the guard has room for it.
+func (cn *connection) enter() bool {
+	admitted, evicted, cause := cn.gate.guard.Admit(time.Now(), victim{connection: cn})
+	cn.gate.evict(evicted, cause)
+	cn.guarded = admitted
+	return admitted != nil
+}
+
+// The tries to reserve memory while other connections are being closed for it, and the
+// pause between two.
+const (
+	reserveTries = 10
+	reservePause = 2 * time.Millisecond
+)
+
+// reserve reserves memory, and closes other connections for it.
+func (ge *gate) reserve(reserve func() (evicted []io.Closer, ok bool)) bool {
+	isMakingRoom := false
+	for range reserveTries {
+		evicted, ok := reserve()
+		isMakingRoom = isMakingRoom || len(evicted) > 0
+		for _, other := range evicted {
+			ge.evict(other, guard.BodyClosed)
+		}
+		if ok || !isMakingRoom {
+			return ok
+		}
+		time.Sleep(reservePause)
+	}
+	return false
+}
+
+// evict closes a connection that made room for another one. Its goroutine ends on that,
+// and removes it from the guard.
+func (ge *gate) evict(evicted io.Closer, cause guard.Cause) {
+	if evicted == nil {
+		return
+	}
+	ge.refusals.add(cause)
+	_ = evicted.Close()
+}
+
+// lingerTime is how long a refused connection remains open for reading. Closed at once,
+// it would be reset by what the client still sends, and the response lost.
+const lingerTime = 500 * time.Millisecond
+
+// Close implements net.Conn. It is called by the goroutine of the connection at its end.
+// A refused connection lingers without the goroutine, whose memory is far greater.
+func (cn *connection) Close() error {
+	if cn.isRefused.Load() && !cn.isLingering.Swap(true) && cn.CloseWrite() == nil {
+		time.AfterFunc(lingerTime, cn.end)
+		return nil
+	}
+	cn.end()
+	return nil
+}
+
+// end closes the connection and removes it from the guard.
+func (cn *connection) end() {
+	// An error means that it is closed.
+	_ = cn.TCPConn.Close()
+	if cn.guarded != nil {
+		cn.gate.guard.Remove(cn.guarded)
+	}
+}
+
+// victim closes a connection that makes room for another one.
+type victim struct{ connection *connection }
+
+// Close implements io.Closer. A connection whose goroutine has not ended is removed from
+// the guard when it ends.
+func (vi victim) Close() error {
+	if vi.connection.isLingering.Load() {
+		vi.connection.end()
+		return nil
+	}
+	return vi.connection.TCPConn.Close()
+}
+
+// Read implements net.Conn.
+func (cn *connection) Read(data []byte) (int, error) {
+	count, err := cn.TCPConn.Read(data)
+	switch phase(cn.phase.Load()) {
+	case serving:
+		return count, err
+	case resting, waiting:
+		if count == 0 {
+			return count, err
+		}
+		cn.begin()
+	case readingHeader:
+	}
+	cn.headerBytes += count
+	if err != nil && cn.headerBytes > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		cn.gate.refusals.add(guard.HeaderTimeout)
+	}
+	if cn.headerBytes <= shortHeaderBytes {
+		return count, err
+	}
+	return count, cmp.Or(cn.checkHeader(), err)
+}
+
+// checkHeader checks a long header section, and reserves memory for it.
+func (cn *connection) checkHeader() error {
+	maxBytes := cn.gate.limits().WithDefaults().MaxHeaderBytes
+	if cn.headerBytes > maxBytes+headerSlack {
+		return cn.refuse(guard.HeaderTooLarge, tooLargeResponse)
+	}
+	if cn.isLong {
+		return nil
+	}
+	cn.isLong = true
+	if !cn.gate.reserve(func() ([]io.Closer, bool) { return cn.gate.guard.ReserveHeader(time.Now(), cn.guarded, maxBytes) }) {
+		return cn.refuse(guard.MemoryExhausted, unavailableResponse)
+	}
+	return nil
+}
+
+// refuse responds to a header section that isn't read further. It returns io.EOF, on
+// which net/http closes the connection without a response of its own.
+func (cn *connection) refuse(cause guard.Cause, response string) error {
+	cn.gate.refusals.add(cause)
+	cn.isRefused.Store(true)
+	// A write error is ignored, since the client has closed the connection.
+	_, _ = io.WriteString(cn.TCPConn, response)
+	return io.EOF
+}
+
+// SetReadDeadline implements net.Conn. It replaces the deadlines that net/http sets for
+// header sections and idle connections.
+func (cn *connection) SetReadDeadline(deadline time.Time) error {
+	if deadline.IsZero() {
+		return cn.TCPConn.SetReadDeadline(deadline)
+	}
+	switch phase(cn.phase.Load()) {
+	case resting:
+		cn.phase.Store(int32(waiting))
+		deadline = time.Now().Add(cn.gate.limits().WithDefaults().IdleTimeout)
+	case waiting:
+		cn.begin()
+		deadline = time.Now().Add(cn.gate.limits().WithDefaults().HeaderTimeout)
+	case readingHeader:
+		deadline = time.Now().Add(cn.gate.limits().WithDefaults().HeaderTimeout)
+	case serving:
+	}
+	return cn.TCPConn.SetReadDeadline(deadline)
+}
+
+// begin begins a further request.
+func (cn *connection) begin() {
+	cn.phase.Store(int32(readingHeader))
+	cn.headerBytes = 0
+	cn.isLong = false
+	cn.gate.evict(cn.gate.guard.Begin(time.Now(), cn.guarded), guard.StalledClosed)
+}
+
+// serve records that the request is complete. It returns false if the connection was
+// closed for another one.
+func (cn *connection) serve() bool {
+	cn.phase.Store(int32(serving))
+	return cn.gate.guard.Serve(cn.guarded)
+}
+
+// awaitBody records that the header section is complete and a body follows.
+func (cn *connection) awaitBody() bool {
+	cn.phase.Store(int32(serving))
+	return cn.gate.guard.AwaitBody(cn.guarded)
+}
+
+// rest records that the response is written.
+func (cn *connection) rest() {
+	cn.phase.Store(int32(resting))
+	cn.gate.guard.Idle(time.Now(), cn.guarded)
+}
