make: run the crowds of uncontrolled clients after the other tests, one at a time

They check a process's memory and that it still answers, which tests that use all processors beside them could spoil. make test ran them in parallel with the other packages.

--- a/Makefile
+++ b/Makefile
@@ -17,9 +17,14 @@
 # pattern. test leaves them out and prints them; known-red runs them alone.
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd '|' -)
 
+# CROWD_TESTS play crowds of clients against processes. They run one at a time, after the
+# others, since what they check is the processes' memory and that they still answer.
+CROWD_TESTS := Test.*OutlastsUncontrolledClients.*
+
 test: build
 	@echo 'left out, see KNOWN-RED.txt: $(or $(KNOWN_RED),none)'
-	go test $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(PACKAGES)
+	go test -skip '^($(CROWD_TESTS)$(if $(KNOWN_RED),|$(KNOWN_RED)))$$' $(PACKAGES)
+	go test -p 1 -run '^($(CROWD_TESTS))$$' $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./standin/internal/abuser
 
 known-red: build
 	@cat KNOWN-RED.txt
