router: no confirmation of the first configuration by a transaction

The first configuration with teams was served only after a transaction without writes had confirmed it, for at most 6 s, to guard against a read from a replica that lags behind. The store's protocol rules that out: its answers are linearizable unless a call asks for a stale one, and the router asks for none. So the confirmation guarded nothing and could keep a restarted manager from serving while transactions fail.

--- a/coltsfootwick-manager/internal/router/router.go
+++ b/coltsfootwick-manager/internal/router/router.go
@@ -33,7 +33,7 @@
 // Router routes requests by the newest configuration. It is safe for concurrent
 // use.
 type Router struct {
-	store  storer.TransactionStore
+	store  storer.Store
 	logger *zap.Logger
 	table  atomic.Pointer[routingTable]
 	watch  watchState
@@ -49,7 +49,7 @@
 }
 
 // New returns a Router without a configuration.
-func New(store storer.TransactionStore, logger *zap.Logger) *Router {
+func New(store storer.Store, logger *zap.Logger) *Router {
 	return &Router{
 		store:  store,
 		logger: logger,
@@ -61,15 +61,15 @@
 
 // Run watches the configuration until the context is done.
 func (ro *Router) Run(ctx context.Context) error {
-	return storer.Follow(ctx, ro.store, adapter.ConfigurationKey, func(nt storer.Notice) { ro.handle(ctx, nt) },
+	return storer.Follow(ctx, ro.store, adapter.ConfigurationKey, ro.handle,
 		storer.WithWait(watchTimeout), storer.WithBackoff(minBackoff, maxBackoff))
 }
 
-func (ro *Router) handle(ctx context.Context, nt storer.Notice) {
+func (ro *Router) handle(nt storer.Notice) {
 	switch nt := nt.(type) {
 	case storer.Changed:
 		if nt.Event.Entry.Key == adapter.ConfigurationKey && !nt.Event.Deleted {
-			ro.receive(ctx, nt.Event.Entry)
+			ro.receive(nt.Event.Entry)
 		}
 	case storer.Synced:
 		ro.watch.noteSynced(time.Now(), nt.Age)
@@ -78,19 +78,10 @@
 	}
 }
 
-// receive applies a configuration. The first one with teams is applied once it is known
-// to be the newest: after a restart, an outdated read would make revoked keys valid.
-// Nothing else is received meanwhile, as the check itself finds later versions.
-func (ro *Router) receive(ctx context.Context, et storer.Entry) {
-	cf, ok := ro.decode(et)
-	if ok && ro.table.Load() == nil && cf.Teams != nil {
-		newest, err := ro.confirm(ctx, et)
-		if err != nil {
-			return
-		}
-		cf, ok = ro.decode(newest)
-	}
-	if ok {
+// receive applies an entry of the configuration's key. The store's reads are linearizable,
+// so the first entry after a start is the newest.
+func (ro *Router) receive(et storer.Entry) {
+	if cf, ok := ro.decode(et); ok {
 		ro.apply(cf)
 	}
 }
