allocator: cancelled jobs count after a take-over until their runs are known

After a take-over an inherited job that is cancelled ends at once if no run of it is known, and its tasks no longer counted against the cap, while workers that hadn't reported still ran them. What may be running of it now counts until all workers have reported.

TestUnknownRunsOfACancelledJobCount failed before: four tasks started.

--- a/shared/jobs/allocator/busy_bench_test.go
+++ b/shared/jobs/allocator/busy_bench_test.go
@@ -36,6 +36,8 @@
 	// changedAt is when the first end since the last report occurred, or zero.
 	hasChanged bool
 	reportedAt time.Time
+	// silentUntil is the time until which the worker doesn't report.
+	silentUntil time.Time
 }
 
 // taskEnd is the time at which a run ends.
@@ -181,6 +183,9 @@
 		bf.al.ConfirmDuty(bf.now)
 		bf.finishTasks()
 		for _, wk := range bf.workers {
+			if bf.now.Before(wk.silentUntil) {
+				continue
+			}
 			idle := bf.now.Sub(wk.reportedAt)
 			if wk.hasChanged && idle >= 30*time.Millisecond || idle >= time.Second {
 				bf.reportWorker(wk)
--- a/shared/jobs/allocator/caps_test.go
+++ b/shared/jobs/allocator/caps_test.go
@@ -323,10 +323,10 @@
 	must.LessEq(t, 10, fx.al.effort.jobs)
 }
 
-// TestWorkersOfUnknownCapacityBoundNothing guards against usage above the cap after a
-// take-over by workers that the stored roster lists, which has no capacities, and the
-// directory doesn't.
-func TestWorkersOfUnknownCapacityBoundNothing(t *testing.T) {
+// takeOverFromRoster returns a later holder's fixture with a cap of four cores. Worker a runs
+// three tasks of one core of the job old, and is known from the stored roster alone, which
+// has no capacities. Worker b is ready.
+func takeOverFromRoster(t *testing.T, isCancelled bool) *fixture {
 	fx := newFixture(t)
 	fx.addReadyWorkers("a")
 	old := teamJobRecorded("old", "t", tasksOf(3, 1000))
@@ -341,18 +341,40 @@
 	unlisted.Capacity = modeller.Resources{}
 	later.apply(RosterLoaded{Workers: []modeller.Worker{unlisted}})
 	later.apply(old)
+	if isCancelled {
+		later.apply(CancelRecorded{Job: "old"})
+	}
 	later.addReadyWorkers("b")
 	later.submitTeamJob("new", "t", tasksOf(4, 1000))
+	return later
+}
+
+// TestWorkersOfUnknownCapacityBoundNothing guards against usage above the cap after a
+// take-over by workers that the directory doesn't list.
+func TestWorkersOfUnknownCapacityBoundNothing(t *testing.T) {
+	later := takeOverFromRoster(t, false)
 	must.Len(t, 1, later.takeStarts())
 	later.apply(JobRecorded{Record: modeller.JobRecord{Job: modeller.Job{ID: "ended", Team: "t"}, FinalState: modeller.JobFailed}})
 	later.report("a", []modeller.Run{{Task: taskName("ended", 0), Attempt: 1}})
 	must.Eq(t, 8000, later.usedByTeam(), must.Sprint("with the greatest known capacity for the orphaned run"))
-	unlisted.Capacity.MilliCores = 3000
-	later.apply(WorkerListed{Worker: unlisted})
+	listed := workerIn("a", "p")
+	listed.Capacity = modeller.Resources{MilliCores: 3000}
+	later.apply(WorkerListed{Worker: listed})
 	later.advance(50 * time.Millisecond)
 	must.Eq(t, 4000, later.usedByTeam())
 }
 
+// TestUnknownRunsOfACancelledJobCount guards against usage above the cap after a take-over by
+// a job that has no known runs, so that its cancellation ends it at once.
+func TestUnknownRunsOfACancelledJobCount(t *testing.T) {
+	later := takeOverFromRoster(t, true)
+	must.MapNotContainsKey(t, later.al.jobs, "old")
+	must.Len(t, 1, later.takeStarts())
+	later.report("a", nil)
+	later.keepRunning(100*time.Millisecond, "b")
+	must.Len(t, 3, later.takeStarts())
+}
+
 // TestReleasedTasksAreConsideredBesideLargerOnes guards against held-back tasks that wait on
 // after an end of their team's run, since only larger ones are known to wait in the pool.
 func TestReleasedTasksAreConsideredBesideLargerOnes(t *testing.T) {
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -165,6 +165,7 @@
 func (al *Allocator) deleteJob(id modeller.JobID) {
 	if jb := al.jobs[id]; jb != nil {
 		jb.withdraw()
+		al.keepUnknownDemand(jb)
 		delete(al.jobs, id)
 	}
 }
--- a/shared/jobs/allocator/usage.go
+++ b/shared/jobs/allocator/usage.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"maps"
 	"time"
 
 	"coltsfootwick.example/shared/jobs/limiter"
@@ -26,6 +27,9 @@
 	uncertain   map[string]struct{}
 	uncertainAt time.Time
 	isCertain   bool
+	// ended is the unknown demand of inherited jobs that have ended since, by team:
+	// of cancelled ones some tasks may still run.
+	ended map[string]modeller.Resources
 }
 
 func newTeamUsage() *teamUsage {
@@ -34,6 +38,7 @@
 		released:  map[string]struct{}{},
 		held:      map[string][]*teamList{},
 		uncertain: map[string]struct{}{},
+		ended:     map[string]modeller.Resources{},
 	}
 }
 
@@ -150,6 +155,7 @@
 	amounts := map[string]modeller.Resources{}
 	checks := oldRunChecks{}
 	if al.checkOldRuns(checks, "", al.workers.sorted) {
+		maps.Copy(amounts, tu.ended)
 		for _, jb := range al.jobs {
 			if al.mayHaveOldRuns(jb, checks) && tu.limiter.IsLimited(jb.info.Team) {
 				amounts[jb.info.Team] = amounts[jb.info.Team].Plus(jb.unknownDemand())
@@ -157,6 +163,7 @@
 		}
 	} else {
 		tu.isCertain = true
+		clear(tu.ended)
 	}
 	for team := range tu.uncertain {
 		if _, ok := amounts[team]; !ok {
@@ -174,6 +181,15 @@
 	}
 }
 
+// keepUnknownDemand notes the tasks of an inherited job that is removed and of which some
+// may run on workers that haven't reported. They count until all have.
+func (al *Allocator) keepUnknownDemand(jb *job) {
+	tu, team := al.usage, jb.info.Team
+	if team != "" && !tu.isCertain && al.mayHaveOldRuns(jb, oldRunChecks{}) {
+		tu.ended[team] = tu.ended[team].Plus(jb.unknownDemand())
+	}
+}
+
 // unreportedCapacity returns the capacity of the workers that may have runs of earlier
 // holders and haven't reported, and false if it is unknown: the stored roster has no
 // capacities, so that of a worker that the directory doesn't list isn't known.
