--- a/coltsfootwick-manager/internal/submitter/state.go
+++ b/coltsfootwick-manager/internal/submitter/state.go
@@ -11,33 +11,37 @@
 // State implements adapter.Jobs. It queries the holder of the scheduler's duty,
 // which has the latest state, and falls back to the store if there is no holder
 // or the query fails.
-func (sm *Submitter) State(ctx context.Context, queue modeller.Queue, id modeller.JobID) (modeller.JobState, error) {
+func (sm *Submitter) State(ctx context.Context, queue modeller.Queue, team string, id modeller.JobID) (modeller.JobState, error) {
 	if holder, ok := sm.locator.Holder(); ok {
 		status, err := sm.scheduler.Status(ctx, holder, id)
 		if err == nil {
-			return sm.stateIn(queue, id, status)
+			return sm.visibleState(queue, team, id, status)
 		}
 	}
-	return sm.storedState(ctx, queue, id)
+	return sm.storedState(ctx, queue, team, id)
 }
 
-// stateIn returns the state that the holder has answered, or a JobUnknown error if the
-// job belongs to another queue. A holder of an earlier version doesn't tell the queue.
-func (sm *Submitter) stateIn(queue modeller.Queue, id modeller.JobID, status modeller.JobStatus) (modeller.JobState, error) {
-	if status.Queue != "" && !sm.isAddressedBy(queue, status.Job(id)) {
+// visibleState returns the state of a job to a caller of a queue, or a JobUnknown error
+// if the job belongs to another queue or isn't open to the caller's team. A holder of an
+// earlier version doesn't tell the queue.
+func (sm *Submitter) visibleState(queue modeller.Queue, team string, id modeller.JobID, status modeller.JobStatus) (modeller.JobState, error) {
+	switch {
+	case status.Queue != "" && !sm.isAddressedBy(queue, status.Job(id)):
 		return "", unknownIn(queue, status.Job(id))
+	case !isOpenTo(queue, team, status.Team):
+		return "", ofAnotherTeam(id)
 	}
 	return status.State, nil
 }
 
 // storedState returns the state of a job according to its records in the store.
-func (sm *Submitter) storedState(ctx context.Context, queue modeller.Queue, id modeller.JobID) (modeller.JobState, error) {
+func (sm *Submitter) storedState(ctx context.Context, queue modeller.Queue, team string, id modeller.JobID) (modeller.JobState, error) {
 	key := archiver.JobKey(id)
 	entries, _, err := sm.store.List(ctx, key)
 	if err != nil {
 		return "", classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
 	}
-	state := modeller.JobState("")
+	var status modeller.JobStatus
 	isCancelled := false
 	for _, et := range entries {
 		switch et.Key {
@@ -46,27 +50,21 @@
 			if err != nil {
 				return "", classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
 			}
-			switch {
-			case !sm.isAddressedBy(queue, jr.Job):
-				return "", unknownIn(queue, jr.Job)
-			case jr.IsTombstone:
+			if jr.IsTombstone {
 				return "", classifier.New(classifier.JobUnknown, "job %s was cancelled before it was stored", id)
 			}
-			state = modeller.JobRunning
-			if jr.FinalState != "" {
-				state = jr.FinalState
-			}
+			status = jr.Status()
 		case archiver.CancelKey(id):
 			isCancelled = true
 		}
 	}
 	switch {
-	case state == "":
+	case status.State == "":
 		return "", classifier.New(classifier.JobUnknown, "job %s", id)
-	case isCancelled && !state.IsFinal():
-		return modeller.JobCancelled, nil
+	case isCancelled && !status.State.IsFinal():
+		status.State = modeller.JobCancelled
 	}
-	return state, nil
+	return sm.visibleState(queue, team, id, status)
 }
 
 // Pending implements adapter.Jobs.
--- a/shared/jobs/modeller/codec_test.go
+++ b/shared/jobs/modeller/codec_test.go
@@ -21,6 +21,8 @@
 		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q"}, Team: "t", Steps: []Step{{Count: 1}}}},
 		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q"}, Team: "t"}, FinalState: JobCompleted, EndedAtMS: 7},
 		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q", Host: "h", Prefix: "/p/"}}, FinalState: JobCancelled, EndedAtMS: 7, IsTombstone: true},
+		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q"}, Team: "t", Steps: []Step{{Count: 1}}}},
+		{Job: Job{ID: "j", Queue: "q", Origin: Queue{Name: "q"}, Team: "t"}, FinalState: JobCompleted, EndedAtMS: 7},
 	} {
 		data, err := EncodeJob(jr)
 		must.NoError(t, err)
