--- a/shared/jobs/allocator/caps_property_test.go
+++ b/shared/jobs/allocator/caps_property_test.go
@@ -102,7 +102,7 @@
 			cp.workers[wk.info.ID].silentUntil = cp.now.Add(time.Duration(cp.random.IntN(4000)) * time.Millisecond)
 		}
 	}
-	cp.apply(RosterLoaded{Workers: roster})
+	cp.apply(RosterLoaded{Workers: rosterOf(roster...)})
 	for _, wk := range earlier.workers.sorted {
 		if cp.random.IntN(3) == 0 {
 			unlisted = append(unlisted, wk.info)
