--- a/coltsfootwick-manager/internal/submitter/tombstone.go
+++ b/coltsfootwick-manager/internal/submitter/tombstone.go
@@ -32,7 +32,7 @@
 // on which the condition of such a submission fails. The holder of the scheduler's duty
 // removes the record as it does those of ended jobs. The error is JobUnknown once the
 // record is stored, and JobUnavailable if it isn't.
-func (sm *Submitter) storeTombstone(ctx context.Context, queue modeller.Queue, id modeller.JobID) error {
+func (sm *Submitter) storeTombstone(ctx context.Context, queue modeller.Queue, team string, id modeller.JobID) error {
 	if !sm.tombstones.Allow() {
 		return classifier.New(classifier.JobUnavailable, "job %s is unknown, and too many unknown jobs have been cancelled here lately", id)
 	}
@@ -41,6 +41,7 @@
 			ID:     id,
 			Queue:  queue.Name,
 			Origin: queue,
+			Team:   team,
 		},
 		FinalState:  modeller.JobCancelled,
 		EndedAtMS:   time.Now().UnixMilli(),
--- a/shared/jobs/allocator/caps_property_test.go
+++ b/shared/jobs/allocator/caps_property_test.go
@@ -93,11 +93,12 @@
 	earlier := cp.al
 	cp.al = New(cp.now, testBounds)
 	cp.apply(ConfigurationLoaded{Configuration: earlier.configuration})
-	var roster, unlisted []modeller.Worker
+	var roster []modeller.RosterEntry
+	var unlisted []modeller.Worker
 	for _, wk := range earlier.workers.sorted {
 		info := wk.info
 		info.Capacity = modeller.Resources{}
-		roster = append(roster, info)
+		roster = append(roster, modeller.RosterEntry{Worker: info})
 		if cp.random.IntN(3) == 0 {
 			cp.workers[wk.info.ID].silentUntil = cp.now.Add(time.Duration(cp.random.IntN(4000)) * time.Millisecond)
 		}
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -115,9 +115,9 @@
 		if _, ok := al.retained[id]; !ok {
 			al.retained[id] = retainedJob{
 				queue:       jr.Job.Queue,
-				team:        jr.Job.Team,
 				host:        jr.Job.Origin.Host,
 				prefix:      jr.Job.Origin.Prefix,
+				team:        jr.Job.Team,
 				state:       jr.FinalState,
 				endedAt:     now,
 				isTombstone: jr.IsTombstone,
@@ -372,6 +372,7 @@
 			Queue:  ended.queue,
 			Host:   ended.host,
 			Prefix: ended.prefix,
+			Team:   ended.team,
 		}, !ended.isTombstone
 	}
 	jb, ok := al.jobs[id]
@@ -383,6 +384,7 @@
 		Queue:  jb.info.Queue,
 		Host:   jb.info.Origin.Host,
 		Prefix: jb.info.Origin.Prefix,
+		Team:   jb.info.Team,
 	}, true
 }
 
--- a/shared/process/classifier/code_job.go
+++ b/shared/process/classifier/code_job.go
@@ -17,8 +17,10 @@
 	JobTooLarge Code = 806
 	// QueueUnknown means that no queue has this host and path.
 	QueueUnknown Code = 807
-	// JobIDTaken means that a job of another queue has this ID.
+	// JobIDTaken means that a job of another queue or team has this ID.
 	JobIDTaken Code = 808
+	// CallerUnauthorised means that the request carries no key of a team.
+	CallerUnauthorised Code = 809
 	// CapTooLow means that the cap of the job's team is too low for the job to run. The job
 	// was not accepted and never runs.
 	CapTooLow Code = 810
@@ -93,9 +95,15 @@
 	{
 		Code:    JobIDTaken,
 		Name:    "jobIdTaken",
-		Summary: "A job of another queue has this ID.",
+		Summary: "A job of another queue or team has this ID.",
 		Remedy:  "Submit the job with another ID.",
 	},
+	{
+		Code:    CallerUnauthorised,
+		Name:    "callerUnauthorised",
+		Summary: "The request carries no key of a team.",
+		Remedy:  "Send one key of a team as Authorization: Bearer KEY; the detail names the cause and the configuration's version.",
+	},
 	{
 		Code:    CapTooLow,
 		Name:    "capTooLow",
