allocator: the entry of a worker that hasn't reported doesn't bound its runs

What teams may have running after a take-over was bounded by the capacities that the directory has of the workers that haven't reported. Such an entry may be that of another incarnation than the one that runs the tasks. Each of these workers now counts as the greatest one that is known.

--- a/shared/jobs/allocator/caps_test.go
+++ b/shared/jobs/allocator/caps_test.go
@@ -364,6 +364,16 @@
 	must.Eq(t, 4000, later.usedByTeam())
 }
 
+// TestEntryOfAnUnreportedWorkerBoundsNothing guards against usage above the cap after a
+// take-over by an entry with another capacity than that of the incarnation that runs tasks.
+func TestEntryOfAnUnreportedWorkerBoundsNothing(t *testing.T) {
+	later := takeOverFromRoster(t, false)
+	entry := workerIn("a", "p")
+	entry.Capacity = modeller.Resources{MilliCores: 1000, MemoryMB: 1000}
+	later.apply(WorkerListed{Worker: entry})
+	must.Len(t, 1, later.takeStarts())
+}
+
 // TestUnknownRunsOfACancelledJobCount guards against usage above the cap after a take-over by
 // a job that has no known runs, so that its cancellation ends it at once.
 func TestUnknownRunsOfACancelledJobCount(t *testing.T) {
--- a/shared/jobs/allocator/usage.go
+++ b/shared/jobs/allocator/usage.go
@@ -190,10 +190,12 @@
 	}
 }
 
-// unreportedCapacity returns the capacity of the workers that may have runs of earlier
-// holders and haven't reported, and false if it is unknown: the stored roster has no
-// capacities, so that of a worker that the directory doesn't list isn't known.
+// unreportedCapacity returns what the workers that may have runs of earlier holders and
+// haven't reported have room for, and false if that is unknown: the stored roster has no
+// capacities, so that of a worker that the directory doesn't list isn't known. The entry of
+// one that it lists may be that of another incarnation, so each counts as the greatest.
 func (al *Allocator) unreportedCapacity() (capacity modeller.Resources, isKnown bool) {
+	unreported := 0
 	for _, wk := range al.workers.sorted {
 		if !wk.mayHoldOldRuns {
 			continue
@@ -201,9 +203,9 @@
 		if wk.info.Capacity == (modeller.Resources{}) {
 			return modeller.Resources{}, false
 		}
-		capacity = capacity.Plus(wk.info.Capacity)
+		unreported++
 	}
-	return capacity, !al.isRosterIncomplete
+	return al.greatestCapacity().Times(unreported), !al.isRosterIncomplete
 }
 
 // orphanDemand returns what a run of unknown demand counts for: the capacity of its
@@ -212,9 +214,14 @@
 	if wk.info.Capacity != (modeller.Resources{}) {
 		return wk.info.Capacity
 	}
+	return al.greatestCapacity()
+}
+
+// greatestCapacity returns the greatest known capacity of a worker in each resource.
+func (al *Allocator) greatestCapacity() modeller.Resources {
 	var greatest modeller.Resources
-	for _, other := range al.workers.sorted {
-		greatest = greatest.Max(other.info.Capacity)
+	for _, wk := range al.workers.sorted {
+		greatest = greatest.Max(wk.info.Capacity)
 	}
 	return greatest
 }
