allocator: order by cost of delay where the settings ask for pressure

In an overloaded pool, smallest job first leaves the large ones until none of them can be on time.

With allocator.WithCostOrder, jobs that can still be on time are ordered by priority, then by their team's level, then by the virtual start of package ranker: the end of the class as the latest start, and the core time of the tasks that aren't done as the work. The key is that of the insertion; the end of a step ranks the job again. Scheduled jobs have no latest start. They come first within their priority, the smallest first, since their work is known ahead and isn't part of a burst. The manager sets the option if the settings' contracts contain pressure.

The estimates of work move from the allocator to modeller, for use by others.

--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -62,20 +62,21 @@
 // Conductor runs the scheduler while the duty is held. Status, Announce and
 // Pending may be called at any time.
 type Conductor struct {
-	store      storer.TransactionStore
-	dutyKey    string
-	region     string
-	node       string
-	bounds     allocator.Bounds
-	linkMbps   float64
-	vms        *adapter.VMs
-	adviser    *adapter.Adviser
-	waveStatus archiver.EncodeStatusFunc
-	links      []Link
-	logger     *zap.Logger
-	requests   chan request
-	yields     chan struct{}
-	wallClock  func() time.Time
+	store       storer.TransactionStore
+	dutyKey     string
+	region      string
+	node        string
+	bounds      allocator.Bounds
+	hasPressure bool
+	linkMbps    float64
+	vms         *adapter.VMs
+	adviser     *adapter.Adviser
+	waveStatus  archiver.EncodeStatusFunc
+	links       []Link
+	logger      *zap.Logger
+	requests    chan request
+	yields      chan struct{}
+	wallClock   func() time.Time
 	// current is the present term, or nil.
 	current atomic.Pointer[term]
 	// jobsSyncedAt is the time at which the watch on the jobs was last up to
@@ -101,6 +102,8 @@
 	Region, Node string
 	// Bounds are the durations that the allocator's decisions depend on.
 	Bounds allocator.Bounds
+	// HasPressure is true if the allocator orders jobs by what their delay costs callers.
+	HasPressure bool
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, or zero if it
 	// is not known.
 	LinkMbps float64
@@ -127,20 +130,21 @@
 // New returns a Conductor.
 func New(st Settings) *Conductor {
 	return &Conductor{
-		store:      st.Store,
-		dutyKey:    st.DutyKey,
-		region:     st.Region,
-		node:       st.Node,
-		bounds:     st.Bounds,
-		linkMbps:   st.LinkMbps,
-		vms:        st.VMs,
-		adviser:    st.Adviser,
-		waveStatus: st.WaveStatus,
-		links:      st.Links,
-		logger:     st.Logger,
-		requests:   make(chan request),
-		yields:     make(chan struct{}, 1),
-		wallClock:  time.Now,
+		store:       st.Store,
+		dutyKey:     st.DutyKey,
+		region:      st.Region,
+		node:        st.Node,
+		bounds:      st.Bounds,
+		hasPressure: st.HasPressure,
+		linkMbps:    st.LinkMbps,
+		vms:         st.VMs,
+		adviser:     st.Adviser,
+		waveStatus:  st.WaveStatus,
+		links:       st.Links,
+		logger:      st.Logger,
+		requests:    make(chan request),
+		yields:      make(chan struct{}, 1),
+		wallClock:   time.Now,
 	}
 }
 
@@ -179,7 +183,7 @@
 	tm := &term{
 		Conductor:   cd,
 		heldDuty:    hd,
-		allocator:   allocator.New(timekeeper.Now(), cd.bounds),
+		allocator:   allocator.New(timekeeper.Now(), cd.bounds, cd.allocatorOptions()...),
 		distributor: distributor.New(distributor.WithPayloadRate(payloadShare * cd.linkMbps * bytesPerMegabit)),
 		committers:  archiver.NewCommitters(cd.store, cd.dutyKey, storer.Revision(hd.Epoch()), cd.region, allocator.BatchLanes),
 		conns:       map[assigner.KeeperID]*linker.Conn{},
@@ -219,6 +223,14 @@
 	return tm.run(ctx)
 }
 
+// allocatorOptions returns the options of the allocators of all terms.
+func (cd *Conductor) allocatorOptions() []allocator.Option {
+	if !cd.hasPressure {
+		return nil
+	}
+	return []allocator.Option{allocator.WithCostOrder()}
+}
+
 // enqueue sends an event to the allocator's goroutine. It blocks while the
 // event queue is full.
 func (tm *term) enqueue(ctx context.Context, ev allocator.Event) {
--- a/shared/jobs/allocator/allocator.go
+++ b/shared/jobs/allocator/allocator.go
@@ -126,7 +126,9 @@
 // Allocator holds the scheduler's state of all jobs and workers and makes its
 // decisions.
 type Allocator struct {
-	bounds        Bounds
+	bounds Bounds
+	// hasCostOrder is that of WithCostOrder.
+	hasCostOrder  bool
 	configuration modeller.Configuration
 	workers       workerIndex
 	// forgottenGenerations are the generations of workers that were removed. Those of a
@@ -203,9 +205,18 @@
 	isTombstone bool
 }
 
+// Option is an option of New.
+type Option func(*Allocator)
+
+// WithCostOrder orders the jobs that can still be on time by what their delay costs
+// callers (package ranker) instead of by their size.
+func WithCostOrder() Option {
+	return func(al *Allocator) { al.hasCostOrder = true }
+}
+
 // New returns an Allocator for a holder that has won the duty at time now.
-func New(now time.Time, bounds Bounds) *Allocator {
-	return &Allocator{
+func New(now time.Time, bounds Bounds, opts ...Option) *Allocator {
+	al := &Allocator{
 		bounds:               bounds,
 		workers:              newWorkerIndex(),
 		forgottenGenerations: map[modeller.WorkerID]int{},
@@ -222,6 +233,10 @@
 		confirmedAt:          now,
 		dirtyJobs:            map[modeller.JobID]*job{},
 	}
+	for _, opt := range opts {
+		opt(al)
+	}
+	return al
 }
 
 // ConfirmDuty records that the duty was still held at the given time.
--- a/shared/jobs/allocator/busy_bench_test.go
+++ b/shared/jobs/allocator/busy_bench_test.go
@@ -78,9 +78,9 @@
 }
 
 // newFleetInPools returns a fleet of workers with 32 cores in a number of pools.
-func newFleetInPools(t testing.TB, workers, pools int) *busyFleet {
+func newFleetInPools(t testing.TB, workers, pools int, opts ...Option) *busyFleet {
 	bf := &busyFleet{
-		fixture: newFixture(t),
+		fixture: newFixture(t, opts...),
 		random:  rand.New(rand.NewPCG(1, 2)),
 		workers: map[modeller.WorkerID]*busyWorker{},
 		pools:   pools,
--- a/shared/jobs/allocator/fixture_test.go
+++ b/shared/jobs/allocator/fixture_test.go
@@ -42,11 +42,11 @@
 	waves  map[int64]WaveProgress
 }
 
-func newFixture(t testing.TB) *fixture {
+func newFixture(t testing.TB, opts ...Option) *fixture {
 	begin := time.Unix(1_700_000_000, 0)
 	fx := &fixture{
 		t:            t,
-		al:           New(begin, testBounds),
+		al:           New(begin, testBounds, opts...),
 		now:          begin,
 		confirmsDuty: true,
 		progress:     map[modeller.JobID]modeller.Progress{},
--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -150,7 +150,7 @@
 	al.resolveQueue(jb)
 	al.addStartPool(jb)
 	jb.acceptedAt = now
-	jb.coreTime, jb.criticalPath = estimateWork(jr.Job)
+	jb.coreTime, jb.criticalPath = jr.Job.EstimateWork()
 	al.recordArrival(now, jb)
 	if jr.Job.Occurrences == 0 {
 		al.beginOccurrence(now, jb, 0)
@@ -178,25 +178,6 @@
 	}
 }
 
-// estimateWork returns the estimated core time of a job and its critical path.
-func estimateWork(jb modeller.Job) (coreTime, criticalPath time.Duration) {
-	ends := make([]time.Duration, len(jb.Steps))
-	for idx, st := range jb.Steps {
-		cores := float64(st.Demand.MilliCores)/1000 + acceleratorCores*float64(st.Demand.Accelerators)
-		coreTime += time.Duration(float64(st.Count) * cores * float64(st.Estimate))
-		ends[idx] = st.Estimate
-		for _, dependency := range st.DependsOn {
-			ends[idx] = max(ends[idx], ends[dependency]+st.Estimate)
-		}
-		criticalPath = max(criticalPath, ends[idx])
-	}
-	return coreTime, criticalPath
-}
-
-// acceleratorCores is the number of cores that an accelerator counts as in the
-// users' accounting.
-const acceleratorCores = 8
-
 // beginOccurrence creates the tasks of an occurrence.
 func (al *Allocator) beginOccurrence(now time.Time, jb *job, number int) {
 	oc := &occurrence{
--- a/shared/jobs/allocator/rank.go
+++ b/shared/jobs/allocator/rank.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"coltsfootwick.example/shared/jobs/ranker"
 )
 
 // rankedJob is a job with the keys of the service order.
@@ -11,6 +13,9 @@
 	class    serviceClass
 	priority int
 	coreTime time.Duration
+	// key is the place among jobs that can still be on time, or zero if the order by cost
+	// is off.
+	key ranker.Key
 	// until is the time until which the class stays, or zero.
 	until time.Time
 	// insertion is the number of the job's insertion into its list.
@@ -36,27 +41,39 @@
 // value.
 const maxLateFactor = 3
 
-// newRankedJob returns a job with its present keys.
-func newRankedJob(now time.Time, jb *job) rankedJob {
+// rankedJob returns a job with its present keys.
+func (al *Allocator) rankedJob(now time.Time, jb *job) rankedJob {
 	class, until := jb.serviceClass(now)
-	return rankedJob{
+	rj := rankedJob{
 		job:      jb,
 		class:    class,
 		priority: jb.queue.Priority,
 		coreTime: jb.coreTime,
 		until:    until,
 	}
+	if al.hasCostOrder && class == classOnTime && !until.IsZero() {
+		rj.key = ranker.New(ranker.Job{
+			Priority:    jb.queue.Priority,
+			LatestStart: until,
+			Work:        jb.remainingCoreTime(),
+		})
+	}
+	return rj
 }
 
 // compare orders jobs for service: by service class, then by queue priority.
 // Among the jobs that can still meet their objective, small ones come first,
-// since they have the most value for their work.
+// since they have the most value for their work. With the order by cost, the place
+// that package ranker gives them counts instead. Scheduled jobs have no latest start:
+// their zero key puts them before the others of their priority, the smallest first, since
+// their work is known ahead and isn't part of a burst of callers.
 func (rj rankedJob) compare(other rankedJob) int {
 	if order := cmp.Or(cmp.Compare(rj.class, other.class), cmp.Compare(rj.priority, other.priority)); order != 0 {
 		return order
 	}
 	if rj.class == classOnTime {
-		if order := cmp.Compare(rj.coreTime, other.coreTime); order != 0 {
+		order := cmp.Or(rj.key.VirtualStart.Compare(other.key.VirtualStart), cmp.Compare(rj.coreTime, other.coreTime))
+		if order != 0 {
 			return order
 		}
 	}
@@ -74,7 +91,7 @@
 	if jb.info.Occurrences > 0 {
 		return classOnTime, time.Time{}
 	}
-	objective := time.Duration(jb.queue.Stretch*float64(jb.criticalPath)) + jb.queue.Slack
+	objective := jb.queue.Objective(jb.criticalPath)
 	remaining := jb.remainingCriticalPath()
 	if until := jb.acceptedAt.Add(objective - remaining); !now.After(until) {
 		return classOnTime, until
@@ -115,3 +132,14 @@
 	}
 	return longest
 }
+
+// remainingCoreTime returns the estimated core time of the tasks that are not done.
+func (jb *job) remainingCoreTime() time.Duration {
+	var remaining time.Duration
+	for _, oc := range jb.occurrences {
+		for _, st := range oc.steps {
+			remaining += st.spec.CoreTime(len(st.tasks) - st.doneCount)
+		}
+	}
+	return remaining
+}
--- a/shared/jobs/allocator/share.go
+++ b/shared/jobs/allocator/share.go
@@ -47,8 +47,7 @@
 	if sr == nil || st.spec.IsLongRunning {
 		return
 	}
-	cores := float64(st.reserved.MilliCores)/1000 + acceleratorCores*float64(st.reserved.Accelerators)
-	sr.Charge(now, st.job.info.Team, time.Duration(cores*float64(st.spec.Estimate)))
+	sr.Charge(now, st.job.info.Team, time.Duration(st.reserved.Cores()*float64(st.spec.Estimate)))
 }
 
 // updateLevel determines the level of a list, and reports whether it has changed.
--- a/shared/jobs/allocator/waiting.go
+++ b/shared/jobs/allocator/waiting.go
@@ -59,7 +59,7 @@
 		wl.lower(least.reserved)
 	}
 	if jb.list == nil {
-		wl.insert(newRankedJob(now, jb))
+		wl.insert(al.rankedJob(now, jb))
 		al.effort.jobs++
 	}
 	if tl.isHeld && !al.usage.isHeldBack(tl) {
@@ -130,7 +130,7 @@
 	al.effort.jobs++
 	wl := jb.list.pool
 	jb.withdraw()
-	wl.insert(newRankedJob(now, jb))
+	wl.insert(al.rankedJob(now, jb))
 }
 
 // rerankDue updates the places of the jobs whose service class has changed with
--- a/shared/jobs/allocator/waiting_test.go
+++ b/shared/jobs/allocator/waiting_test.go
@@ -18,7 +18,7 @@
 	var ranked []rankedJob
 	for _, jb := range fx.al.jobs {
 		if jb.mayWait() {
-			ranked = append(ranked, newRankedJob(fx.now, jb))
+			ranked = append(ranked, fx.al.rankedJob(fx.now, jb))
 		}
 	}
 	slices.SortFunc(ranked, rankedJob.compare)
