distributor: backlogs go to keepers with their permissions

Managers that accept jobs have to know the backlog, and nothing about it is worth storing.

Where the settings ask for pressure, the holder computes the pools' backlogs when a keeper asks for permission, at most once per 250 ms, and sends them right after the Permit. The message has only the pools for which the fleet falls short, at most 16, those with the most work, since nothing is refused for others. It carries the age of its figures, and the keeper counts their age from when it sent the Ask, so a frame that was held up makes them older and never younger. All lists are bounded when decoding. The attendant keeps the latest figures. Without the contract, or before the records are loaded, nothing is sent; managers without the message would end the connection.

The tests are of new functions.

--- a/coltsfootwick-manager/internal/attendant/attendant.go
+++ b/coltsfootwick-manager/internal/attendant/attendant.go
@@ -33,11 +33,12 @@
 
 // Attendant runs the keeper of a manager.
 type Attendant struct {
-	keeper  assigner.Keeper
-	locator Locator
-	workers *adapter.Workers
-	store   storer.Store
-	logger  *zap.Logger
+	keeper   assigner.Keeper
+	locator  Locator
+	workers  *adapter.Workers
+	store    storer.Store
+	logger   *zap.Logger
+	backlogs backlogs
 }
 
 // Settings holds the dependencies and parameters of an Attendant.
@@ -98,7 +99,7 @@
 	at.logger.Info("connected to the scheduler", zap.Stringer("holder", holder), zap.Uint64("epoch", epoch))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ss := newSession(conn, at.store, at.logger)
+	ss := newSession(conn, at.store, &at.backlogs, at.logger)
 	ss.dispatcher = dispatcher.New(at.workers, epoch, ss.answer, at.logger)
 	ended := make(chan error, 1)
 	go func() { ended <- ss.receive(ctx) }()
--- a/coltsfootwick-manager/internal/attendant/attendant_test.go
+++ b/coltsfootwick-manager/internal/attendant/attendant_test.go
@@ -29,6 +29,8 @@
 	address  netip.AddrPort
 	accepted chan *linker.Conn
 	changed  chan struct{}
+	// attendant is the one that connects to the holder.
+	attendant *Attendant
 }
 
 func (fh *fakeHolder) Holder() (netip.AddrPort, bool) { return fh.address, true }
@@ -66,6 +68,7 @@
 		Store:   kr.Zone("a"),
 		Logger:  zap.NewNop(),
 	})
+	fh.attendant = at
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/coltsfootwick-manager/internal/attendant/session.go
+++ b/coltsfootwick-manager/internal/attendant/session.go
@@ -33,6 +33,7 @@
 	store      storer.Store
 	logger     *zap.Logger
 	dispatcher *dispatcher.Dispatcher
+	backlogs   *backlogs
 
 	mutex  sync.Mutex
 	keeper *distributor.Keeper
@@ -42,14 +43,15 @@
 	wake, urgent chan struct{}
 }
 
-func newSession(conn *linker.Conn, store storer.Store, logger *zap.Logger) *session {
+func newSession(conn *linker.Conn, store storer.Store, figures *backlogs, logger *zap.Logger) *session {
 	return &session{
-		conn:   conn,
-		store:  store,
-		logger: logger,
-		keeper: distributor.NewKeeper(),
-		wake:   make(chan struct{}, 1),
-		urgent: make(chan struct{}, 1),
+		conn:     conn,
+		store:    store,
+		logger:   logger,
+		backlogs: figures,
+		keeper:   distributor.NewKeeper(),
+		wake:     make(chan struct{}, 1),
+		urgent:   make(chan struct{}, 1),
 	}
 }
 
@@ -70,6 +72,9 @@
 			orders, answers, err := ss.keeper.Receive(msg)
 			ss.dispatch(ctx, orders)
 			ss.queueAll(answers)
+			if _, isBacklog := msg.(distributor.Backlog); isBacklog {
+				ss.backlogs.set(ss.keeper.Backlogs())
+			}
 			ss.mutex.Unlock()
 			if err != nil {
 				return err
--- a/coltsfootwick-manager/internal/conductor/conductor.go
+++ b/coltsfootwick-manager/internal/conductor/conductor.go
@@ -102,7 +102,8 @@
 	Region, Node string
 	// Bounds are the durations that the allocator's decisions depend on.
 	Bounds allocator.Bounds
-	// HasPressure is true if the allocator orders jobs by what their delay costs callers.
+	// HasPressure is true if the allocator orders jobs by what their delay costs callers, and
+	// keepers get the pools' backlogs. All managers have to know the message.
 	HasPressure bool
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, or zero if it
 	// is not known.
@@ -169,7 +170,9 @@
 	batches     [allocator.BatchLanes]chan *allocator.Batch
 	failures    chan error
 	lastBatchAt time.Time
-	monitor     *loadMonitor
+	// backlogsAt is when the pools' backlogs were last computed.
+	backlogsAt time.Time
+	monitor    *loadMonitor
 	// invalidEntries are the keys of the directory's present entries that can't be
 	// decoded, so that each is logged once. Only the watch on the directory uses it.
 	invalidEntries map[string]struct{}
--- a/coltsfootwick-manager/internal/conductor/keepers.go
+++ b/coltsfootwick-manager/internal/conductor/keepers.go
@@ -102,6 +102,9 @@
 	}
 	isHeld := tm.heldDuty.Check() == nil
 	for _, msg := range frame.messages {
+		if _, isAsk := msg.(distributor.Ask); isAsk {
+			tm.refreshBacklogs(timekeeper.Now())
+		}
 		events, err := tm.distributor.Receive(timekeeper.Now(), frame.keeper, msg, isHeld)
 		if err != nil {
 			return tm.removeKeeper(frame.keeper, err)
@@ -113,6 +116,16 @@
 	return nil
 }
 
+// refreshBacklogs computes the figures that go to keepers with their permissions, at most
+// once per AskInterval.
+func (tm *term) refreshBacklogs(now time.Time) {
+	if !tm.hasPressure || !tm.allocator.IsLoaded() || now.Sub(tm.backlogsAt) < distributor.AskInterval {
+		return
+	}
+	tm.backlogsAt = now
+	tm.distributor.SetBacklogs(now, tm.allocator.Backlogs(now))
+}
+
 // removeKeeper ends the connection of a keeper. Its workers pass to others.
 func (tm *term) removeKeeper(id assigner.KeeperID, cause error) error {
 	tm.closeConn(id, cause)
--- a/shared/jobs/distributor/codec.go
+++ b/shared/jobs/distributor/codec.go
@@ -27,6 +27,7 @@
 	typeStop
 	typePace
 	typeFetch
+	typeBacklog
 )
 
 const (
@@ -61,6 +62,8 @@
 	switch msg := msg.(type) {
 	case Permit:
 		frame = packer.AppendUint(append(frame, byte(typePermit)), msg.Number)
+	case Backlog:
+		frame = appendBacklog(append(frame, byte(typeBacklog)), msg)
 	case Attend:
 		frame = packer.AppendUint(append(frame, byte(typeAttend)), uint64(msg.Handle))
 		frame = packer.AppendString(frame, string(msg.Worker))
@@ -259,6 +262,8 @@
 		return Permit{
 			Number: rd.Uint(),
 		}
+	case typeBacklog:
+		return rd.backlog()
 	case typeAttend:
 		return Attend{
 			Handle:      rd.handle(),
--- a/shared/jobs/distributor/codec_test.go
+++ b/shared/jobs/distributor/codec_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"coltsfootwick.example/shared/jobs/admitter"
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/modeller"
 )
@@ -31,6 +32,7 @@
 	"start":   Start{Handle: 3, Task: testTask, Attempt: 2, Checkpoint: "00000bb8", Ticket: "t", LeaseEnd: 486 * time.Second, ReportAge: 20 * time.Millisecond, FreeMilliCores: 1500},
 	"stop":    Stop{Handle: 3, Task: testTask, Attempt: 2},
 	"pace":    Pace{Handle: 3, Task: testTask, Attempt: 2, Percent: 25},
+	"backlog": Backlog{Age: 20 * time.Millisecond, Pools: map[string]admitter.Backlog{"empty": {Cores: 32}, "p": testBacklog}},
 }
 
 // toSchedulerMessages has each message to the scheduler.
--- a/shared/jobs/distributor/distributor.go
+++ b/shared/jobs/distributor/distributor.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-faster/errors"
 
+	"coltsfootwick.example/shared/jobs/admitter"
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/assigner"
 	"coltsfootwick.example/shared/jobs/modeller"
@@ -55,6 +56,9 @@
 	workers  map[modeller.WorkerID]*workerState
 	payloads budget
 	tickedAt time.Time
+	// backlogs are the figures of the time backlogsAt, which is zero without any.
+	backlogs   map[string]admitter.Backlog
+	backlogsAt time.Time
 }
 
 // workerState is what the distributor knows of a worker.
@@ -271,7 +275,7 @@
 	switch msg := msg.(type) {
 	case Ask:
 		if isHeld {
-			li.outgoing = append(li.outgoing, Permit(msg))
+			di.permit(now, li, msg)
 		}
 		return nil, nil
 	case Missing:
--- a/shared/jobs/distributor/keeper.go
+++ b/shared/jobs/distributor/keeper.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"coltsfootwick.example/shared/jobs/admitter"
 	"coltsfootwick.example/shared/jobs/allocator"
 	"coltsfootwick.example/shared/jobs/modeller"
 )
@@ -35,6 +36,12 @@
 	askedAt    map[uint64]time.Time
 	lastAsk    uint64
 	validUntil time.Time
+	// permittedAskAt is when the Ask of the last Permit was sent, or zero if that isn't
+	// known.
+	permittedAskAt time.Time
+	// backlogs are the last figures, and backlogsAt when they were published at the latest.
+	backlogs   map[string]admitter.Backlog
+	backlogsAt time.Time
 }
 
 // NewKeeper returns the Keeper of a new connection.
@@ -90,6 +97,8 @@
 	switch msg := msg.(type) {
 	case Permit:
 		kp.permit(msg)
+	case Backlog:
+		kp.receiveBacklog(msg)
 	case Attend:
 		kp.attend(msg)
 	case Leave:
@@ -202,6 +211,7 @@
 // permit extends the permission.
 func (kp *Keeper) permit(msg Permit) {
 	askedAt, ok := kp.askedAt[msg.Number]
+	kp.permittedAskAt = askedAt
 	if !ok {
 		return
 	}
