submitter: refuse jobs that can't be on time behind the backlog

Its detail names the expected wait. Refusals are counted in the limited log line for refused callers, under backlog.

A refused job never runs, so the store is read for the job's ID before a refusal, as for caps. A job that is stored is answered as any other repetition; if the read fails, the job goes on to the store. The store is read for refusals only.

--- a/coltsfootwick-manager/internal/runner/refusals.go
+++ b/coltsfootwick-manager/internal/runner/refusals.go
@@ -15,6 +15,9 @@
 // who may send thousands of requests a second.
 const refusalLogInterval = 5 * time.Second
 
+// refusedForBacklog is the cause of a refusal for the backlog of a pool.
+const refusedForBacklog adapter.RefusalCause = "backlog"
+
 // refusalLog counts refused callers by cause and logs the counts: at the first refusal,
 // and then at most once in refusalLogInterval.
 type refusalLog struct {
--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -104,6 +104,7 @@
 	conductor   *conductor.Conductor
 	attendant   *attendant.Attendant
 	leaser      *leaser.Leaser
+	refusals    *refusalLog
 	tracker     *requestTracker
 	callers     *server.Server
 	servers     []*server.Server
@@ -127,26 +128,33 @@
 	locator := peer.NewLocator(store, duty.Key(), log)
 	client := peer.NewClient()
 	queues := router.New(store, log)
+	keeper := attendant.New(attendant.Settings{
+		Keeper: assigner.Keeper{
+			ID:       assigner.KeeperID(settings.Node),
+			Zone:     settings.Zone,
+			Capacity: float64(elector.NewCapacity(settings.Cores, settings.LinkMbps)),
+		},
+		Locator: locator,
+		Workers: adapter.NewWorkers(adapter.NewDialer()),
+		Store:   store,
+		Logger:  log,
+	})
+	refusals := newRefusalLog(log)
+	var submitterOptions []submitter.Option
+	if settings.HasPressure {
+		submitterOptions = append(submitterOptions, submitter.WithBacklogs(keeper, func(queue string) { refusals.add(refusedForBacklog, queue) }))
+	}
 	mg = &manager{
 		settings:    settings,
 		logger:      log,
 		storeHealth: health,
+		refusals:    refusals,
 		tracker:     newRequestTracker(log),
 		router:      queues,
 		locator:     locator,
-		attendant: attendant.New(attendant.Settings{
-			Keeper: assigner.Keeper{
-				ID:       assigner.KeeperID(settings.Node),
-				Zone:     settings.Zone,
-				Capacity: float64(elector.NewCapacity(settings.Cores, settings.LinkMbps)),
-			},
-			Locator: locator,
-			Workers: adapter.NewWorkers(adapter.NewDialer()),
-			Store:   store,
-			Logger:  log,
-		}),
-		submitter: submitter.New(store, client, locator, queues, health, log),
-		leaser:    duty,
+		attendant:   keeper,
+		submitter:   submitter.New(store, client, locator, queues, health, log, submitterOptions...),
+		leaser:      duty,
 		elector: elector.New(elector.Settings{
 			Store:      store,
 			Region:     settings.Region,
@@ -197,7 +205,7 @@
 
 // listen opens the listeners for readiness checks, callers and peers.
 func (mg *manager) listen() error {
-	callerHandler := adapter.NewCallerHandler(mg.submitter, mg.router, time.Now, adapter.WithRefusalFunc(newRefusalLog(mg.logger).add))
+	callerHandler := adapter.NewCallerHandler(mg.submitter, mg.router, time.Now, adapter.WithRefusalFunc(mg.refusals.add))
 	opts := []server.Option{server.WithTimeouts(headerTimeout, idleTimeout), server.WithDrainFirst(),
 		server.WithGrace(failureGrace), server.WithDeadline(mg.closeDeadline)}
 	ready, err := server.New(mg.settings.Ready, http.HandlerFunc(mg.serveReadiness), opts...)
--- a/coltsfootwick-manager/internal/submitter/cap.go
+++ b/coltsfootwick-manager/internal/submitter/cap.go
@@ -17,12 +17,21 @@
 	if refusal == nil {
 		return nil
 	}
-	_, err := sm.store.Get(ctx, archiver.JobKey(jb.ID))
+	isStored, err := sm.isStored(ctx, jb.ID)
 	switch {
-	case err == nil:
+	case err != nil:
+		return classifier.Wrap(err, classifier.JobRefused, "it is unknown whether the job was accepted under an earlier cap")
+	case isStored:
 		return nil
-	case classifier.CodeOf(err) == classifier.PlatformNotFound:
-		return refusal
 	}
-	return classifier.Wrap(err, classifier.JobRefused, "it is unknown whether the job was accepted under an earlier cap")
+	return refusal
+}
+
+// isStored reports whether a job of this ID is stored.
+func (sm *Submitter) isStored(ctx context.Context, id modeller.JobID) (bool, error) {
+	_, err := sm.store.Get(ctx, archiver.JobKey(id))
+	if classifier.CodeOf(err) == classifier.PlatformNotFound {
+		return false, nil
+	}
+	return err == nil, err
 }
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -77,11 +77,15 @@
 	announceSlots chan struct{}
 	answerTimeout storer.AdaptiveTimeout
 	tombstones    *rate.Limiter
+	// backlogs is nil if jobs aren't refused for the backlog.
+	backlogs Backlogs
+	// onRefusal is called with the queue of each job that is refused for the backlog.
+	onRefusal func(queue string)
 }
 
 // New returns a Submitter.
-func New(store storer.TransactionStore, scheduler Scheduler, locator Locator, queues Queues, storeHealth StoreHealth, logger *zap.Logger) *Submitter {
-	return &Submitter{
+func New(store storer.TransactionStore, scheduler Scheduler, locator Locator, queues Queues, storeHealth StoreHealth, logger *zap.Logger, opts ...Option) *Submitter {
+	sm := &Submitter{
 		store:         store,
 		scheduler:     scheduler,
 		locator:       locator,
@@ -93,6 +97,10 @@
 		announceSlots: make(chan struct{}, maxConcurrentAnnouncements),
 		tombstones:    newTombstoneLimiter(),
 	}
+	for _, opt := range opts {
+		opt(sm)
+	}
+	return sm
 }
 
 // Run stores submitted jobs until the context is done.
@@ -138,6 +146,9 @@
 	if err := sm.checkCap(ctx, jb); err != nil {
 		return err
 	}
+	if err := sm.checkBacklog(ctx, jb); err != nil {
+		return err
+	}
 	data, err := modeller.EncodeJob(modeller.JobRecord{
 		Job: jb,
 	})
--- a/shared/process/classifier/code_job.go
+++ b/shared/process/classifier/code_job.go
@@ -47,6 +47,9 @@
 	// WorkerRestarted means that another incarnation of the worker now answers at the
 	// address.
 	WorkerRestarted Code = 821
+	// BacklogTooLong means that the job can't be on time behind the work that waits in its
+	// pool. The job was not accepted and never runs.
+	BacklogTooLong Code = 822
 )
 
 var jobCodes = []Description{
@@ -176,4 +179,10 @@
 		Summary: "The worker has started again since the order was decided.",
 		Remedy:  "None; the scheduler polls the worker and places the task again.",
 	},
+	{
+		Code:    BacklogTooLong,
+		Name:    "backlogTooLong",
+		Summary: "The job can't be on time behind its pool's waiting work; it was not accepted and never runs.",
+		Remedy:  "Submit the job again after the Retry-After time; the detail has the expected wait.",
+	},
 }
