--- a/coltsfootwick-manager/internal/conductor/keepers_test.go
+++ b/coltsfootwick-manager/internal/conductor/keepers_test.go
@@ -11,9 +11,9 @@
 	"coltsfootwick.example/shared/jobs/distributor"
 )
 
-// TestBacklogsAreSentWithTheContractOnly guards against a message that managers of before
-// the contract don't know, and against figures of a holder that hasn't loaded its records.
-func TestBacklogsAreSentWithTheContractOnly(t *testing.T) {
+// TestBacklogsAreSentOnlyWithPressure guards against a message that managers of before
+// it don't know, and against figures of a holder that hasn't loaded its records.
+func TestBacklogsAreSentOnlyWithPressure(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	for _, tc := range []struct{ hasPressure, isLoaded bool }{{false, true}, {true, false}, {true, true}} {
 		cd := &Conductor{hasPressure: tc.hasPressure}
--- a/shared/jobs/distributor/backlog_test.go
+++ b/shared/jobs/distributor/backlog_test.go
@@ -22,8 +22,8 @@
 	Excess: map[string]int{"a": 2, "b": 14},
 }
 
-// TestBacklogFollowsAPermission guards against a message that managers of deployments without
-// the contract don't know, and against figures from a holder that has lost the duty.
+// TestBacklogFollowsAPermission guards against a message that managers of deployments that
+// don't ask for it may not know, and against figures from a holder that has lost the duty.
 func TestBacklogFollowsAPermission(t *testing.T) {
 	di, now := newConnected("k")
 	receive := func(isHeld bool) []ToKeeper {
