--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -106,6 +106,7 @@
 	conductor   *conductor.Conductor
 	attendant   *attendant.Attendant
 	leaser      *leaser.Leaser
+	refusals    *refusalLog
 	tracker     *requestTracker
 	callers     *server.Server
 	servers     []*server.Server
@@ -129,26 +130,33 @@
 	locator := peer.NewLocator(store, duty.Key(), log)
 	client := peer.NewClient()
 	queues := router.New(store, log)
+	keeper := attendant.New(attendant.Settings{
+		Keeper: assigner.Keeper{
+			ID:       assigner.KeeperID(settings.Node),
+			Zone:     settings.Zone,
+			Capacity: float64(elector.NewCapacity(settings.Cores, settings.LinkMbps)),
+		},
+		Locator: locator,
+		Workers: adapter.NewWorkers(adapter.NewDialer()),
+		Store:   store,
+		Logger:  log,
+	})
+	refusals := newRefusalLog(log)
+	var submitterOptions []submitter.Option
+	if settings.HasPressure {
+		submitterOptions = append(submitterOptions, submitter.WithBacklogs(keeper, func(queue string) { refusals.add(refusedForBacklog, queue) }))
+	}
 	mg = &manager{
 		settings:    settings,
 		logger:      log,
 		storeHealth: health,
+		refusals:    refusals,
 		tracker:     newRequestTracker(log),
 		router:      queues,
 		locator:     locator,
-		attendant: attendant.New(attendant.Settings{
-			Keeper: assigner.Keeper{
-				ID:       assigner.KeeperID(settings.Node),
-				Zone:     settings.Zone,
-				Capacity: float64(elector.NewCapacity(settings.Cores, settings.LinkMbps)),
-			},
-			Locator: locator,
-			Workers: adapter.NewWorkers(adapter.NewDialer()),
-			Store:   store,
-			Logger:  log,
-		}),
-		submitter: submitter.New(store, client, locator, queues, health, log),
-		leaser:    duty,
+		attendant:   keeper,
+		submitter:   submitter.New(store, client, locator, queues, health, log, submitterOptions...),
+		leaser:      duty,
 		elector: elector.New(elector.Settings{
 			Store:      store,
 			Region:     settings.Region,
@@ -176,10 +184,11 @@
 				MaintenanceTime: settings.Bounds.MaintenanceTime,
 				VMOrderRate:     settings.Bounds.VMOrderRate,
 			},
-			LinkMbps:   settings.LinkMbps,
-			VMs:        adapter.NewVMs(settings.VMs, vmDialer),
-			Adviser:    adapter.NewAdviser(settings.Advice, adapter.NewDialer()),
-			WaveStatus: waveStatus,
+			HasPressure: settings.HasPressure,
+			LinkMbps:    settings.LinkMbps,
+			VMs:         adapter.NewVMs(settings.VMs, vmDialer),
+			Adviser:     adapter.NewAdviser(settings.Advice, adapter.NewDialer()),
+			WaveStatus:  waveStatus,
 			Links: []conductor.Link{
 				{Name: "store", Traffic: storeDialer.Traffic},
 				{Name: "vmInterface", Traffic: vmDialer.Traffic},
@@ -198,7 +207,7 @@
 
 // listen opens the listeners for readiness checks, callers and peers.
 func (mg *manager) listen() error {
-	callerHandler := adapter.NewCallerHandler(mg.submitter, mg.router, time.Now, adapter.WithRefusalFunc(newRefusalLog(mg.logger).add))
+	callerHandler := adapter.NewCallerHandler(mg.submitter, mg.router, time.Now, adapter.WithRefusalFunc(mg.refusals.add))
 	opts := slices.Clip([]server.Option{server.WithTimeouts(headerTimeout, idleTimeout), server.WithDrainFirst(),
 		server.WithGrace(failureGrace), server.WithDeadline(mg.closeDeadline)})
 	capacities := guard.NewCapacities(mg.settings.MemoryMB, mg.settings.MaxFDs)
