--- a/shared/process/guard/guard.go
+++ b/shared/process/guard/guard.go
@@ -12,7 +12,7 @@
 const (
 	// minAge is the age from which an unfinished request may be dropped for a new
 	// connection. Ordinary requests are complete before.
-	minAge = 50 * time.Millisecond
+	minAge = 20 * time.Millisecond
 	// minBodyAge is the age from which a body may be dropped for another one. One of
 	// the greatest length takes 210 ms at 10 Mbit/s.
 	minBodyAge = 500 * time.Millisecond
