--- a/shared/process/guard/capacity.go
+++ b/shared/process/guard/capacity.go
@@ -40,9 +40,11 @@
 	// unfinishedPart is the part of the connections that may be unfinished, as 1/n.
 	unfinishedPart = 8
 	minUnfinished  = 8
-	minBodyBytes   = 2 << 20
-	maxBodyBytes   = 5 << 20
-	maxChunked     = 16
+	// maxUnfinished keeps the memory of a crowd of 10,000 clients near 64 MB.
+	maxUnfinished = 96
+	minBodyBytes  = 2 << 20
+	maxBodyBytes  = 5 << 20
+	maxChunked    = 16
 )
 
 // The parts of the memory, as 1/n, of callers' connections and bodies and of those on
@@ -74,7 +76,7 @@
 func newCapacity(connections int, bodyBytes int64) Capacity {
 	return Capacity{
 		Connections: max(connections, minUnfinished),
-		Unfinished:  max(connections/unfinishedPart, minUnfinished),
+		Unfinished:  min(max(connections/unfinishedPart, minUnfinished), maxUnfinished),
 		BodyBytes:   min(max(bodyBytes, minBodyBytes), maxBodyBytes),
 		Chunked:     maxChunked,
 	}
