admitter: refuse only what has no value when all waiting work is done

A job is now refused only if it can neither start in time nor be done while its result has value, once two thirds of all waiting work are done, that of late jobs included.

--- a/coltsfootwick-manager/internal/submitter/backlog.go
+++ b/coltsfootwick-manager/internal/submitter/backlog.go
@@ -24,7 +24,7 @@
 // Option is an option of New.
 type Option func(*Submitter)
 
-// WithBacklogs refuses jobs that can't be on time behind the backlog. It calls onRefusal with
+// WithBacklogs refuses jobs that can't be done while they have value behind the backlog. It calls onRefusal with
 // the queue of each.
 func WithBacklogs(backlogs Backlogs, onRefusal func(queue string)) Option {
 	return func(sm *Submitter) {
@@ -33,8 +33,8 @@
 	}
 }
 
-// checkBacklog returns an error for a job that can't be on time behind the work that waits in
-// its pool. One that is stored already was accepted, and one of which that is unknown goes
+// checkBacklog returns an error for a job that has no value any more when the work that waits
+// in its pool is done. One that is stored already was accepted, and one of which that is unknown goes
 // on to the store, which decides: its refusal would promise that it never runs.
 func (sm *Submitter) checkBacklog(ctx context.Context, jb modeller.Job) error {
 	if sm.backlogs == nil || !hasObjective(jb) {
@@ -54,7 +54,7 @@
 	}
 	sm.onRefusal(jb.Queue)
 	return &classifier.RetryError{
-		Err: classifier.New(classifier.BacklogTooLong, "pool %s has more work than the fleet has room for: the job would start in %s and be late, retry after %s",
+		Err: classifier.New(classifier.BacklogTooLong, "pool %s has more work than the fleet has room for: all of it takes %s, after which the job has no value, retry after %s",
 			jb.Origin.Pool, refuse.Wait.Round(shownPrecision), refuse.RetryAfter.Round(shownPrecision)),
 		After: refuse.RetryAfter,
 	}
@@ -84,6 +84,7 @@
 		Work:         work,
 		CriticalPath: criticalPath,
 		Objective:    jb.Origin.Objective(criticalPath),
+		ValueEnd:     jb.Origin.ValueEnd(criticalPath),
 		WidestTask:   widest,
 	}
 }
--- a/shared/jobs/admitter/admitter.go
+++ b/shared/jobs/admitter/admitter.go
@@ -15,8 +15,8 @@
 	moveTime = 3 * time.Second
 	// minRetryDelay is the least time after which a refused caller may come back.
 	minRetryDelay = time.Second
-	// workCertainty is the part of the estimated work ahead of a job that is certain. Declared
-	// sizes and durations are often far off, and a job that could be on time is not refused.
+	// workCertainty is the part of the estimated work that is certain. Declared sizes and
+	// durations are often far off, and a job that could be served is not refused.
 	workCertainty = 2.0 / 3
 	// retrySpread is the part of the delay by which callers' returns are spread.
 	retrySpread = 0.5
@@ -31,8 +31,9 @@
 	// Work is the core time of the job, and CriticalPath the duration of its longest chain
 	// of steps.
 	Work, CriticalPath time.Duration
-	// Objective is the duration within which the job is on time.
-	Objective time.Duration
+	// Objective is the duration within which the job is on time, and ValueEnd the one after
+	// which its result has no value.
+	Objective, ValueEnd time.Duration
 	// WidestTask is the largest demand of a task, in thousandths of a core.
 	WidestTask int
 }
@@ -45,12 +46,12 @@
 // Accept accepts the job.
 type Accept struct{}
 
-// Refuse refuses the job, which can't be on time.
+// Refuse refuses the job, which can't be done while it has value.
 type Refuse struct {
-	// RetryAfter is the time after which so much of the work ahead will have been done that
-	// the job can be on time.
+	// RetryAfter is the time after which so much of the waiting work will have been done
+	// that the job can be on time.
 	RetryAfter time.Duration
-	// Wait is the expected time until the job would start.
+	// Wait is the expected time until all waiting work is done.
 	Wait time.Duration
 }
 
@@ -72,13 +73,23 @@
 	})
 	ahead := bl.workAhead(publishedAt, key, bl.Excess[jb.Team])
 	age := now.Sub(publishedAt)
-	if bl.drainTime(time.Duration(workCertainty*float64(ahead)), moveTime)-age <= slack {
+	if bl.drainTime(certainPart(ahead), moveTime)-age <= slack {
 		return Accept{}
 	}
-	wait := bl.drainTime(ahead, moveTime) - age
+	// A job that misses its latest start is served after all that can be on time.
+	total := bl.totalWork()
+	if bl.drainTime(certainPart(total), moveTime)-age+jb.CriticalPath <= jb.ValueEnd {
+		return Accept{}
+	}
+	wait := bl.drainTime(total, moveTime) - age
 	delay := max(wait-slack, minRetryDelay)
 	return Refuse{
 		RetryAfter: delay + time.Duration(spread*retrySpread*float64(delay)),
 		Wait:       wait,
 	}
 }
+
+// certainPart returns the part of an estimated amount of work that is certain.
+func certainPart(work time.Duration) time.Duration {
+	return time.Duration(workCertainty * float64(work))
+}
--- a/shared/jobs/admitter/backlog.go
+++ b/shared/jobs/admitter/backlog.go
@@ -3,9 +3,11 @@
 //
 // It answers the load in which a pool's demand exceeds what the whole fleet can give it. Jobs
 // that can still be on time are served first then, so that a job which misses its latest
-// start waits until the shortage ends, mostly in vain. A job that can't start in time behind
-// the work ahead of it is refused at once, with the time after which it could. Nothing is
-// refused while the pool has room or may still get VMs.
+// start waits until the shortage ends. A job that can't start in time behind the work ahead
+// of it, and will have no value any more when all waiting work is done, is refused at once,
+// with the time after which it could be on time. One that is only late is accepted: its
+// caller would lose the time until it returns. Nothing is refused while the pool has room or
+// may still get VMs.
 //
 // The decision rests on figures that the scheduler's holder publishes. Without present
 // figures every job is accepted, so that a lost holder or connection costs no caller a
@@ -31,6 +33,8 @@
 	IsShort bool
 	// Bands are the waiting jobs that can still be on time, in the order of service.
 	Bands []Band
+	// LateWork is the core time of the waiting jobs that are late and still have value.
+	LateWork time.Duration
 	// Excess are the levels of the teams that are beyond their share.
 	Excess map[string]int
 }
@@ -72,6 +76,15 @@
 	return ahead
 }
 
+// totalWork returns the core time of all waiting jobs that have value.
+func (bl Backlog) totalWork() time.Duration {
+	total := bl.LateWork
+	for _, bd := range bl.Bands {
+		total += bd.Work
+	}
+	return total
+}
+
 // drainTime returns how long the pool takes for an amount of work. Until moveTime it has
 // only its present workers.
 func (bl Backlog) drainTime(work, moveTime time.Duration) time.Duration {
--- a/shared/jobs/allocator/backlog.go
+++ b/shared/jobs/allocator/backlog.go
@@ -38,6 +38,7 @@
 			levels := wl.levels(now)
 			bl.Excess = greatestLevels(levels)
 			bl.Bands = bandsOf(now, al.waitingWork(now, wl, levels))
+			bl.LateWork = al.lateWork(now, wl)
 		}
 		backlogs[pn.name] = bl
 	}
@@ -140,6 +141,23 @@
 	return all
 }
 
+// lateWork returns the work of a pool's waiting jobs that are late and still have value.
+func (al *Allocator) lateWork(now time.Time, wl *waitingList) time.Duration {
+	var late time.Duration
+	for _, tl := range wl.teams {
+		if tl.isHeld || al.usage.isHeldBack(tl) {
+			continue
+		}
+		for _, rj := range tl.ranked {
+			isLate := rj.class == classLate || rj.class == classOnTime && !rj.until.IsZero() && now.After(rj.until)
+			if isLate && rj.job.outcome == "" && !rj.job.isCancelled {
+				late += rj.job.waitingCoreTime()
+			}
+		}
+	}
+	return late
+}
+
 // waitingCoreTime returns the estimated core time of the tasks that aren't done and have no
 // run.
 func (jb *job) waitingCoreTime() time.Duration {
--- a/shared/jobs/allocator/rank.go
+++ b/shared/jobs/allocator/rank.go
@@ -37,10 +37,6 @@
 	classExpired
 )
 
-// maxLateFactor is the multiple of its objective up to which a late job has
-// value.
-const maxLateFactor = 3
-
 // rankedJob returns a job with its present keys.
 func (al *Allocator) rankedJob(now time.Time, jb *job) rankedJob {
 	class, until := jb.serviceClass(now)
@@ -96,7 +92,7 @@
 	if until := jb.acceptedAt.Add(objective - remaining); !now.After(until) {
 		return classOnTime, until
 	}
-	if until := jb.acceptedAt.Add(maxLateFactor*objective - remaining); !now.After(until) {
+	if until := jb.acceptedAt.Add(jb.queue.ValueEnd(jb.criticalPath) - remaining); !now.After(until) {
 		return classLate, until
 	}
 	return classExpired, time.Time{}
--- a/shared/jobs/distributor/backlog.go
+++ b/shared/jobs/distributor/backlog.go
@@ -99,6 +99,7 @@
 		frame = packer.AppendUint(frame, milliCores(bl.TargetCores))
 		frame = packer.AppendUint(frame, uint64(max(bl.FreeMilliCores, 0)))
 		frame = packer.AppendBool(frame, bl.IsShort)
+		frame = packer.AppendDuration(frame, min(max(bl.LateWork, 0), maxFigure))
 		frame = packer.AppendUint(frame, uint64(len(bl.Bands)))
 		for _, bd := range bl.Bands {
 			frame = packer.AppendUint(frame, uint64(max(bd.Excess, 0)))
@@ -130,6 +131,7 @@
 			TargetCores:    float64(rd.Uint()) / 1000,
 			FreeMilliCores: rd.Index(),
 			IsShort:        rd.Bool(),
+			LateWork:       rd.nonNegative(),
 		}
 		for range rd.count(admitter.MaxBands) {
 			bl.Bands = append(bl.Bands, admitter.Band{
--- a/shared/jobs/modeller/estimate.go
+++ b/shared/jobs/modeller/estimate.go
@@ -37,3 +37,12 @@
 func (qu Queue) Objective(criticalPath time.Duration) time.Duration {
 	return time.Duration(qu.Stretch*float64(criticalPath)) + qu.Slack
 }
+
+// maxLateFactor is the multiple of its objective up to which a late job has value.
+const maxLateFactor = 3
+
+// ValueEnd returns the duration after which the result of a job of the queue with a critical
+// path has no value.
+func (qu Queue) ValueEnd(criticalPath time.Duration) time.Duration {
+	return maxLateFactor * qu.Objective(criticalPath)
+}
