allocator: repeat the stops of a failed job's long-running tasks

A cancellation is answered 200, since the job has ended, and stops nothing.

Cause: when a job fails, each of its runs is ordered to stop once. canRepeatStop took the repetition for an eviction, which may not end a task while others of its step are unavailable; they all are, as all are being stopped. So an order that was lost (its keeper gone, its answer missing) was never repeated, and polls went on extending the lease, until the next takeover.

Found by reading every place that asks isCancelled and not outcome.

Change: runs of a job that has ended or been cancelled are not evicted; their stops are repeated.

--- a/shared/jobs/allocator/job.go
+++ b/shared/jobs/allocator/job.go
@@ -301,6 +301,9 @@
 	al.markDirty(jb)
 }
 
+// isOver reports whether the job has ended or been cancelled, so that its runs have to stop.
+func (jb *job) isOver() bool { return jb.isCancelled || jb.outcome != "" }
+
 func (jb *job) isDone() bool {
 	for _, oc := range jb.occurrences {
 		if !oc.isDone {
--- a/shared/jobs/allocator/report.go
+++ b/shared/jobs/allocator/report.go
@@ -447,10 +447,11 @@
 }
 
 // canRepeatStop reports whether a stop may be ordered again. If it evicts a task that
-// is still available, others of its step may have become unavailable since.
+// is still available, others of its step may have become unavailable since. The runs of a
+// job that is over are not evicted.
 func (rn *run) canRepeatStop() bool {
 	tk := rn.task
-	isEviction := tk != nil && tk.step.spec.IsLongRunning && !tk.step.job.isCancelled && rn.progress >= 100
+	isEviction := tk != nil && tk.step.spec.IsLongRunning && !tk.step.job.isOver() && rn.progress >= 100
 	return !isEviction || tk.step.canEvict(rn)
 }
 
