submitter: carry out later the cancellations beyond the limit of tombstones

Callers saw: of many cancellations of jobs that got no answer, as after an interruption, those beyond the limit of tombstones (128 at once, 8 a second a manager) were answered 503, with Retry-After 1 each, and dropped. A caller that gave up then left a job that may be stored late and runs. One caller's crowd kept the cancellations of all others out.

Cause: the limit bounds writes to the store, and nothing kept what was beyond it.

Evidence: TestCancellationsBeyondTheLimitOfTombstonesAreCarriedOutLater and TestOneTeamCannotFillThePostponedCancellations failed before.

Change: they wait for the limit in the order of their arrival, apart from those that the store has refused, so that cancellations of known jobs don't wait behind them. Retry-After says when a caller's turn has come. Of 1,024 that may wait, 256 are of one queue and team.

The number that is stored is the same, and checked as before.

--- a/coltsfootwick-manager/internal/submitter/cancel.go
+++ b/coltsfootwick-manager/internal/submitter/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -23,8 +24,8 @@
 	id    modeller.JobID
 }
 
-// Cancel implements adapter.Jobs. A cancellation that fails for the store is carried out
-// later, since its caller may not repeat it.
+// Cancel implements adapter.Jobs. A cancellation that fails is carried out later, since its
+// caller may not repeat it.
 func (sm *Submitter) Cancel(ctx context.Context, queue modeller.Queue, team string, id modeller.JobID) error {
 	cn := cancellation{
 		queue: queue,
@@ -32,13 +33,40 @@
 		id:    id,
 	}
 	err := sm.cancel(ctx, cn)
+	if !isSettled(err) {
+		err = sm.postpone(cn, err)
+	}
 	sm.logger.Info("cancellation", zap.String("job", string(id)), zap.String("queue", queue.Name), teamField(team), zap.Error(err))
-	if !isSettled(err) && !errors.Is(err, errTooManyTombstones) {
-		sm.postponed.add(cn)
+	return err
+}
+
+// postpone has a cancellation carried out later that failed with an error, and returns the
+// error for its caller.
+func (sm *Submitter) postpone(cn cancellation, err error) error {
+	if !errors.Is(err, errTooManyTombstones) {
+		sm.refused.add(cn)
+		return err
+	}
+	return &classifier.RetryError{
+		Err:   err,
+		After: time.Duration(sm.limited.add(cn)) * time.Second / tombstoneRate,
+	}
+}
+
+// retryRefused tries a cancellation again that the store has refused.
+func (sm *Submitter) retryRefused(ctx context.Context, cn cancellation) error {
+	err := sm.cancelOnce(ctx, cn, sm.takeTombstone)
+	if errors.Is(err, errTooManyTombstones) {
+		sm.limited.add(cn)
 	}
 	return err
 }
 
+// retryLimited tries a cancellation again that was beyond the limit of tombstones.
+func (sm *Submitter) retryLimited(ctx context.Context, cn cancellation) error {
+	return sm.cancelOnce(ctx, cn, sm.awaitTombstone)
+}
+
 // isSettled reports whether a cancellation with this result need not be repeated: it is
 // stored, or there is no such job for its caller, now or later.
 func isSettled(err error) bool {
@@ -47,7 +75,7 @@
 
 func (sm *Submitter) cancel(ctx context.Context, cn cancellation) error {
 	for tries := 1; ; tries++ {
-		err := sm.cancelOnce(ctx, cn)
+		err := sm.cancelOnce(ctx, cn, sm.takeTombstone)
 		code := classifier.CodeOf(err)
 		mayBeStored := code == classifier.PlatformConflict || code == classifier.PlatformAmbiguous
 		isRefused := isUnavailable(err) && tries < maxRefusedTries && !sm.storeHealth.IsUnavailable()
@@ -70,13 +98,14 @@
 
 // cancelOnce stores the cancellation request on the condition that the job's
 // record has not changed since it was read, so that no request remains for a
-// job that has ended in the meantime. The error may be one of the store.
-func (sm *Submitter) cancelOnce(ctx context.Context, cn cancellation) error {
+// job that has ended in the meantime. take takes the right to store a tombstone. The error
+// may be one of the store.
+func (sm *Submitter) cancelOnce(ctx context.Context, cn cancellation, take func(ctx context.Context) error) error {
 	et, err := sm.store.Get(ctx, archiver.JobKey(cn.id))
 	switch {
 	case err == nil:
 	case classifier.CodeOf(err) == classifier.PlatformNotFound:
-		return sm.storeTombstone(ctx, cn)
+		return sm.storeTombstone(ctx, cn, take)
 	case isUnavailable(err):
 		return err
 	default:
--- a/coltsfootwick-manager/internal/submitter/postponed.go
+++ b/coltsfootwick-manager/internal/submitter/postponed.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
@@ -13,15 +14,19 @@
 )
 
 const (
-	// maxPostponed is the maximum number of cancellations that are to be carried out later.
-	maxPostponed = 1024
+	// maxPostponed is the maximum number of cancellations that a postponer is to carry out,
+	// and maxPostponedOfOne that of those of one queue and team.
+	maxPostponed      = 1024
+	maxPostponedOfOne = maxPostponed / 4
 	// postponedTime is how long a cancellation is tried. It is longer than most outages, and
 	// about as long as the states of jobs are kept.
 	postponedTime = 2 * time.Minute
 	// postponedTryTime bounds one try.
 	postponedTryTime = 3 * time.Second
-	// postponedWorkers is the number of cancellations that are tried at once.
-	postponedWorkers = 2
+	// refusedWorkers and limitedWorkers are the numbers of cancellations that are tried at
+	// once.
+	refusedWorkers = 2
+	limitedWorkers = 1
 	// postponedRate bounds the tries per second. After an outage all managers have
 	// cancellations to carry out.
 	postponedRate = 32
@@ -34,6 +39,7 @@
 // waited. Those that wait are lost with the process.
 type postponer struct {
 	try     func(ctx context.Context, cn cancellation) error
+	workers int
 	logger  *zap.Logger
 	limiter *rate.Limiter
 	// queue has a place for each cancellation in waiting.
@@ -41,6 +47,8 @@
 
 	mu      sync.Mutex
 	waiting map[postponedKey]struct{}
+	// counts holds the numbers of waiting cancellations by callers.
+	counts map[postponedCaller]int
 }
 
 // postponedCancellation is a cancellation that waits since a time.
@@ -51,57 +59,73 @@
 
 // postponedKey identifies a cancellation, which its caller may repeat meanwhile.
 type postponedKey struct {
-	queue, team string
-	id          modeller.JobID
+	caller postponedCaller
+	id     modeller.JobID
 }
 
+// postponedCaller is what is known of the caller of a cancellation.
+type postponedCaller struct{ queue, team string }
+
 func (cn cancellation) key() postponedKey {
 	return postponedKey{
-		queue: cn.queue.Name,
-		team:  cn.team,
-		id:    cn.id,
+		caller: postponedCaller{
+			queue: cn.queue.Name,
+			team:  cn.team,
+		},
+		id: cn.id,
 	}
 }
 
-func newPostponer(try func(ctx context.Context, cn cancellation) error, logger *zap.Logger) *postponer {
+func newPostponer(try func(ctx context.Context, cn cancellation) error, workers int, logger *zap.Logger) *postponer {
 	return &postponer{
 		try:     try,
+		workers: workers,
 		logger:  logger,
 		limiter: rate.NewLimiter(postponedRate, postponedRate),
 		queue:   make(chan postponedCancellation, maxPostponed),
 		waiting: map[postponedKey]struct{}{},
+		counts:  map[postponedCaller]int{},
 	}
 }
 
-// add has a cancellation carried out later, unless it waits already or too many do.
-func (pp *postponer) add(cn cancellation) {
+// add has a cancellation carried out later, unless it waits already or too many do. It
+// returns the number of those that wait.
+func (pp *postponer) add(cn cancellation) int {
 	pp.mu.Lock()
 	defer pp.mu.Unlock()
-	if _, ok := pp.waiting[cn.key()]; ok {
-		return
+	key := cn.key()
+	if _, ok := pp.waiting[key]; ok {
+		return len(pp.waiting)
 	}
-	if len(pp.waiting) >= maxPostponed {
-		pp.logger.Error("cancellation dropped: too many are to be carried out later", zap.String("job", string(cn.id)), zap.Int("waiting", maxPostponed))
-		return
+	if len(pp.waiting) >= maxPostponed || pp.counts[key.caller] >= maxPostponedOfOne {
+		pp.logger.Warn("cancellation is not carried out later: too many wait", zap.String("job", string(cn.id)), zap.String("queue", cn.queue.Name), teamField(cn.team),
+			zap.Int("waiting", len(pp.waiting)), zap.Int("ofCaller", pp.counts[key.caller]))
+		return len(pp.waiting)
 	}
-	pp.waiting[cn.key()] = struct{}{}
+	pp.waiting[key] = struct{}{}
+	pp.counts[key.caller]++
 	pp.queue <- postponedCancellation{
 		cancellation: cn,
 		since:        time.Now(),
 	}
+	return len(pp.waiting)
 }
 
 // remove ends the wait of a cancellation.
 func (pp *postponer) remove(cn cancellation) {
 	pp.mu.Lock()
 	defer pp.mu.Unlock()
-	delete(pp.waiting, cn.key())
+	key := cn.key()
+	delete(pp.waiting, key)
+	if pp.counts[key.caller]--; pp.counts[key.caller] == 0 {
+		delete(pp.counts, key.caller)
+	}
 }
 
 // run carries out cancellations until the context is done.
 func (pp *postponer) run(ctx context.Context) {
 	var workers sync.WaitGroup
-	for range postponedWorkers {
+	for range pp.workers {
 		workers.Go(func() { pp.work(ctx) })
 	}
 	workers.Wait()
@@ -138,6 +162,8 @@
 	age := time.Since(pc.since)
 	fields := []zap.Field{zap.String("job", string(pc.id)), zap.String("queue", pc.queue.Name), teamField(pc.team), zap.Duration("age", age), zap.Error(err)}
 	switch {
+	case errors.Is(err, errTooManyTombstones):
+		// It waits for the limit now.
 	case isSettled(err):
 		pp.logger.Info("postponed cancellation carried out", fields...)
 	case age > postponedTime:
--- a/coltsfootwick-manager/internal/submitter/postponed_test.go
+++ b/coltsfootwick-manager/internal/submitter/postponed_test.go
@@ -98,3 +98,46 @@
 		mustBeCancelled(t, kr, "j")
 	})
 }
+
+// Guards against cancellations of unknown jobs that are lost since many come at once, as
+// after an interruption, and against those of known jobs that wait behind them.
+func TestCancellationsBeyondTheLimitOfTombstonesAreCarriedOutLater(t *testing.T) {
+	runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, kr *keeper.Keeper) {
+		const over = 20
+		must.NoError(t, sm.Submit(callerContext(t), newJob("known")))
+		for number := range tombstoneBurst + over {
+			err := sm.Cancel(callerContext(t), queueQ, "", modeller.JobID(fmt.Sprint(number)))
+			if number < tombstoneBurst {
+				must.Eq(t, classifier.JobUnknown, classifier.CodeOf(err))
+				continue
+			}
+			must.Eq(t, classifier.JobUnavailable, classifier.CodeOf(err))
+			delay, ok := classifier.RetryAfter(err)
+			must.True(t, ok)
+			must.Eq(t, time.Duration(number-tombstoneBurst+1)*time.Second/tombstoneRate, delay)
+		}
+		must.NoError(t, sm.Cancel(callerContext(t), queueQ, "", "known"))
+		mustBeCancelled(t, kr, "known")
+		time.Sleep(over*time.Second/tombstoneRate + time.Second)
+		for number := range tombstoneBurst + over {
+			mustBeCancelled(t, kr, modeller.JobID(fmt.Sprint(number)))
+		}
+	})
+}
+
+// Guards against a caller whose cancellations keep those of others from being carried out.
+func TestOneTeamCannotFillThePostponedCancellations(t *testing.T) {
+	runWithSubmitter(t, false, func(t *testing.T, sm *Submitter, kr *keeper.Keeper) {
+		must.NoError(t, sm.Submit(callerContext(t), newJob("j")))
+		must.NoError(t, kr.SetFaults(keeper.Outage{Scope: keeper.Scope{Zone: "a", Share: 1}}))
+		gone, cancel := context.WithCancel(t.Context())
+		cancel()
+		for number := range 2 * maxPostponed {
+			must.Error(t, sm.Cancel(gone, queueQ, "a", modeller.JobID(fmt.Sprint(number))))
+		}
+		must.Error(t, sm.Cancel(gone, queueQ, "b", "j"))
+		must.NoError(t, kr.SetFaults())
+		time.Sleep(postponedTime)
+		mustBeCancelled(t, kr, "j")
+	})
+}
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -78,7 +78,9 @@
 	announceSlots chan struct{}
 	answerTimeout storer.AdaptiveTimeout
 	tombstones    *rate.Limiter
-	postponed     *postponer
+	// refused are the cancellations that the store has refused, and limited those beyond the
+	// limit of tombstones.
+	refused, limited *postponer
 	// backlogs is nil if jobs aren't refused for the backlog.
 	backlogs Backlogs
 	// onRefusal is called with the queue of each job that is refused for the backlog.
@@ -99,7 +101,8 @@
 		announceSlots: make(chan struct{}, maxConcurrentAnnouncements),
 		tombstones:    newTombstoneLimiter(),
 	}
-	sm.postponed = newPostponer(sm.cancelOnce, logger)
+	sm.refused = newPostponer(sm.retryRefused, refusedWorkers, logger)
+	sm.limited = newPostponer(sm.retryLimited, limitedWorkers, logger)
 	for _, opt := range opts {
 		opt(sm)
 	}
@@ -111,7 +114,8 @@
 func (sm *Submitter) Run(ctx context.Context) error {
 	var postponed sync.WaitGroup
 	defer postponed.Wait()
-	postponed.Go(func() { sm.postponed.run(ctx) })
+	postponed.Go(func() { sm.refused.run(ctx) })
+	postponed.Go(func() { sm.limited.run(ctx) })
 	for {
 		select {
 		case first := <-sm.submissions:
--- a/coltsfootwick-manager/internal/submitter/tombstone.go
+++ b/coltsfootwick-manager/internal/submitter/tombstone.go
@@ -31,15 +31,27 @@
 // newTombstoneLimiter returns the limiter of a manager's tombstones.
 func newTombstoneLimiter() *rate.Limiter { return rate.NewLimiter(tombstoneRate, tombstoneBurst) }
 
+// takeTombstone takes the right to store a tombstone if there is one, and otherwise returns
+// errTooManyTombstones.
+func (sm *Submitter) takeTombstone(context.Context) error {
+	if !sm.tombstones.Allow() {
+		return errTooManyTombstones
+	}
+	return nil
+}
+
+// awaitTombstone waits for the right to store a tombstone.
+func (sm *Submitter) awaitTombstone(ctx context.Context) error { return sm.tombstones.Wait(ctx) }
+
 // storeTombstone makes sure that a job without a record isn't stored later, by a
 // submission that was delayed in a manager or on its way to the store: it writes a record
 // on which the condition of such a submission fails. The holder of the scheduler's duty
 // removes the record as it does those of ended jobs. The error is JobUnknown once the
 // record is stored, JobUnavailable if it must not be, and otherwise one of the store.
-func (sm *Submitter) storeTombstone(ctx context.Context, cn cancellation) error {
+func (sm *Submitter) storeTombstone(ctx context.Context, cn cancellation, take func(ctx context.Context) error) error {
 	id := cn.id
-	if !sm.tombstones.Allow() {
-		return classifier.Wrap(errTooManyTombstones, classifier.JobUnavailable, "job %s is unknown", id)
+	if err := take(ctx); err != nil {
+		return classifier.Wrap(err, classifier.JobUnavailable, "job %s is unknown", id)
 	}
 	data, err := modeller.EncodeJob(modeller.JobRecord{
 		Job: modeller.Job{
