submitter: refuse submissions that may be older than their tombstones

A caller cancels its job elsewhere and gets 410; the tombstone is removed after status_s and 10 s; the manager goes on, reads the submission before it notices that the caller has gone, and stores the job.

Cause: nothing bounds the age of a request that is read after a standstill. Besides, the caller's deadline was compared with the monotonic clock, which doesn't count a suspension, and a submission whose outcome was unknown was sent again without a look at the deadline.

Change: after a standstill of half of status_s submissions are refused for five seconds, in which what arrived before its end is read. Deadlines are kept by package timekeeper.

Left: a process that is stopped for over 130 s between that check and the write to the store.

--- a/coltsfootwick-manager/internal/runner/runner.go
+++ b/coltsfootwick-manager/internal/runner/runner.go
@@ -142,7 +142,7 @@
 		Logger:  log,
 	})
 	refusals := newRefusalLog(log)
-	var submitterOptions []submitter.Option
+	submitterOptions := []submitter.Option{submitter.WithRetention(settings.Bounds.StatusRetention)}
 	if settings.HasPressure {
 		submitterOptions = append(submitterOptions, submitter.WithBacklogs(keeper, func(queue string) { refusals.add(refusedForBacklog, queue) }))
 	}
--- a/coltsfootwick-manager/internal/submitter/submission.go
+++ b/coltsfootwick-manager/internal/submitter/submission.go
@@ -20,6 +20,25 @@
 	key  string
 	data []byte
 	done chan error
+	// expiresAt is the caller's deadline by now, or zero. The context doesn't count the time
+	// for which the VM is suspended.
+	expiresAt time.Time
+	now       func() time.Time
+}
+
+func (sm *Submitter) newSubmission(ctx context.Context, jb modeller.Job, data []byte) *submission {
+	sub := &submission{
+		ctx:  ctx,
+		job:  jb,
+		key:  archiver.JobKey(jb.ID),
+		data: data,
+		done: make(chan error, 1),
+		now:  sm.now,
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		sub.expiresAt = sm.now().Add(time.Until(deadline))
+	}
+	return sub
 }
 
 // collectBatch returns first and the submissions queued behind it, up to the
@@ -79,8 +98,7 @@
 // isAbandoned reports whether the caller no longer waits. After the process was stopped
 // the deadline may have passed before the context is done.
 func (sub *submission) isAbandoned() bool {
-	deadline, ok := sub.ctx.Deadline()
-	return sub.ctx.Err() != nil || ok && !time.Now().Before(deadline)
+	return sub.ctx.Err() != nil || !sub.expiresAt.IsZero() && !sub.now().Before(sub.expiresAt)
 }
 
 // commitDistinct stores submissions with different keys in one transaction. Jobs
@@ -184,7 +202,7 @@
 }
 
 func (sm *Submitter) resolveSubmission(ctx context.Context, sub *submission) error {
-	for sub.ctx.Err() == nil && ctx.Err() == nil {
+	for !sub.isAbandoned() && ctx.Err() == nil {
 		_, err := storer.CommitHedged(ctx, sm.store, transactionOf([]*submission{sub}), &sm.answerTimeout)
 		var conflict *storer.ConflictError
 		switch {
--- a/coltsfootwick-manager/internal/submitter/submitter.go
+++ b/coltsfootwick-manager/internal/submitter/submitter.go
@@ -11,9 +11,9 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
-	"coltsfootwick.example/shared/jobs/archiver"
 	"coltsfootwick.example/shared/jobs/modeller"
 	"coltsfootwick.example/shared/process/classifier"
+	"coltsfootwick.example/shared/process/timekeeper"
 	"coltsfootwick.example/shared/store/storer"
 )
 
@@ -81,6 +81,9 @@
 	// refused are the cancellations that the store has refused, and limited those beyond the
 	// limit of tombstones.
 	refused, limited *postponer
+	standstill       *standstill
+	// now returns the time of package timekeeper.
+	now func() time.Time
 	// backlogs is nil if jobs aren't refused for the backlog.
 	backlogs Backlogs
 	// onRefusal is called with the queue of each job that is refused for the backlog.
@@ -100,9 +103,11 @@
 		commitSlots:   make(chan struct{}, maxConcurrentCommits),
 		announceSlots: make(chan struct{}, maxConcurrentAnnouncements),
 		tombstones:    newTombstoneLimiter(),
+		now:           timekeeper.Now,
 	}
 	sm.refused = newPostponer(sm.retryRefused, refusedWorkers, logger)
 	sm.limited = newPostponer(sm.retryLimited, limitedWorkers, logger)
+	sm.standstill = newStandstill()
 	for _, opt := range opts {
 		opt(sm)
 	}
@@ -112,10 +117,11 @@
 // Run stores submitted jobs and carries out postponed cancellations until the context is
 // done.
 func (sm *Submitter) Run(ctx context.Context) error {
-	var postponed sync.WaitGroup
-	defer postponed.Wait()
-	postponed.Go(func() { sm.refused.run(ctx) })
-	postponed.Go(func() { sm.limited.run(ctx) })
+	var others sync.WaitGroup
+	defer others.Wait()
+	for _, run := range []func(ctx context.Context){sm.refused.run, sm.limited.run, sm.standstill.run} {
+		others.Go(func() { run(ctx) })
+	}
 	for {
 		select {
 		case first := <-sm.submissions:
@@ -154,6 +160,9 @@
 	if sm.storeHealth.IsUnavailable() {
 		return classifier.New(classifier.JobRefused, "the store is unavailable")
 	}
+	if err := sm.standstill.check(); err != nil {
+		return err
+	}
 	if err := sm.checkCap(ctx, jb); err != nil {
 		return err
 	}
@@ -166,13 +175,7 @@
 	if err != nil {
 		return err
 	}
-	sub := &submission{
-		ctx:  ctx,
-		job:  jb,
-		key:  archiver.JobKey(jb.ID),
-		data: data,
-		done: make(chan error, 1),
-	}
+	sub := sm.newSubmission(ctx, jb, data)
 	select {
 	case sm.submissions <- sub:
 	default:
