server: read what arrived while the process stood still

Callers saw: a cancellation that was sent to a manager that stood still, on a connection that had been idle for some seconds, never took effect: the manager closed the connection unread when it went on.

Cause: the deadline of the idle connection, or of its header section, had passed meanwhile, and a read of an expired connection fails without a look at what has arrived. The caller had gone, and so didn't send it again.

Change: an expired deadline is prolonged once, by 10 ms, for header sections and idle connections, not for a refused one or a body.

--- a/shared/process/server/connection.go
+++ b/shared/process/server/connection.go
@@ -56,6 +56,8 @@
 	// isRefused is true once a request was refused before it was read whole, and
 	// isLingering once the connection's goroutine has ended after that.
 	isRefused, isLingering atomic.Bool
+	// isProlonged is true once the present deadline has been prolonged.
+	isProlonged atomic.Bool
 }
 
 // enter admits the connection if the guard has room for it.
@@ -154,6 +156,9 @@
 func (cn *connection) Read(data []byte) (int, error) {
 	cn.guarded.SetBusy(false)
 	count, err := cn.TCPConn.Read(data)
+	if errors.Is(err, os.ErrDeadlineExceeded) && cn.mayReadLate() {
+		count, err = cn.TCPConn.Read(data)
+	}
 	cn.guarded.SetBusy(true)
 	switch phase(cn.phase.Load()) {
 	case serving:
@@ -175,6 +180,24 @@
 	return count, cmp.Or(cn.checkHeader(), err)
 }
 
+// lateReadTime is the time after the deadline of a header section or an idle connection in
+// which what has arrived is read.
+const lateReadTime = 10 * time.Millisecond
+
+// mayReadLate prolongs an expired deadline once. While the process stood still, a request may
+// have arrived in time that could not be read.
+func (cn *connection) mayReadLate() bool {
+	switch phase(cn.phase.Load()) {
+	case readingHeader, waiting:
+	case serving, resting:
+		return false
+	}
+	if cn.isRefused.Load() || cn.isProlonged.Swap(true) {
+		return false
+	}
+	return cn.TCPConn.SetReadDeadline(time.Now().Add(lateReadTime)) == nil
+}
+
 // checkHeader checks a long header section, and reserves memory for it.
 func (cn *connection) checkHeader() error {
 	maxBytes := cn.gate.limits().WithDefaults().MaxHeaderBytes
@@ -204,6 +227,7 @@
 // SetReadDeadline implements net.Conn. It replaces the deadlines that net/http sets for
 // header sections and idle connections.
 func (cn *connection) SetReadDeadline(deadline time.Time) error {
+	cn.isProlonged.Store(false)
 	if deadline.IsZero() {
 		return cn.TCPConn.SetReadDeadline(deadline)
 	}
