soaker: check the cancellations that managers have to carry out later

A cancellation that was answered 503 or 504, or got no answer from a manager that stood still, counts as acknowledged after ack_timeout_ms of calm, if the process that read it goes on. Not checked: with keys, beside faults of the link to the callers, and in the first ten seconds of a process, which may have no configuration yet.

--- a/standin/internal/soaker/caller.go
+++ b/standin/internal/soaker/caller.go
@@ -161,6 +161,7 @@
 	as.manager = cn.manager.number
 	as.status = ex.status
 	as.isUnanswered = ex.err != nil
+	as.isTimedOut = ex.isTimedOut()
 	cl.play.recordExchange(cn.manager, method, path, ex)
 	if as.status == http.StatusUnauthorized && cl.play.isAlwaysValid(key) {
 		cl.play.report("KEY", "%s %s with a key of each configuration is answered with 401 by manager %d", method, path, as.manager)
--- a/standin/internal/soaker/check.go
+++ b/standin/internal/soaker/check.go
@@ -47,8 +47,8 @@
 		if !jb.mayBeAccepted() {
 			ck.report(rn.StartedAt, "REFUSED", "%s starts, but all requests to submit its job were refused", rn.Task)
 		}
-		if as, ok := jb.find(http.MethodDelete, answer.isSuccess); ok {
-			ck.checkCancelled(rn, as.at)
+		if at, ok := ck.cancelledAt(jb); ok {
+			ck.checkCancelled(rn, at)
 		}
 	}
 	for _, mt := range ck.plan.Moments {
--- a/standin/internal/soaker/check_test.go
+++ b/standin/internal/soaker/check_test.go
@@ -145,6 +145,26 @@
 			ev.jobs[0].answers[1] = cancelled(3)
 			ev.runs[1].EndedAt = time.Time{}
 		}, rules: []string{"UNASKED"}},
+		{name: "run after a cancellation that was put off", change: func(ev *evidence) {
+			ev.jobs[0].answers[1] = cancelled(3)
+			ev.jobs[0].answers[1].status = http.StatusServiceUnavailable
+			ev.runs[1] = done(1, 1.1, 11.5)
+		}, rules: []string{"UNASKED"}},
+		{name: "run after a cancellation without an answer", change: func(ev *evidence) {
+			ev.jobs[0].answers[1] = answer{method: http.MethodDelete, sentAt: at(3), at: at(6), isUnanswered: true, isTimedOut: true}
+			ev.runs[1].EndedAt = time.Time{}
+		}, rules: []string{"UNASKED"}},
+		{name: "run until a cancellation that was put off is carried out", change: func(ev *evidence) {
+			ev.jobs[0].answers[1] = cancelled(3)
+			ev.jobs[0].answers[1].status = http.StatusServiceUnavailable
+			ev.runs[1] = done(1, 1.1, 9.5)
+		}},
+		{name: "cancellation that was lost with its process", change: func(ev *evidence) {
+			ev.jobs[0].answers[1] = cancelled(3)
+			ev.jobs[0].answers[1].status = http.StatusServiceUnavailable
+			ev.runs[1].EndedAt = time.Time{}
+			ev.processEnds = []processEnd{{manager: 0, at: at(4)}}
+		}},
 		{name: "wave over its cap", change: func(ev *evidence) {
 			ev.plan.Moments = []Moment{{Event: wave}}
 			ev.maintenances = []provider.Maintenance{{VM: "m-1", Wave: 1, BeganAt: at(1), EndAt: at(2)}, {VM: "m-2", Wave: 1, BeganAt: at(1.9), EndAt: at(3)}}
--- a/standin/internal/soaker/connection.go
+++ b/standin/internal/soaker/connection.go
@@ -54,6 +54,11 @@
 	err    error
 }
 
+// isTimedOut reports whether the request was sent, and no answer came in the time budget.
+func (ex exchange) isTimedOut() bool {
+	return !ex.sentAt.IsZero() && errors.Is(ex.err, os.ErrDeadlineExceeded)
+}
+
 // isCut reports whether the connection ended without a complete answer.
 func (ex exchange) isCut() bool {
 	return ex.err != nil && !ex.sentAt.IsZero() && !errors.Is(ex.err, os.ErrDeadlineExceeded)
--- a/standin/internal/soaker/evidence.go
+++ b/standin/internal/soaker/evidence.go
@@ -19,6 +19,8 @@
 	violations   []provider.Violation
 	runs         []provider.Run
 	maintenances []provider.Maintenance
+	// processEnds are the ends of the managers' processes.
+	processEnds []processEnd
 	// isCompleted holds the waves that are shown as completed, and isUp the VMs
 	// that are up.
 	isCompleted map[int64]bool
@@ -38,6 +40,7 @@
 		violations:   pv.Violations(),
 		runs:         pv.Runs(),
 		maintenances: pv.Maintenances(),
+		processEnds:  pl.ends(),
 		isCompleted:  map[int64]bool{},
 		isUp:         map[string]bool{},
 		endedAt:      time.Now(),
--- a/standin/internal/soaker/finisher.go
+++ b/standin/internal/soaker/finisher.go
@@ -16,7 +16,7 @@
 	finishInterval = 200 * time.Millisecond
 	// cancelledGone is the time after which no task of a cancelled job may run, and a
 	// margin.
-	cancelledGone = contactTime + cancelTime + stopGrace + 2*finishInterval
+	cancelledGone = contactTime + ackTimeout + cancelTime + stopGrace + 2*finishInterval
 	// maxFinishTime bounds the wait for jobs that lack room.
 	maxFinishTime = 30 * time.Second
 )
--- a/standin/internal/soaker/job.go
+++ b/standin/internal/soaker/job.go
@@ -54,6 +54,8 @@
 	status       int
 	state        modeller.JobState
 	isUnanswered bool
+	// isTimedOut is true if the request was sent and the connection held without an answer.
+	isTimedOut bool
 }
 
 func (as answer) isSuccess() bool {
--- a/standin/internal/soaker/manager.go
+++ b/standin/internal/soaker/manager.go
@@ -80,6 +80,7 @@
 	mg.life = nil
 	end, isClosed := lf.end, mg.isClosed
 	mg.mu.Unlock()
+	mg.play.recordEnd(mg.number)
 	mg.checkEnd(lf, end, err)
 	close(lf.done)
 	if isClosed {
--- a/standin/internal/soaker/play.go
+++ b/standin/internal/soaker/play.go
@@ -65,8 +65,10 @@
 
 	mu       sync.Mutex
 	findings []Finding
-	jobs     []*job
-	cuts     []cut
+	// processEnds are the ends of the managers' processes.
+	processEnds []processEnd
+	jobs        []*job
+	cuts        []cut
 	// unfinished counts the jobs that lacked room until the end.
 	unfinished int
 }
