submitter: random faults also check cancellations that are put off

TestAnswersToSubmissionsHold now lets the callers of cancellations leave at any time, and checks that no job with a cancellation is live once the store serves again, whatever the answer was. What was acknowledged is checked right after the faults, as before.

--- a/coltsfootwick-manager/internal/submitter/outcome_test.go
+++ b/coltsfootwick-manager/internal/submitter/outcome_test.go
@@ -19,9 +19,10 @@
 	"coltsfootwick.example/shared/store/storer"
 )
 
-// answers are the answers that the submissions and cancellations of a job got.
+// answers are the answers that the submissions and cancellations of a job got. isCancelSent
+// is true if there was a cancellation, whatever its answer.
 type answers struct {
-	isAccepted, mayBeStored, isCancelled bool
+	isAccepted, mayBeStored, isCancelled, isCancelSent bool
 }
 
 // isLive reports whether a job is stored and hasn't been cancelled.
@@ -37,7 +38,8 @@
 }
 
 // Guards against accepted jobs that aren't stored, refused ones that are, and cancelled
-// ones that are stored and not cancelled.
+// ones that are stored and not cancelled, also if the cancellation was refused or its
+// caller has gone.
 func TestAnswersToSubmissionsHold(t *testing.T) {
 	for seed := range uint64(60) {
 		synctest.Test(t, func(t *testing.T) {
@@ -64,11 +66,15 @@
 				jb := newJob(fmt.Sprintf("j%d", random.IntN(60)))
 				sm := managers[random.IntN(len(managers))]
 				if random.IntN(4) == 0 {
+					patience := time.Duration(random.IntN(3000)) * time.Millisecond
 					submissions.Go(func() {
-						code := classifier.CodeOf(sm.Cancel(callerContext(t), queueQ, "", jb.ID))
+						ctx, leave := context.WithTimeout(callerContext(t), patience)
+						defer leave()
+						code := classifier.CodeOf(sm.Cancel(ctx, queueQ, "", jb.ID))
 						mutex.Lock()
 						defer mutex.Unlock()
 						as := byJob[jb.ID]
+						as.isCancelSent = true
 						as.isCancelled = as.isCancelled || code == classifier.OK || code == classifier.JobUnknown
 						byJob[jb.ID] = as
 					})
@@ -88,13 +94,20 @@
 			submissions.Wait()
 			// Delayed writes may take effect after their callers have given up.
 			time.Sleep(time.Minute)
-			cancel()
 			must.NoError(t, kr.SetFaults())
 			for id, as := range byJob {
-				isStored, isLive := isLive(t, kr.Zone("c"), id)
 				if as.isCancelled {
+					_, isLive := isLive(t, kr.Zone("c"), id)
 					must.False(t, isLive, must.Sprintf("seed %d: cancelled job %s", seed, id))
 				}
+			}
+			time.Sleep(30 * time.Second)
+			cancel()
+			for id, as := range byJob {
+				isStored, isLive := isLive(t, kr.Zone("c"), id)
+				if as.isCancelSent {
+					must.False(t, isLive, must.Sprintf("seed %d: job %s with a cancellation", seed, id))
+				}
 				if as.isAccepted {
 					must.True(t, isStored, must.Sprintf("seed %d: accepted job %s", seed, id))
 				}
