--- a/shared/process/server/connection_test.go
+++ b/shared/process/server/connection_test.go
@@ -25,8 +25,10 @@
 	cn := &connection{
 		TCPConn: conn.(*net.TCPConn),
 		gate: &gate{
-			guard:    guard.New(guard.Capacity{Connections: 1, Unfinished: 1}),
-			limits:   func() guard.Limits { return guard.Limits{IdleTimeout: 100 * time.Millisecond, HeaderTimeout: 100 * time.Millisecond} },
+			guard: guard.New(guard.Capacity{Connections: 1, Unfinished: 1}),
+			limits: func() guard.Limits {
+				return guard.Limits{IdleTimeout: 100 * time.Millisecond, HeaderTimeout: 100 * time.Millisecond}
+			},
 			refusals: newRefusals(func(guard.Cause, uint64, uint64) {}),
 		},
 	}
