allocator: give up a lost worker whose VM is down after a takeover

Cause: an earlier holder may extend the lease of a worker that doesn't report, so it is awaited for the longest time. The list of VMs shows at once that the VM is down, but it was asked for only with a wave or a standby pool, and down wasn't evidence.

TestUnresponsiveWorkerIsDroppedOnceVMIsDown failed before.

Change: the VMs are listed while a worker of an earlier holder doesn't answer, and one whose VM is down in all lists of 3 s is given up.

--- a/shared/jobs/allocator/fleet.go
+++ b/shared/jobs/allocator/fleet.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"slices"
 	"time"
 
 	"coltsfootwick.example/shared/jobs/modeller"
@@ -16,7 +17,10 @@
 	vms map[string]modeller.VM
 	// absentSince maps VMs that were looked up but not listed to the time of
 	// the first list that lacked them.
-	absentSince     map[string]time.Time
+	absentSince map[string]time.Time
+	// downSince maps VMs that the lists have shown as down without a break to the time of
+	// the first of these lists.
+	downSince       map[string]time.Time
 	waves           map[int64]*wave
 	listedAt        time.Time
 	listRequestedAt time.Time
@@ -41,6 +45,7 @@
 	return &fleet{
 		vms:           map[string]modeller.VM{},
 		absentSince:   map[string]time.Time{},
+		downSince:     map[string]time.Time{},
 		waves:         map[int64]*wave{},
 		moves:         map[string]*move{},
 		moveTime:      defaultMoveTime,
@@ -64,6 +69,7 @@
 		delete(fl.absentSince, vm.Name)
 	}
 	fl.keepUnnamed(before)
+	fl.noteDown()
 	al.relistWorkers(ev.VMs)
 	al.endTakenDownWorkers(al.workers.sorted)
 }
@@ -121,6 +127,37 @@
 	return fl.listedAt.Sub(since) >= minAbsence
 }
 
+// noteDown updates downSince after a list.
+func (fl *fleet) noteDown() {
+	before := fl.downSince
+	fl.downSince = map[string]time.Time{}
+	for name, vm := range fl.vms {
+		if vm.State != modeller.VMDown {
+			continue
+		}
+		since, wasDown := before[name]
+		if !wasDown {
+			since = fl.listedAt
+		}
+		fl.downSince[name] = since
+	}
+}
+
+// isDown reports whether the lists have shown a VM as down for minAbsence. A single list may
+// be older than the worker that has started on the VM since.
+func (fl *fleet) isDown(vm string) bool {
+	since, ok := fl.downSince[vm]
+	return ok && fl.listedAt.Sub(since) >= minAbsence
+}
+
+// awaitsLostWorker reports whether tasks may wait for a worker of an earlier holder that
+// doesn't answer, of which the list of VMs may show that it is gone.
+func (al *Allocator) awaitsLostWorker(now time.Time) bool {
+	return now.Before(al.oldRunsExpiry()) && slices.ContainsFunc(al.workers.sorted, func(wk *worker) bool {
+		return wk.mayHoldOldRuns && wk.isUnresponsive && wk.info.VM != ""
+	})
+}
+
 // endTakenDownWorkers ends the incarnations of earlier holders' workers that
 // have not reported and whose VMs have been taken down since, so that their
 // tasks need not wait for the leases to expire. A VM has one worker at a time.
@@ -143,6 +180,8 @@
 		switch {
 		case al.fleet.isRemoved(wk.info.VM):
 			return "its VM was removed"
+		case al.fleet.isDown(wk.info.VM):
+			return "its VM is down"
 		case !isListed:
 		case vm.State == modeller.VMMoving || vm.State == modeller.VMMaintenance:
 			return "its VM is moving or under maintenance"
@@ -162,7 +201,7 @@
 // it is due.
 func (al *Allocator) planWaves(now time.Time) {
 	fl := al.fleet
-	needsVMList := al.standbyPool() != ""
+	needsVMList := al.standbyPool() != "" || al.awaitsLostWorker(now)
 	for _, number := range fl.waveNumbers() {
 		wv := fl.waves[number]
 		if wv.isCompleted {
--- a/shared/jobs/allocator/worker_test.go
+++ b/shared/jobs/allocator/worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -116,6 +117,34 @@
 	}
 }
 
+// Guards against tasks that wait for the longest lease after a takeover, since their worker
+// was lost with its VM before it reported to the new holder.
+func TestUnresponsiveWorkerIsDroppedOnceVMIsDown(t *testing.T) {
+	up, down := vmOf("old", modeller.VMUp), vmOf("old", modeller.VMDown)
+	for _, row := range []struct {
+		name   string
+		lists  []modeller.VM
+		starts int
+	}{
+		{"down for less than 3 s", []modeller.VM{down, down, down}, 0},
+		{"up in between", []modeller.VM{down, down, up, down, down}, 0},
+		{"down for 3 s", []modeller.VM{down, down, down, down}, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			fx := newTakeoverFixture(t)
+			for _, vm := range row.lists {
+				fx.apply(PollFailed{Worker: "old", Outcome: NotSent})
+				fx.advance(time.Second)
+				must.Len(t, 1, slices.DeleteFunc(slices.Clone(fx.orders), func(od Order) bool { return od != Order(ListVMsOrder{}) }))
+				fx.orders = nil
+				fx.report("a", nil)
+				fx.listVMs(vm, vmOf("a", modeller.VMUp))
+			}
+			must.Len(t, row.starts, takeOrders[StartOrder](fx))
+		})
+	}
+}
+
 func TestUnresponsiveWorkerIsDroppedOnceAnotherReportsFromVM(t *testing.T) {
 	fx := newTakeoverFixture(t)
 	later := fx.al.workers.byID["a"].info
