--- a/coltsfootwick-manager/internal/submitter/cancel.go
+++ b/coltsfootwick-manager/internal/submitter/cancel.go
@@ -76,19 +76,23 @@
 func (sm *Submitter) cancel(ctx context.Context, cn cancellation) error {
 	for tries := 1; ; tries++ {
 		err := sm.cancelOnce(ctx, cn, sm.takeTombstone)
-		code := classifier.CodeOf(err)
-		mayBeStored := code == classifier.PlatformConflict || code == classifier.PlatformAmbiguous
-		isRefused := isUnavailable(err) && tries < maxRefusedTries && !sm.storeHealth.IsUnavailable()
-		if !mayBeStored && !isRefused || storer.Pause(ctx, retryDelay) != nil {
+		isSingleRefusal := isUnavailable(err) && tries < maxRefusedTries && !sm.storeHealth.IsUnavailable()
+		if !mustReadAgain(err) && !isSingleRefusal || storer.Pause(ctx, retryDelay) != nil {
 			return cancelError(err, cn.id)
 		}
 	}
 }
 
+// mustReadAgain reports whether only the job's record tells what became of a write.
+func mustReadAgain(err error) bool {
+	code := classifier.CodeOf(err)
+	return code == classifier.PlatformConflict || code == classifier.PlatformAmbiguous
+}
+
 // cancelError returns the result of a cancellation whose last try had the given one.
 func cancelError(err error, id modeller.JobID) error {
-	switch code := classifier.CodeOf(err); {
-	case code == classifier.PlatformConflict || code == classifier.PlatformAmbiguous:
+	switch {
+	case mustReadAgain(err):
 		return classifier.Wrap(err, classifier.JobOutcomeUnknown, "job %s", id)
 	case isUnavailable(err):
 		return classifier.Wrap(err, classifier.JobUnavailable, "job %s", id)
--- a/coltsfootwick-manager/internal/submitter/standstill.go
+++ b/coltsfootwick-manager/internal/submitter/standstill.go
@@ -50,8 +50,9 @@
 	}
 }
 
-// isRecent reports whether a standstill over the limit has ended a short time ago.
-func (ss *standstill) isRecent() bool {
+// notice notices the passing of time. It reports whether a standstill over the limit has ended
+// less than settleTime ago.
+func (ss *standstill) notice() (isRecent bool) {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	now := ss.now()
@@ -65,13 +66,13 @@
 // run notices the passing of time until the context is done.
 func (ss *standstill) run(ctx context.Context) {
 	for storer.Pause(ctx, ss.limit/noticesPerLimit) == nil {
-		ss.isRecent()
+		ss.notice()
 	}
 }
 
 // check returns an error while submissions may be older than the tombstones of their jobs.
 func (ss *standstill) check() error {
-	if !ss.isRecent() {
+	if !ss.notice() {
 		return nil
 	}
 	return &classifier.RetryError{
--- a/shared/process/server/connection.go
+++ b/shared/process/server/connection.go
@@ -156,7 +156,7 @@
 func (cn *connection) Read(data []byte) (int, error) {
 	cn.guarded.SetBusy(false)
 	count, err := cn.TCPConn.Read(data)
-	if errors.Is(err, os.ErrDeadlineExceeded) && cn.mayReadLate() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && cn.prolong() {
 		count, err = cn.TCPConn.Read(data)
 	}
 	cn.guarded.SetBusy(true)
@@ -184,9 +184,9 @@
 // which what has arrived is read.
 const lateReadTime = 10 * time.Millisecond
 
-// mayReadLate prolongs an expired deadline once. While the process stood still, a request may
-// have arrived in time that could not be read.
-func (cn *connection) mayReadLate() bool {
+// prolong prolongs an expired deadline once, and reports whether it did. While the process stood
+// still, a request may have arrived in time that could not be read.
+func (cn *connection) prolong() bool {
 	switch phase(cn.phase.Load()) {
 	case readingHeader, waiting:
 	case serving, resting:
